--- /dev/null
+++ b/packages/agent/src/briarthread_agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent of briarthread: one process before each target."""
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/agent.py
@@ -0,0 +1,185 @@
+"""The agent, put together."""
+
+import random
+
+import anyio
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from briarthread_agent.attempts.attempt_handler import AttemptHandler
+from briarthread_agent.attempts.ledger import Ledger
+from briarthread_agent.attempts.runner import Runner, wait_for_drain
+from briarthread_agent.attempts.target_client import TargetClient
+from briarthread_agent.holding.gap_watch import GapWatch
+from briarthread_agent.holding.hand_over import import_answers
+from briarthread_agent.holding.kept_answer import HandOver
+from briarthread_agent.holding.share_guard import ShareGuard
+from briarthread_agent.holding.share_keeper import MEMORY_PATH, ShareKeeper
+from briarthread_agent.limits.fair_queue import FairQueue
+from briarthread_agent.reports.load_reporter import LoadReporter
+from briarthread_agent.settings import AgentSettings
+from briarthread_common.core.event_log import EventLog
+from briarthread_common.core.exceptions import ChannelError
+from briarthread_common.core.metrics import Metrics
+from briarthread_common.feeds.feed_set import FeedSet
+from briarthread_common.http.app import App, Route
+from briarthread_common.http.call import Call
+from briarthread_common.http.channel import Channel
+from briarthread_common.http.channel_calls import MAX_MESSAGE_BYTES
+from briarthread_common.http.status_pages import StatusPages
+from briarthread_common.messages.hello import HELLO_PATH, Hello
+from briarthread_common.messages.instance import Instance, InstanceRole
+from briarthread_common.platform.platform_client import PlatformClient
+from briarthread_common.shares.share_view import ShareView
+from briarthread_common.spread.directory import Directory
+from briarthread_common.spread.spreader import EXCHANGE_PATH, Spreader
+from briarthread_common.text.text_view import TextView
+from briarthread_common.utils.clock import Clock
+from briarthread_common.utils.hashing import random_id
+
+FIRST_SLOTS = 8
+FIRST_QUEUE = 64
+
+
+class Agent:
+    """Hold the parts of one agent and its ASGI application."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        channel: Channel,
+        clock: Clock,
+        tasks: TaskGroup,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.tasks = tasks
+        self.incarnation = random_id(rng)
+        self.metrics = Metrics()
+        self.events = EventLog(clock, "agent")
+        self.me = Instance(
+            settings.name,
+            settings.data_centre,
+            settings.listen,
+            InstanceRole.TARGET,
+            settings.service,
+        )
+        self.feeds = FeedSet()
+        self.text = TextView(self.feeds.text)
+        self.directory = Directory(self.feeds.instances)
+        platform = PlatformClient(
+            channel, settings.platform_addresses, settings.platform_timeout
+        )
+        self.spreader = Spreader(
+            settings.spread, self.feeds, self.directory, platform, channel, rng
+        )
+        self.gap = GapWatch(clock)
+        self.guard = ShareGuard(
+            clock,
+            self.me,
+            self.incarnation,
+            ShareView(self.feeds.shares),
+            self.text,
+            self.gap,
+        )
+        self.ledger = Ledger(clock)
+        self.keeper = ShareKeeper(
+            self.guard,
+            self.ledger,
+            self.feeds,
+            self.directory,
+            platform,
+            self.spreader,
+            channel,
+            self.events,
+            rng,
+        )
+        self.queue = FairQueue(clock, FIRST_SLOTS, FIRST_QUEUE)
+        self.reporter = LoadReporter(self.incarnation, self.queue)
+        target = TargetClient(channel, settings.target)
+        runner = Runner(clock, self.ledger, self.queue, target, self.guard, tasks)
+        self.handler = AttemptHandler(
+            runner, self.reporter, self.text, settings.service, self.metrics
+        )
+        self.app = App(self._routes())
+
+    def start(self) -> None:
+        """Start the background tasks in the task group."""
+        self.tasks.start_soon(self.spreader.run)
+        self.tasks.start_soon(self.gap.run)
+        self.tasks.start_soon(self.keeper.run)
+        self.tasks.start_soon(self._follow_text)
+
+    async def drain(self) -> None:
+        """
+        Leave gracefully: say so, hand shares over, let the work finish.
+
+        New attempts are refused, with proof that they did not run, until the
+        listener closes.
+        """
+        logger.info("agent: stopping")
+        self.reporter.drain()
+        self.guard.draining = True
+        with anyio.move_on_after(self.settings.drain_timeout):
+            await self.keeper.hand_over_all()
+        await anyio.sleep(self.settings.drain_notice)
+        await wait_for_drain(self.queue, self.settings.drain_timeout)
+        try:
+            await self.keeper.send_late_answers()
+        except ChannelError as error:
+            logger.warning("agent: late answers were not handed over: {}", error)
+
+    def ready(self) -> str:
+        """Return why the agent is not ready, or nothing."""
+        if self.guard.draining:
+            return "draining"
+        if self.settings.service not in self.text.current().services:
+            return "no text with its service yet"
+        return ""
+
+    def _routes(self) -> list[Route]:
+        pages = StatusPages(self.metrics, self.events, self.ready, self._status)
+        return [
+            Route("POST", "/agent/v1/attempts", self.handler.handle_attempt),
+            Route("POST", "/agent/v1/revoke", self.handler.handle_revoke),
+            Route("GET", "/agent/v1/load", self.reporter.handle_stream),
+            Route("GET", HELLO_PATH, self._handle_hello),
+            Route("POST", MEMORY_PATH, self._handle_memory),
+            Route("POST", EXCHANGE_PATH, self.spreader.handle_exchange),
+            *pages.routes(),
+        ]
+
+    async def _handle_hello(self, call: Call) -> None:
+        await call.reply_json(Hello(self.settings.name, self.incarnation))
+
+    async def _handle_memory(self, call: Call) -> None:
+        message = await call.read_json(HandOver, MAX_MESSAGE_BYTES)
+        service = self.text.current().services[message.service]
+        import_answers(
+            self.ledger, message.service, message.answers, service.answer_bytes
+        )
+        await call.reply_json(True)
+
+    async def _follow_text(self) -> None:
+        number = 0
+        while True:
+            service = self.text.current().services.get(self.settings.service)
+            if service is not None:
+                self.queue.slots = service.slots
+                self.queue.limit = service.queue
+            await self.feeds.text.wait_beyond(number)
+            number = self.feeds.text.number
+
+    def _status(self) -> dict[str, object]:
+        return {
+            "name": self.settings.name,
+            "role": "agent",
+            "incarnation": self.incarnation,
+            "versions": self.feeds.versions(),
+            "platform": "up" if self.spreader.platform_up else "down",
+            "running": self.queue.running,
+            "queued": len(self.queue.waiting),
+            "shares": [row.share for row in self.guard.held()],
+            "ready": self.ready() or "yes",
+        }
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/attempts/__init__.py
@@ -0,0 +1,1 @@
+"""Running each attempt at most once."""
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/attempts/attempt_handler.py
@@ -0,0 +1,122 @@
+"""The agent's side of an attempt's HTTP exchange."""
+
+import anyio
+import msgspec
+
+from briarthread_agent.attempts.record import Record
+from briarthread_agent.attempts.runner import Runner
+from briarthread_agent.attempts.target_client import STREAM_TYPE
+from briarthread_agent.reports.load_reporter import LoadReporter
+from briarthread_common.core.error_answer import ERROR_ANSWERS
+from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.core.exceptions import RequestError
+from briarthread_common.core.metrics import Metrics
+from briarthread_common.http.app import AnswerAborted
+from briarthread_common.http.call import Call
+from briarthread_common.messages.attempt import (
+    ATTEMPT_HEADER,
+    LOAD_HEADER,
+    RESULT_HEADER,
+    Attempt,
+)
+from briarthread_common.messages.revoke import RevokeAnswer, RevokeRequest
+from briarthread_common.text.text_view import TextView
+
+ANSWERED = "answered"
+PASSED_ON = frozenset({"content-type", "accept", "accept-language"})
+REVOKE_BYTES = 4096
+
+
+class AttemptHandler:
+    """Take attempts and revokes from entries."""
+
+    def __init__(
+        self,
+        runner: Runner,
+        reporter: LoadReporter,
+        text: TextView,
+        service: str,
+        metrics: Metrics,
+    ) -> None:
+        self.runner = runner
+        self.reporter = reporter
+        self.text = text
+        self.service = service
+        self.metrics = metrics
+
+    async def handle_attempt(self, call: Call) -> None:
+        """Run an attempt and send its answer, or refuse it at once."""
+        try:
+            record = await self._submit(call)
+        except RequestError as error:
+            await self._refuse(call, error)
+            return
+        record.readers += 1
+        try:
+            await self._follow(call, record)
+        finally:
+            self.runner.leave(record)
+
+    async def handle_revoke(self, call: Call) -> None:
+        """Take an attempt back if it has not started."""
+        request = await call.read_json(RevokeRequest, REVOKE_BYTES)
+        if request.incarnation != self.reporter.incarnation:
+            raise RequestError(ErrorKind.WRONG_INCARNATION, "revoke for another")
+        state = self.runner.ledger.revoke(request)
+        await call.reply_json(RevokeAnswer(state))
+
+    async def _submit(self, call: Call) -> Record:
+        attempt = _read_attempt(call)
+        if attempt.incarnation != self.reporter.incarnation:
+            raise RequestError(ErrorKind.WRONG_INCARNATION, "for another incarnation")
+        service = self.text.current().services.get(self.service)
+        if service is None or attempt.service != self.service:
+            raise RequestError(
+                ErrorKind.UNKNOWN_SERVICE, f"{attempt.service} is not served here"
+            )
+        headers = tuple((k, v) for k, v in call.headers.items() if k in PASSED_ON)
+        body = await call.read_body(service.body_bytes)
+        return self.runner.submit(attempt, service, headers, body)
+
+    async def _follow(self, call: Call, record: Record) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call.cancel_on_disconnect, tasks.cancel_scope)
+            try:
+                await self._send_answer(call, record)
+            except RequestError as error:
+                if call.started:
+                    raise AnswerAborted(str(error)) from error
+                await self._refuse(call, error)
+            tasks.cancel_scope.cancel()
+
+    async def _send_answer(self, call: Call, record: Record) -> None:
+        answer = record.answer
+        await answer.wait_head()
+        is_stream = dict(answer.headers).get("content-type", "").startswith(STREAM_TYPE)
+        if not is_stream:
+            await answer.wait_end()
+        head = [*answer.headers, (RESULT_HEADER, ANSWERED), self._load()]
+        if answer.finished:
+            await call.reply(answer.status, b"".join(answer.chunks), head)
+            return
+        await call.start(answer.status, head)
+        async for chunk in answer.read():
+            await call.send_chunk(chunk)
+        await call.finish()
+
+    async def _refuse(self, call: Call, error: RequestError) -> None:
+        self.metrics.refusals.labels(str(error.kind)).inc()
+        headers = [(RESULT_HEADER, str(error.kind)), self._load()]
+        await call.reply_error(error, ERROR_ANSWERS[error.kind].status, headers)
+
+    def _load(self) -> tuple[str, str]:
+        report = msgspec.json.encode(self.reporter.report())
+        return (LOAD_HEADER, report.decode())
+
+
+def _read_attempt(call: Call) -> Attempt:
+    raw = call.headers.get(ATTEMPT_HEADER, "")
+    try:
+        return msgspec.json.decode(raw, type=Attempt)
+    except msgspec.MsgspecError as error:
+        raise RequestError(ErrorKind.BAD_REQUEST, f"attempt header: {error}") from error
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/attempts/ledger.py
@@ -0,0 +1,106 @@
+"""The memory that makes each key run at most once."""
+
+import heapq
+
+from briarthread_agent.attempts.record import Record, RecordState
+from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.core.exceptions import RequestError
+from briarthread_common.messages.attempt import Attempt
+from briarthread_common.messages.revoke import RevokeRequest, RevokeState
+from briarthread_common.utils.clock import Clock
+
+CLOCK_BOUND = 2.0
+"""Seconds by which clocks of two machines may differ; see the settings page."""
+
+
+class Ledger:
+    """
+    Remember each key that came and each attempt that was revoked.
+
+    A tombstone outlives the deadline of its attempt, past which the agent
+    refuses the attempt anyway; so a late copy of it can never start.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.records: dict[str, Record] = {}
+        self.tombstones: dict[str, float] = {}
+        self.expiries: list[tuple[float, str]] = []
+
+    def find(self, attempt: Attempt, fingerprint: int) -> Record | None:
+        """
+        Return the record that an attempt joins, ``None`` for a first one.
+
+        Raise RequestError when the attempt was revoked, or when its key was
+        used for another request.
+        """
+        self.expire()
+        if attempt.id in self.tombstones:
+            raise RequestError(ErrorKind.REVOKED, "attempt was revoked")
+        record = self.records.get(attempt.key)
+        if record is None:
+            return None
+        if record.fingerprint != fingerprint:
+            raise RequestError(
+                ErrorKind.KEY_REUSED, "the key was used for another request"
+            )
+        record.ids.add(attempt.id)
+        return record
+
+    def add(self, record: Record) -> None:
+        """Remember a new record until it expires."""
+        self.records[record.attempt.key] = record
+        heapq.heappush(self.expiries, (record.expires, record.attempt.key))
+
+    def forget(self, record: Record) -> None:
+        """Drop a record whose run never started."""
+        if self.records.get(record.attempt.key) is record:
+            del self.records[record.attempt.key]
+
+    def revoke(self, request: RevokeRequest) -> RevokeState:
+        """
+        Take an attempt back if its key has not started; tell what is so.
+
+        ``REVOKED`` is a promise that this attempt never runs here. While
+        other attempts of the key wait with it, the key will run, and the
+        answer is ``RUNNING``.
+        """
+        self.expire()
+        record = self.records.get(request.key)
+        if record is None:
+            self._bury(request)
+            return RevokeState.REVOKED
+        if record.state is RecordState.ENDED:
+            return RevokeState.FINISHED
+        if record.state is RecordState.RUNNING or record.ids != {request.id}:
+            return RevokeState.RUNNING
+        self._bury(request)
+        record.scope.cancel()
+        record.answer.fail(RequestError(ErrorKind.REVOKED, "attempt was revoked"))
+        self.forget(record)
+        return RevokeState.REVOKED
+
+    def expire(self) -> None:
+        """Drop what is past its time, but never a run that has not ended."""
+        now = self.clock.now()
+        while self.expiries and self.expiries[0][0] < now:
+            _, key = heapq.heappop(self.expiries)
+            self.tombstones.pop(key, None)
+            record = self.records.get(key)
+            if record is None or record.expires > now:
+                continue
+            if record.answer.ended:
+                del self.records[key]
+            elif record.imported:
+                record.answer.fail(
+                    RequestError(ErrorKind.OUTCOME_UNKNOWN, "last holder is gone")
+                )
+                del self.records[key]
+            else:
+                record.expires = now + CLOCK_BOUND
+                heapq.heappush(self.expiries, (record.expires, key))
+
+    def _bury(self, request: RevokeRequest) -> None:
+        expires = request.deadline + CLOCK_BOUND
+        self.tombstones[request.id] = expires
+        heapq.heappush(self.expiries, (expires, request.id))
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/attempts/runner.py
@@ -0,0 +1,126 @@
+"""Running of attempts, each key at most once."""
+
+from typing import Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+
+from briarthread_agent.attempts.answer_buffer import Headers
+from briarthread_agent.attempts.ledger import CLOCK_BOUND, Ledger
+from briarthread_agent.attempts.record import Record, RecordState
+from briarthread_agent.attempts.target_client import TargetClient
+from briarthread_agent.limits.fair_queue import FairQueue
+from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.core.exceptions import RequestError
+from briarthread_common.messages.attempt import Attempt
+from briarthread_common.text.service import Service
+from briarthread_common.utils.clock import Clock
+
+
+class StartGuard(Protocol):
+    """Decide whether an attempt may start on this agent now."""
+
+    def check_start(self, attempt: Attempt) -> None:
+        """Raise RequestError when the attempt must not start."""
+        ...
+
+
+class Runner:
+    """
+    Run each new key once and let later attempts of it join the run.
+
+    The run has a task of its own, so that it outlives the connection that
+    asked for it where the request is not idempotent.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        ledger: Ledger,
+        queue: FairQueue,
+        target: TargetClient,
+        guard: StartGuard,
+        tasks: TaskGroup,
+    ) -> None:
+        self.clock = clock
+        self.ledger = ledger
+        self.queue = queue
+        self.target = target
+        self.guard = guard
+        self.tasks = tasks
+
+    def submit(
+        self, attempt: Attempt, service: Service, headers: Headers, body: bytes
+    ) -> Record:
+        """
+        Return the record of the attempt's key, starting its run if new.
+
+        Raise RequestError when the attempt is refused; nothing of it then
+        ran or will run.
+        """
+        fingerprint = attempt.fingerprint(body)
+        record = self.ledger.find(attempt, fingerprint)
+        if record is not None:
+            return record
+        self.guard.check_start(attempt)
+        expires = self._expiry(attempt, service)
+        record = Record(attempt, fingerprint, expires, service.answer_bytes)
+        self.ledger.add(record)
+        self.tasks.start_soon(self._run, record, headers, body)
+        return record
+
+    def leave(self, record: Record) -> None:
+        """Note that a reader is gone; cancel a run that none waits for."""
+        record.readers -= 1
+        if record.readers == 0 and not record.answer.ended and not record.must_finish:
+            record.scope.cancel()
+            self.ledger.forget(record)
+
+    async def _run(self, record: Record, headers: Headers, body: bytes) -> None:
+        attempt = record.attempt
+        try:
+            with record.scope:
+                async with self.queue.slot(
+                    attempt.account, attempt.weight, attempt.priority, attempt.deadline
+                ):
+                    self._check_still_allowed(record)
+                    record.state = RecordState.RUNNING
+                    await self.target.run(attempt, headers, body, record.answer)
+        except RequestError as error:
+            record.answer.fail(error)
+            self.ledger.forget(record)
+            return
+        if not record.answer.ended:
+            record.answer.fail(RequestError(ErrorKind.REVOKED, "run was cancelled"))
+        record.state = RecordState.ENDED
+        if self._never_reached(record):
+            self.ledger.forget(record)
+
+    def _check_still_allowed(self, record: Record) -> None:
+        """Check again after the wait; a revoke or a freeze may lie between."""
+        if record.scope.cancel_called:
+            raise RequestError(ErrorKind.REVOKED, "attempt was revoked")
+        if self.clock.now() >= record.attempt.deadline:
+            raise RequestError(
+                ErrorKind.DEADLINE_PASSED, "deadline passed in the queue"
+            )
+        self.guard.check_start(record.attempt)
+
+    def _expiry(self, attempt: Attempt, service: Service) -> float:
+        kept = attempt.deadline + CLOCK_BOUND
+        if attempt.keyed and not attempt.idempotent:
+            return max(kept, self.clock.now() + service.retry_horizon)
+        return kept
+
+    def _never_reached(self, record: Record) -> bool:
+        error = record.answer.error
+        return error is not None and error.kind is ErrorKind.NO_TARGET
+
+
+async def wait_for_drain(queue: FairQueue, timeout: float) -> bool:
+    """Wait until no attempt runs or waits; tell whether that came in time."""
+    with anyio.move_on_after(timeout):
+        while queue.running or queue.waiting:
+            await anyio.sleep(0.05)
+        return True
+    return False
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/attempts/target_client.py
@@ -0,0 +1,56 @@
+"""Calls to the target that the agent stands before."""
+
+from briarthread_agent.attempts.answer_buffer import AnswerBuffer, Headers
+from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.core.exceptions import (
+    BrokenCallError,
+    NotWrittenError,
+    RequestError,
+)
+from briarthread_common.core.outcome import Outcome
+from briarthread_common.http.channel import Channel, ChannelRequest
+from briarthread_common.messages.attempt import Attempt
+
+PASSED_BACK = frozenset({"content-type", "cache-control", "content-language"})
+STREAM_TYPE = "text/event-stream"
+
+
+class TargetClient:
+    """Run an attempt on the target and collect its answer."""
+
+    def __init__(self, channel: Channel, address: str) -> None:
+        self.channel = channel
+        self.address = address
+
+    async def run(
+        self, attempt: Attempt, headers: Headers, body: bytes, answer: AnswerBuffer
+    ) -> None:
+        """
+        Send the request and fill the answer; never raise a channel's error.
+
+        A target that was never reached gives ``not-run``; any other failure
+        leaves the outcome unknown.
+        """
+        request = ChannelRequest(
+            attempt.method, self.address, attempt.path, headers, body
+        )
+        try:
+            async with self.channel.stream(request) as response:
+                answer.start(response.status, _passed_back(response.headers))
+                async for chunk in response.body:
+                    answer.add(chunk)
+            answer.finish()
+        except NotWrittenError as error:
+            answer.fail(RequestError(ErrorKind.NO_TARGET, str(error)))
+        except BrokenCallError as error:
+            answer.fail(
+                RequestError(
+                    ErrorKind.TARGET_FAILED, str(error), outcome=Outcome.UNKNOWN
+                )
+            )
+        except RequestError as error:
+            answer.fail(error)
+
+
+def _passed_back(headers: object) -> Headers:
+    return tuple((k, v) for k, v in headers.items() if k in PASSED_BACK)
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command of the agent."""
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/holding/__init__.py
@@ -0,0 +1,1 @@
+"""The shares of idempotency keys that the agent holds."""
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/holding/gap_watch.py
@@ -0,0 +1,46 @@
+"""Noticing that the process itself stood still."""
+
+import anyio
+
+from briarthread_common.utils.clock import Clock
+
+TICK = 0.25
+GAP_BOUND = 1.5
+"""Seconds without a tick after which the process counts as frozen."""
+
+
+class GapWatch:
+    """
+    Tell whether the process was frozen since its shares were last confirmed.
+
+    While it stood still others may have taken its shares. The check does
+    not depend on clocks of other machines.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.last_tick = clock.now()
+        self.suspect = False
+        self.noticed = anyio.Event()
+
+    def check(self) -> bool:
+        """Tell whether there is a gap that was not yet cleared."""
+        now = self.clock.now()
+        if now - self.last_tick > GAP_BOUND:
+            self.suspect = True
+            self.noticed.set()
+        self.last_tick = now if self.suspect else self.last_tick
+        return self.suspect
+
+    def clear(self) -> None:
+        """Note that the shares were confirmed."""
+        self.suspect = False
+        self.noticed = anyio.Event()
+        self.last_tick = self.clock.now()
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self.check()
+            self.last_tick = self.clock.now()
+            await anyio.sleep(TICK)
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/holding/holder_probe.py
@@ -0,0 +1,42 @@
+"""Finding out whether another holder's process is dead."""
+
+from enum import StrEnum
+
+from briarthread_common.core.exceptions import ChannelError, ConnectionRefused
+from briarthread_common.http.channel import Channel
+from briarthread_common.http.channel_calls import call_json
+from briarthread_common.messages.hello import HELLO_PATH, HELLO_TIMEOUT, Hello
+
+
+class ProbeResult(StrEnum):
+    """
+    Tell what a probe showed.
+
+    ``REFUSED`` and ``REPLACED`` prove the process dead, because a slot's
+    address is exclusive; ``SILENT`` proves nothing.
+    """
+
+    ALIVE = "alive"
+    REPLACED = "replaced"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
+async def ask_hello(channel: Channel, address: str) -> Hello:
+    """Return who answers at an address; raise ChannelError if nobody does."""
+    return await call_json(
+        channel, address, "GET", HELLO_PATH, None, Hello, HELLO_TIMEOUT
+    )
+
+
+async def probe_holder(channel: Channel, address: str, incarnation: str) -> ProbeResult:
+    """Find out whether an incarnation still lives at an address."""
+    try:
+        hello = await ask_hello(channel, address)
+    except ConnectionRefused:
+        return ProbeResult.REFUSED
+    except ChannelError:
+        return ProbeResult.SILENT
+    if hello.incarnation == incarnation:
+        return ProbeResult.ALIVE
+    return ProbeResult.REPLACED
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/holding/share_guard.py
@@ -0,0 +1,93 @@
+"""The decision whether an attempt may start on this agent."""
+
+from briarthread_agent.holding.gap_watch import GapWatch
+from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.core.exceptions import RequestError
+from briarthread_common.messages.attempt import Attempt
+from briarthread_common.messages.instance import Instance
+from briarthread_common.shares.share_row import ShareRow
+from briarthread_common.shares.share_view import ShareView
+from briarthread_common.text.text_view import TextView
+from briarthread_common.utils.clock import Clock
+
+
+class ShareGuard:
+    """
+    Let an attempt start only where its key cannot have run elsewhere.
+
+    ``moving`` are shares that are being handed over; ``inherited`` maps a
+    share of this agent's own dead predecessor to the end of its quarantine.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        me: Instance,
+        incarnation: str,
+        shares: ShareView,
+        text: TextView,
+        gap: GapWatch,
+    ) -> None:
+        self.clock = clock
+        self.me = me
+        self.incarnation = incarnation
+        self.shares = shares
+        self.text = text
+        self.gap = gap
+        self.draining = False
+        self.moving: set[int] = set()
+        self.inherited: dict[int, float] = {}
+
+    def check_start(self, attempt: Attempt) -> None:
+        """Raise RequestError when the attempt must not start here now."""
+        if self.draining:
+            raise RequestError(ErrorKind.DRAINING, "agent is stopping")
+        if self.clock.now() >= attempt.deadline:
+            raise RequestError(ErrorKind.DEADLINE_PASSED, "deadline has passed")
+        if attempt.idempotent:
+            return
+        if self.gap.check():
+            raise RequestError(ErrorKind.NOT_READY, "agent stood still a while ago")
+        if attempt.keyed:
+            self._check_share(attempt)
+
+    def row(self, share: int) -> ShareRow | None:
+        """Return the newest known row of a share of this agent's service."""
+        return self.shares.get(self.me.service, self.me.data_centre, share)
+
+    def holds(self, row: ShareRow | None) -> bool:
+        """Tell whether a row names this very process, or one it replaced."""
+        return row is not None and row.address == self.me.address
+
+    def held(self) -> list[ShareRow]:
+        """Return the rows of the shares that this process holds."""
+        service = self.text.current().services.get(self.me.service)
+        if service is None:
+            return []
+        rows = [self.row(share) for share in range(service.shares)]
+        return [row for row in rows if row is not None and self.holds(row)]
+
+    def quarantine_end(self) -> float:
+        """Return when a share taken now without its memory is safe to serve."""
+        service = self.text.current().services[self.me.service]
+        return self.clock.now() + service.retry_horizon + service.max_deadline
+
+    def _check_share(self, attempt: Attempt) -> None:
+        row = self.row(attempt.share)
+        if row is None or not self.holds(row) or attempt.share in self.moving:
+            raise RequestError(ErrorKind.NOT_HOLDER, "share is held elsewhere")
+        if attempt.share_version > row.version:
+            raise RequestError(ErrorKind.NOT_HOLDER, "share has moved meanwhile")
+        self._check_quarantine(row)
+
+    def _check_quarantine(self, row: ShareRow) -> None:
+        end = row.quarantine
+        if row.incarnation != self.incarnation:
+            end = self.inherited.setdefault(row.share, self.quarantine_end())
+        left = end - self.clock.now()
+        if left > 0:
+            raise RequestError(
+                ErrorKind.QUARANTINED,
+                "the memory of this key was lost; an earlier ask may have run",
+                retry_after=left,
+            )
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/holding/share_keeper.py
@@ -0,0 +1,260 @@
+"""The task that claims, inherits and hands over shares."""
+
+import random
+from dataclasses import replace
+
+import anyio
+import msgspec
+from loguru import logger
+
+from briarthread_agent.attempts.ledger import Ledger
+from briarthread_agent.holding.hand_over import batches, export_shares
+from briarthread_agent.holding.holder_probe import (
+    ProbeResult,
+    ask_hello,
+    probe_holder,
+)
+from briarthread_agent.holding.kept_answer import HandOver
+from briarthread_agent.holding.share_guard import ShareGuard
+from briarthread_common.core.event_log import EventLog
+from briarthread_common.core.exceptions import (
+    ChannelError,
+    ConflictError,
+    PlatformError,
+)
+from briarthread_common.feeds.feed_set import FeedName, FeedSet
+from briarthread_common.http.channel import Channel
+from briarthread_common.http.channel_calls import call_json
+from briarthread_common.messages.instance import Instance
+from briarthread_common.platform.feed_store import FeedStore
+from briarthread_common.platform.platform_client import PlatformClient
+from briarthread_common.shares.share_row import ShareRow, share_name
+from briarthread_common.spread.directory import Directory
+from briarthread_common.spread.spreader import Spreader
+from briarthread_common.utils.hashing import rendezvous_order
+
+MEMORY_PATH = "/agent/v1/shares/memory"
+KEEP_INTERVAL = 2.0
+HAND_OVER_TIMEOUT = 3.0
+DEATH_GRACE = 8.0
+"""Seconds for which an address must refuse before its shares are taken."""
+
+
+class ShareKeeper:
+    """
+    Keep every share of this agent's service in its data centre held.
+
+    Rows change only by compare-and-set in the platform's table and never
+    expire. A share without a row goes to the first live agent in the
+    share's rendezvous order. A share whose holder is proven dead goes to
+    the next one, in quarantine. A leaving holder gives memory and row to
+    the next one, without quarantine.
+    """
+
+    def __init__(
+        self,
+        guard: ShareGuard,
+        ledger: Ledger,
+        feeds: FeedSet,
+        directory: Directory,
+        platform: PlatformClient,
+        spreader: Spreader,
+        channel: Channel,
+        events: EventLog,
+        rng: random.Random,
+    ) -> None:
+        self.guard = guard
+        self.me = guard.me
+        self.ledger = ledger
+        self.feeds = feeds
+        self.directory = directory
+        self.spreader = spreader
+        self.channel = channel
+        self.events = events
+        self.rng = rng
+        self.store = FeedStore(platform, FeedName.SHARES)
+        self.refused_since: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Look after the shares until cancelled."""
+        await self.spreader.started.wait()
+        while True:
+            try:
+                await self.keep_once()
+            except (ConflictError, PlatformError, ChannelError) as error:
+                logger.debug("shares: {}", error)
+            await anyio.sleep(KEEP_INTERVAL * self.rng.uniform(0.5, 1.5))
+
+    async def keep_once(self) -> None:
+        """Confirm after a freeze, then claim what this agent should hold."""
+        if self.guard.gap.check():
+            await self._confirm()
+        if self.guard.draining:
+            return
+        claims = await self._claims()
+        if claims:
+            await self._write(claims)
+
+    async def hand_over_all(self) -> None:
+        """Give every held share to its next holder, memory first."""
+        by_successor: dict[str, list[ShareRow]] = {}
+        for row in self.guard.held():
+            successor = self._next_holder(row.share, {self.me.name})
+            if successor is not None:
+                by_successor.setdefault(successor.name, []).append(row)
+        for name, rows in by_successor.items():
+            await self.hand_over(rows, self.directory.all()[name])
+
+    async def hand_over(self, rows: list[ShareRow], successor: Instance) -> None:
+        """
+        Give shares with their memory to a successor.
+
+        From the first step on this agent starts no key of the shares, so
+        what was sent is all there is to know. Where the platform cannot be
+        reached the row stays and the shares go to quarantine later.
+        """
+        shares = [row.share for row in rows]
+        self.guard.moving.update(shares)
+        try:
+            hello = await ask_hello(self.channel, successor.address)
+            await self._send_memory(shares, successor)
+            given = [_given_to(row, successor, hello.incarnation) for row in rows]
+            await self._write(given)
+            await self.spreader.exchange_with(successor.address)
+            self.events.add("handed-over", successor.name, f"shares {shares}")
+        except (ConflictError, PlatformError, ChannelError) as error:
+            self.events.add("hand-over-failed", successor.name, str(error))
+
+    async def send_late_answers(self) -> None:
+        """Send the answers that were not there yet at the hand-over."""
+        for row in self._given_rows():
+            successor = self.directory.all().get(row.holder)
+            if successor is not None:
+                await self._send_memory([row.share], successor)
+
+    def _given_rows(self) -> list[ShareRow]:
+        rows = [self.guard.row(share) for share in self.guard.moving]
+        return [r for r in rows if r is not None and r.address != self.me.address]
+
+    async def _send_memory(self, shares: list[int], successor: Instance) -> None:
+        for group in batches(export_shares(self.ledger, shares)):
+            message = HandOver(self.me.service, self.guard.incarnation, group)
+            await call_json(
+                self.channel,
+                successor.address,
+                "POST",
+                MEMORY_PATH,
+                message,
+                bool,
+                HAND_OVER_TIMEOUT,
+            )
+
+    async def _claims(self) -> list[ShareRow]:
+        service = self.guard.text.current().services.get(self.me.service)
+        if service is None or self.me.data_centre not in service.data_centres:
+            return []
+        claims: list[ShareRow] = []
+        for share in range(service.shares):
+            row = self.guard.row(share)
+            if row is None:
+                if self._is_next(share, set()):
+                    claims.append(self._row(share, quarantine=0.0))
+            elif row.address == self.me.address:
+                claims.extend(self._inherit(row))
+            elif await self._may_take(row):
+                self.events.add("took-over", f"share/{share}", f"{row.holder} is dead")
+                claims.append(self._row(share, self.guard.quarantine_end()))
+        return claims
+
+    def _inherit(self, row: ShareRow) -> list[ShareRow]:
+        if row.incarnation == self.guard.incarnation:
+            return []
+        end = self.guard.inherited.setdefault(row.share, self.guard.quarantine_end())
+        return [self._row(row.share, end)]
+
+    async def _may_take(self, row: ShareRow) -> bool:
+        if not self._is_next(row.share, {row.holder}):
+            return False
+        result = await probe_holder(self.channel, row.address, row.incarnation)
+        listed = row.holder in self.directory.all()
+        match result:
+            case ProbeResult.ALIVE:
+                self.refused_since.pop(row.address, None)
+                return False
+            case ProbeResult.REPLACED:
+                return False
+            case ProbeResult.REFUSED:
+                now = self.guard.clock.now()
+                first = self.refused_since.setdefault(row.address, now)
+                return not listed or now - first >= DEATH_GRACE
+            case ProbeResult.SILENT:
+                return not listed
+
+    async def _write(self, rows: list[ShareRow]) -> None:
+        feed = self.feeds.shares
+        base = feed.number
+        changes: dict[str, str | None] = {}
+        for row in rows:
+            versioned = replace(row, version=base + 1)
+            name = share_name(row.service, row.data_centre, row.share)
+            changes[name] = msgspec.json.encode(versioned).decode()
+        try:
+            patch = await self.store.append(base, changes, {**feed.items, **changes})
+        except (ConflictError, PlatformError):
+            await self._settle(changes)
+            return
+        feed.install(patch)
+
+    async def _settle(self, changes: dict[str, str | None]) -> None:
+        """Read back what a write without an answer did; raise if nothing."""
+        await self.spreader.poll_platform()
+        items = self.feeds.shares.items
+        if any(items.get(name) != raw for name, raw in changes.items()):
+            raise ConflictError("shares were changed by another")
+
+    async def _confirm(self) -> None:
+        """Read the rows anew after a freeze, from the platform or a peer."""
+        try:
+            await self.spreader.poll_platform()
+        except PlatformError:
+            await self._confirm_with_peer()
+        self.events.add("confirmed", self.me.name, "shares read anew after a freeze")
+        self.guard.gap.clear()
+
+    async def _confirm_with_peer(self) -> None:
+        peers = [row for row in self.spreader.peers() if row.name != self.me.name]
+        if not peers:
+            raise PlatformError("no peer to confirm the shares with")
+        await self.spreader.exchange_with(self.rng.choice(peers).address)
+
+    def _row(self, share: int, quarantine: float) -> ShareRow:
+        return ShareRow(
+            service=self.me.service,
+            data_centre=self.me.data_centre,
+            share=share,
+            holder=self.me.name,
+            address=self.me.address,
+            incarnation=self.guard.incarnation,
+            version=0,
+            quarantine=quarantine,
+        )
+
+    def _is_next(self, share: int, without: set[str]) -> bool:
+        successor = self._next_holder(share, without)
+        return successor is not None and successor.name == self.me.name
+
+    def _next_holder(self, share: int, without: set[str]) -> Instance | None:
+        rows = self.directory.targets(self.me.service, self.me.data_centre)
+        by_name = {row.name: row for row in rows if row.name not in without}
+        key = share_name(self.me.service, self.me.data_centre, share)
+        order = rendezvous_order(key, by_name)
+        return by_name[order[0]] if order else None
+
+
+def _given_to(row: ShareRow, successor: Instance, incarnation: str) -> ShareRow:
+    return replace(
+        row,
+        holder=successor.name,
+        address=successor.address,
+        incarnation=incarnation,
+    )
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/limits/__init__.py
@@ -0,0 +1,1 @@
+"""The bounded and ordered queue before the target."""
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/limits/fair_queue.py
@@ -0,0 +1,153 @@
+"""The queue before a target, fair between client accounts."""
+
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from briarthread_agent.limits.waiter import Waiter
+from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.core.exceptions import RequestError
+from briarthread_common.utils.clock import Clock
+from briarthread_common.utils.decaying_mean import DecayingMean
+
+FIRST_GUESS = 0.02
+"""Service time in seconds that is assumed before the first answer."""
+
+
+class FairQueue:
+    """
+    Give the target's slots to waiting attempts by weighted fair queueing.
+
+    Each account's attempts get start tags that advance by one over its
+    weight; the lowest tag goes first. An account alone takes all slots,
+    two busy ones share them by weight. When the queue is full, the account
+    with the most waiting for its weight gives up a place.
+    """
+
+    def __init__(self, clock: Clock, slots: int, limit: int) -> None:
+        self.clock = clock
+        self.slots = slots
+        self.limit = limit
+        self.running = 0
+        self.waiting: list[Waiter] = []
+        self.virtual = 0.0
+        self.tags: dict[str, float] = {}
+        self.service_time = DecayingMean(weight=0.1)
+
+    @asynccontextmanager
+    async def slot(
+        self, account: str, weight: float, priority: int, deadline: float
+    ) -> AsyncIterator[None]:
+        """
+        Hold a slot while the context lasts.
+
+        Raise RequestError at once, with when to come back, when the queue is
+        full or the wait predicted for this attempt goes past its deadline.
+        """
+        await self._enter(account, weight, priority, deadline)
+        started = self.clock.now()
+        try:
+            yield
+        finally:
+            self.service_time.add(self.clock.now() - started)
+            self._leave()
+
+    def mean_service_time(self) -> float:
+        """Return the mean time in seconds that a slot is held."""
+        return self.service_time.value if self.service_time.samples else FIRST_GUESS
+
+    def predicted_wait(self, ahead: int) -> float:
+        """Return the seconds until an attempt with ``ahead`` before it starts."""
+        if self.running < self.slots:
+            return 0.0
+        return (ahead + 1) * self.mean_service_time() / self.slots
+
+    def backlog(self) -> float:
+        """Return the seconds that the present queue takes to work off."""
+        return self.predicted_wait(len(self.waiting))
+
+    async def _enter(
+        self, account: str, weight: float, priority: int, deadline: float
+    ) -> None:
+        waiter = Waiter(account, weight, priority, self._tag(account, weight))
+        if self.running < self.slots and not self.waiting:
+            self._grant(waiter)
+            return
+        ahead = sum(1 for other in self.waiting if other.order < waiter.order)
+        self._check_deadline(ahead, deadline)
+        self._make_room(waiter)
+        self.waiting.append(waiter)
+        self.tags[account] = waiter.tag + 1 / weight
+        try:
+            await waiter.event.wait()
+        except BaseException:
+            self._abandon(waiter)
+            raise
+        if waiter.refusal is not None:
+            raise waiter.refusal
+
+    def _tag(self, account: str, weight: float) -> float:
+        return max(self.virtual, self.tags.get(account, 0.0))
+
+    def _check_deadline(self, ahead: int, deadline: float) -> None:
+        wait = self.predicted_wait(ahead)
+        if self.clock.now() + wait + self.mean_service_time() > deadline:
+            raise RequestError(
+                ErrorKind.DEADLINE_UNMEETABLE,
+                f"predicted wait is {wait:.2f} s",
+                retry_after=self.backlog(),
+            )
+
+    def _make_room(self, waiter: Waiter) -> None:
+        if len(self.waiting) < self.limit:
+            return
+        victim = self._largest_account_last(waiter)
+        error = RequestError(
+            ErrorKind.OVERLOADED, "queue is full", retry_after=self.backlog()
+        )
+        if victim is None:
+            raise error
+        self.waiting.remove(victim)
+        victim.refusal = error
+        victim.event.set()
+
+    def _largest_account_last(self, newcomer: Waiter) -> Waiter | None:
+        counts = Counter(other.account for other in self.waiting)
+        counts[newcomer.account] += 1
+        weights = {other.account: other.weight for other in self.waiting}
+        weights[newcomer.account] = newcomer.weight
+        largest = max(counts, key=lambda name: (counts[name] / weights[name], name))
+        if largest == newcomer.account:
+            return None
+        return max(
+            (other for other in self.waiting if other.account == largest),
+            key=lambda other: other.order,
+        )
+
+    def _grant(self, waiter: Waiter) -> None:
+        self.running += 1
+        self.virtual = max(self.virtual, waiter.tag)
+        self.tags[waiter.account] = max(
+            self.tags.get(waiter.account, 0.0), waiter.tag + 1 / waiter.weight
+        )
+        waiter.granted = True
+        waiter.event.set()
+
+    def _leave(self) -> None:
+        self.running -= 1
+        self._grant_next()
+        if not self.waiting and not self.running:
+            self.tags.clear()
+            self.virtual = 0.0
+
+    def _grant_next(self) -> None:
+        while self.waiting and self.running < self.slots:
+            waiter = min(self.waiting, key=lambda other: other.order)
+            self.waiting.remove(waiter)
+            self._grant(waiter)
+
+    def _abandon(self, waiter: Waiter) -> None:
+        if waiter.granted:
+            self._leave()
+        elif waiter in self.waiting:
+            self.waiting.remove(waiter)
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/main.py
@@ -0,0 +1,69 @@
+"""The ``briarthread-agent`` binary."""
+
+import random
+import sys
+from pathlib import Path
+
+import anyio
+from docopt import docopt
+from loguru import logger
+
+from briarthread_agent.agent import Agent
+from briarthread_agent.settings import AgentSettings, load_agent_settings
+from briarthread_common.core.exceptions import ChecksFailed
+from briarthread_common.core.exit_code import ExitCode
+from briarthread_common.core.logs import set_up_logs
+from briarthread_common.http.http_channel import HttpChannel
+from briarthread_common.http.server import HttpServer
+from briarthread_common.utils.clock import Clock
+
+VERSION = "briarthread-agent 0.1.0"
+
+USAGE = """
+Stand before one target: run each attempt at most once, in fair order.
+
+Usage:
+  briarthread-agent SETTINGS
+  briarthread-agent --check SETTINGS
+  briarthread-agent (-h | --help)
+  briarthread-agent --version
+
+Options:
+  --check    Check the settings file and exit.
+  -h --help  Show this text.
+  --version  Show the version.
+
+SETTINGS is an INI file; docs/reference/settings.md lists its options.
+It exits with 0 after a graceful stop and with 2 when the settings have
+faults, all of which it lists on standard error.
+"""
+
+
+async def serve(settings: AgentSettings) -> None:
+    """Run the agent until a signal stops it."""
+    channel = HttpChannel()
+    async with anyio.create_task_group() as tasks:
+        agent = Agent(
+            settings, channel, Clock.from_system(), tasks, random.SystemRandom()
+        )
+        agent.start()
+        server = HttpServer(agent.app, settings.listen, settings.drain_timeout)
+        logger.info("agent: {} listens on {}", settings.name, settings.listen)
+        await server.run(agent.drain)
+        tasks.cancel_scope.cancel()
+    logger.info("agent: stopped")
+
+
+def main() -> None:
+    """Run the binary and exit."""
+    arguments = docopt(USAGE, version=VERSION)
+    try:
+        settings = load_agent_settings(Path(arguments["SETTINGS"]))
+    except ChecksFailed as error:
+        print(error, file=sys.stderr)
+        sys.exit(ExitCode.FAULTS)
+    if arguments["--check"]:
+        print("settings are good")
+        sys.exit(ExitCode.DONE)
+    set_up_logs(settings.log_level, settings.log_json)
+    anyio.run(serve, settings)
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/reports/__init__.py
@@ -0,0 +1,1 @@
+"""What the agent says of its load."""
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/reports/load_reporter.py
@@ -0,0 +1,94 @@
+"""The agent's load, as a value and as a stream."""
+
+import anyio
+import msgspec
+
+from briarthread_agent.limits.fair_queue import FairQueue
+from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.core.exceptions import RequestError
+from briarthread_common.http.call import Call
+from briarthread_common.messages.load_report import LoadReport
+
+HEARTBEAT_INTERVAL = 5.0
+"""Longest time in seconds between two lines of a stream."""
+MIN_INTERVAL = 0.05
+NOTICEABLE = 0.1
+"""Part of the load by which it must change before a line is worth sending."""
+
+
+class LoadReporter:
+    """
+    Tell entries of the load: with each answer, and in streams that they hold.
+
+    A stream carries a line when the load has changed noticeably, at most
+    once in the interval that the entry asked for, and a heartbeat line when
+    nothing changed. That the agent drains goes out at once.
+    """
+
+    def __init__(self, incarnation: str, queue: FairQueue) -> None:
+        self.incarnation = incarnation
+        self.queue = queue
+        self.number = 0
+        self.draining = False
+        self.drained = anyio.Event()
+
+    def report(self) -> LoadReport:
+        """Return the load now, under the next number."""
+        self.number += 1
+        return LoadReport(
+            i=self.incarnation,
+            n=self.number,
+            r=self.queue.running,
+            q=len(self.queue.waiting),
+            s=self.queue.slots,
+            m=round(self.queue.mean_service_time() * 1000, 2),
+            d=self.draining,
+        )
+
+    def drain(self) -> None:
+        """Say from now on that the agent leaves."""
+        self.draining = True
+        self.drained.set()
+
+    async def handle_stream(self, call: Call) -> None:
+        """Send lines until the entry hangs up."""
+        every = _interval(call.query)
+        await call.start(200, [("content-type", "application/x-ndjson")])
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._send_lines, call, every)
+            await call.wait_disconnect()
+            tasks.cancel_scope.cancel()
+
+    async def _send_lines(self, call: Call, every: float) -> None:
+        while True:
+            sent = self.report()
+            await call.send_chunk(msgspec.json.encode(sent) + b"\n")
+            await self._wait_worth_sending(sent, every)
+
+    async def _wait_worth_sending(self, sent: LoadReport, every: float) -> None:
+        with anyio.move_on_after(HEARTBEAT_INTERVAL):
+            while True:
+                await self._pause(every)
+                if self.draining != sent.d or self._changed(sent):
+                    return
+
+    async def _pause(self, every: float) -> None:
+        if self.draining:
+            await anyio.sleep(every)
+            return
+        with anyio.move_on_after(every):
+            await self.drained.wait()
+
+    def _changed(self, sent: LoadReport) -> bool:
+        load = self.queue.running + len(self.queue.waiting)
+        before = sent.r + sent.q
+        return abs(load - before) > NOTICEABLE * max(before, 1)
+
+
+def _interval(query: str) -> float:
+    name, _, raw = query.partition("=")
+    try:
+        seconds = float(raw) if name == "every" else 1.0
+    except ValueError as error:
+        raise RequestError(ErrorKind.BAD_REQUEST, "every takes seconds") from error
+    return min(max(seconds, MIN_INTERVAL), HEARTBEAT_INTERVAL)
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/settings.py
@@ -0,0 +1,68 @@
+"""The settings of the agent, with their defaults."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from briarthread_common.conf.option import Option
+from briarthread_common.conf.option_kind import OptionKind
+from briarthread_common.conf.read_settings import read_settings
+from briarthread_common.conf.section_spec import SectionSpec
+from briarthread_common.conf.shared_sections import (
+    LOGS,
+    PEERS,
+    PLATFORM,
+    instance_section,
+)
+from briarthread_common.spread.spreader import SpreadOptions
+
+INSTANCE = instance_section(
+    Option("service", OptionKind.TEXT, None, "Service that its target serves."),
+)
+TARGET = SectionSpec(
+    "target",
+    "The target that the agent stands before.",
+    (Option("address", OptionKind.ADDRESS, None, "Where the target listens."),),
+)
+AGENT_SECTIONS = (INSTANCE, TARGET, PLATFORM, PEERS, LOGS)
+
+
+@dataclass(frozen=True, slots=True)
+class AgentSettings:
+    """Hold the agent's settings; times are in seconds."""
+
+    name: str
+    data_centre: str
+    service: str
+    listen: str
+    target: str
+    platform_addresses: tuple[str, ...]
+    platform_timeout: float
+    spread: SpreadOptions
+    drain_notice: float
+    drain_timeout: float
+    log_level: str = "INFO"
+    log_json: bool = False
+
+
+def load_agent_settings(path: Path) -> AgentSettings:
+    """Return the settings of a file or raise ChecksFailed with all faults."""
+    values = read_settings(path, AGENT_SECTIONS)
+    instance = values["instance"]
+    return AgentSettings(
+        name=instance["name"],
+        data_centre=instance["data_centre"],
+        service=instance["service"],
+        listen=instance["listen"],
+        target=values["target"]["address"],
+        platform_addresses=values["platform"]["addresses"],
+        platform_timeout=values["platform"]["timeout"],
+        spread=SpreadOptions(
+            name=instance["name"],
+            data_centre=instance["data_centre"],
+            **values["peers"],
+        ),
+        drain_notice=instance["drain_notice"],
+        drain_timeout=instance["drain_timeout"],
+        log_level=values["logs"]["level"],
+        log_json=values["logs"]["json"],
+    )
--- /dev/null
+++ b/packages/common/src/briarthread_common/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that the entry and the agent of briarthread share."""
--- /dev/null
+++ b/packages/common/src/briarthread_common/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: options, their conversion and their checks."""
--- /dev/null
+++ b/packages/common/src/briarthread_common/conf/section_spec.py
@@ -0,0 +1,14 @@
+"""The options that a section may hold."""
+
+from dataclasses import dataclass
+
+from briarthread_common.conf.option import Option
+
+
+@dataclass(frozen=True, slots=True)
+class SectionSpec:
+    """Describe one kind of section and its options."""
+
+    name: str
+    help: str
+    options: tuple[Option, ...]
--- /dev/null
+++ b/packages/common/src/briarthread_common/conf/shared_sections.py
@@ -0,0 +1,85 @@
+"""The settings sections that the entry and the agent share."""
+
+from briarthread_common.conf.option import Option
+from briarthread_common.conf.option_kind import OptionKind
+from briarthread_common.conf.section_spec import SectionSpec
+
+PEERS = SectionSpec(
+    "peers",
+    "How this process exchanges text, instances and shares with others.",
+    (
+        Option(
+            "seeds",
+            OptionKind.ADDRESSES,
+            "",
+            "Entries or agents to ask at start while the platform is down.",
+        ),
+        Option(
+            "exchange_interval",
+            OptionKind.SECONDS,
+            "4",
+            "Mean time between exchanges with a random peer, in seconds.",
+        ),
+        Option(
+            "poll_interval",
+            OptionKind.SECONDS,
+            "2",
+            "Time between polls of the platform by a process on poll duty, s.",
+        ),
+    ),
+)
+
+PLATFORM = SectionSpec(
+    "platform",
+    "Where the platform's table and instance list answer.",
+    (
+        Option(
+            "addresses",
+            OptionKind.ADDRESSES,
+            None,
+            "Addresses of the platform's service, tried in this order.",
+        ),
+        Option("timeout", OptionKind.SECONDS, "2", "Longest wait for an answer, s."),
+    ),
+)
+
+LOGS = SectionSpec(
+    "logs",
+    "What is logged, to standard error.",
+    (
+        Option(
+            "level",
+            OptionKind.TEXT,
+            "INFO",
+            "Lowest level that is written.",
+            choices=("DEBUG", "INFO", "WARNING", "ERROR"),
+        ),
+        Option("json", OptionKind.FLAG, "no", "Whether each line is JSON."),
+    ),
+)
+
+
+def instance_section(*more: Option) -> SectionSpec:
+    """Return the section on the process's own place, with further options."""
+    return SectionSpec(
+        "instance",
+        "Which instance this is and where it listens.",
+        (
+            Option("name", OptionKind.TEXT, None, "Name in the platform's list."),
+            Option("data_centre", OptionKind.TEXT, None, "Its data centre."),
+            Option("listen", OptionKind.ADDRESS, None, "Address to listen on."),
+            Option(
+                "drain_notice",
+                OptionKind.SECONDS,
+                "3",
+                "How long a stopping process still answers, saying so, s.",
+            ),
+            Option(
+                "drain_timeout",
+                OptionKind.SECONDS,
+                "60",
+                "Longest wait for requests in flight at a stop, s.",
+            ),
+            *more,
+        ),
+    )
--- /dev/null
+++ b/packages/common/src/briarthread_common/core/__init__.py
@@ -0,0 +1,1 @@
+"""Error kinds, events, logs and checks that every part uses."""
--- /dev/null
+++ b/packages/common/src/briarthread_common/core/logs.py
@@ -0,0 +1,13 @@
+"""Set up of the log."""
+
+import sys
+
+from loguru import logger
+
+TEXT_FORMAT = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level} {message}"
+
+
+def set_up_logs(level: str, as_json: bool) -> None:
+    """Send the log to standard error as text or as one JSON line each."""
+    logger.remove()
+    logger.add(sys.stderr, level=level, format=TEXT_FORMAT, serialize=as_json)
--- /dev/null
+++ b/packages/common/src/briarthread_common/core/metrics.py
@@ -0,0 +1,50 @@
+"""The metrics of one process."""
+
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+
+STEP_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.42, 1.0, 2.5, 10.0)
+
+
+class Metrics:
+    """
+    Hold the counters of one process in a registry of its own.
+
+    Each refusal and each retry is counted under its reason, which comes
+    from the closed list of error kinds.
+    """
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "briarthread_requests",
+            "Requests that came in.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            "briarthread_refusals",
+            "Requests or attempts refused, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.retries = Counter(
+            "briarthread_retries",
+            "Attempts sent again, by the reason of the failed one.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.replays = Counter(
+            "briarthread_replays",
+            "Answers given from memory to a key asked again.",
+            registry=self.registry,
+        )
+        self.seconds = Histogram(
+            "briarthread_request_seconds",
+            "Seconds from a request's arrival to the end of its answer.",
+            buckets=STEP_BUCKETS,
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/packages/common/src/briarthread_common/feeds/__init__.py
@@ -0,0 +1,1 @@
+"""Versioned maps that spread from the platform to all processes."""
--- /dev/null
+++ b/packages/common/src/briarthread_common/http/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP server and client sides, behind two small interfaces."""
--- /dev/null
+++ b/packages/common/src/briarthread_common/http/channel_calls.py
@@ -0,0 +1,58 @@
+"""Whole calls over a channel."""
+
+from collections.abc import AsyncIterator
+from typing import TypeVar
+
+import anyio
+import msgspec
+
+from briarthread_common.core.exceptions import BrokenCallError
+from briarthread_common.http.channel import Channel, ChannelRequest
+
+T = TypeVar("T")
+JSON_HEADERS = (("content-type", "application/json"),)
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+"""Largest message between processes; a whole text at full size is 1 MB."""
+
+
+async def read_bounded(chunks: AsyncIterator[bytes], limit: int) -> bytes:
+    """Join the chunks of a body; raise BrokenCallError past the limit."""
+    parts: list[bytes] = []
+    size = 0
+    async for chunk in chunks:
+        size += len(chunk)
+        if size > limit:
+            raise BrokenCallError(f"answer larger than {limit} bytes")
+        parts.append(chunk)
+    return b"".join(parts)
+
+
+async def call_json(
+    channel: Channel,
+    address: str,
+    method: str,
+    path: str,
+    message: object,
+    answer_type: type[T],
+    timeout: float,
+) -> T:
+    """
+    Send a message as JSON and return the typed answer.
+
+    Raise ChannelError when the call fails, takes longer than ``timeout``
+    seconds or is answered with anything but the expected JSON.
+    """
+    body = b"" if message is None else msgspec.json.encode(message)
+    request = ChannelRequest(method, address, path, JSON_HEADERS, body)
+    try:
+        with anyio.fail_after(timeout):
+            async with channel.stream(request) as response:
+                raw = await read_bounded(response.body, MAX_MESSAGE_BYTES)
+    except TimeoutError as error:
+        raise BrokenCallError(f"no answer from {address} in {timeout} s") from error
+    if response.status != 200:
+        raise BrokenCallError(f"{address} answered {response.status} to {path}")
+    try:
+        return msgspec.json.decode(raw, type=answer_type)
+    except msgspec.MsgspecError as error:
+        raise BrokenCallError(f"{address} sent broken JSON: {error}") from error
--- /dev/null
+++ b/packages/common/src/briarthread_common/http/problem.py
@@ -0,0 +1,40 @@
+"""Error answers as problem+json."""
+
+import math
+
+import msgspec
+
+from briarthread_common.core.error_answer import ERROR_ANSWERS
+from briarthread_common.core.exceptions import RequestError
+
+PROBLEM_TYPE = "application/problem+json"
+
+
+def problem_body(error: RequestError, request_id: str = "") -> bytes:
+    """Return the problem+json body of a failed request."""
+    return msgspec.json.encode(
+        {
+            "type": f"urn:briarthread:{error.kind}",
+            "title": ERROR_ANSWERS[error.kind].title,
+            "status": ERROR_ANSWERS[error.kind].status,
+            "detail": error.detail,
+            "outcome": error.outcome,
+            "request": request_id,
+        }
+    )
+
+
+def problem_headers(error: RequestError) -> list[tuple[str, str]]:
+    """
+    Return the headers of a failed request.
+
+    ``Retry-After`` is in whole seconds and never rounds down to nothing.
+    """
+    headers = [
+        ("content-type", PROBLEM_TYPE),
+        ("briarthread-outcome", str(error.outcome)),
+    ]
+    if error.retry_after is not None:
+        seconds = max(1, math.ceil(error.retry_after))
+        headers.append(("retry-after", str(seconds)))
+    return headers
--- /dev/null
+++ b/packages/common/src/briarthread_common/http/server.py
@@ -0,0 +1,65 @@
+"""The HTTP server of a process."""
+
+import contextlib
+import signal
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
+
+import anyio
+import uvicorn
+
+KEEPALIVE_SECONDS = 75
+"""Longer than the client's, so that the client closes first."""
+MAX_HEADER_BYTES = 32 * 1024
+BACKLOG = 2048
+
+
+class _QuietServer(uvicorn.Server):
+    """A uvicorn server that leaves the signals to us."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class HttpServer:
+    """
+    Serve an application and stop it gracefully.
+
+    At SIGTERM or SIGINT the ``on_drain`` callback runs first (it says that
+    the process is leaving and may wait for that to be heard), then the
+    listener closes and the requests in flight are awaited.
+    """
+
+    def __init__(self, app: Any, listen: str, drain_timeout: float) -> None:
+        host, _, port = listen.rpartition(":")
+        config = uvicorn.Config(
+            app,
+            host=host,
+            port=int(port),
+            http="h11",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            backlog=BACKLOG,
+            timeout_keep_alive=KEEPALIVE_SECONDS,
+            timeout_graceful_shutdown=int(drain_timeout) + 1,
+            h11_max_incomplete_event_size=MAX_HEADER_BYTES,
+        )
+        self.server = _QuietServer(config)
+
+    async def run(self, on_drain: Callable[[], Awaitable[None]]) -> None:
+        """Serve until a signal asks to stop and all requests are done."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._wait_signal, on_drain)
+            await self.server.serve()
+            tasks.cancel_scope.cancel()
+
+    async def _wait_signal(self, on_drain: Callable[[], Awaitable[None]]) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                await on_drain()
+                self.server.should_exit = True
+                return
--- /dev/null
+++ b/packages/common/src/briarthread_common/messages/__init__.py
@@ -0,0 +1,1 @@
+"""The typed messages that processes send to one another."""
--- /dev/null
+++ b/packages/common/src/briarthread_common/messages/load_report.py
@@ -0,0 +1,23 @@
+"""What an agent says of its load."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """
+    Describe an agent's load; short names keep a line small on the wire.
+
+    ``i`` is the incarnation, ``r`` the attempts running, ``q`` the attempts
+    queued, ``s`` the slots, ``m`` the mean service time in milliseconds,
+    ``d`` whether the agent drains, ``n`` a number that grows with every
+    report of the incarnation, so that a late one is dropped.
+    """
+
+    i: str
+    n: int
+    r: int
+    q: int
+    s: int
+    m: float
+    d: bool = False
--- /dev/null
+++ b/packages/common/src/briarthread_common/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's table and instance list."""
--- /dev/null
+++ b/packages/common/src/briarthread_common/shares/__init__.py
@@ -0,0 +1,1 @@
+"""Which agent holds which share of the idempotency keys."""
--- /dev/null
+++ b/packages/common/src/briarthread_common/spread/__init__.py
@@ -0,0 +1,1 @@
+"""How text, instances and shares reach every process."""
--- /dev/null
+++ b/packages/common/src/briarthread_common/spread/directory.py
@@ -0,0 +1,63 @@
+"""The instances that a process knows of."""
+
+import msgspec
+
+from briarthread_common.feeds.feed import Feed
+from briarthread_common.messages.instance import (
+    Instance,
+    InstanceRole,
+    InstanceState,
+)
+
+
+class Directory:
+    """Give the instances of a feed as typed rows, decoded once a version."""
+
+    def __init__(self, feed: Feed) -> None:
+        self.feed = feed
+        self.number = -1
+        self.rows: dict[str, Instance] = {}
+        self.decoded: dict[str, tuple[str, Instance]] = {}
+
+    def all(self) -> dict[str, Instance]:
+        """Return all known instances by name."""
+        if self.number != self.feed.number:
+            self.number = self.feed.number
+            self.decoded = {
+                name: self._decode(name, raw) for name, raw in self.feed.items.items()
+            }
+            self.rows = {name: pair[1] for name, pair in self.decoded.items()}
+        return self.rows
+
+    def entries(self, data_centre: str) -> list[Instance]:
+        """Return the live entries of a data centre in name order."""
+        return self._select(InstanceRole.ENTRY, data_centre, "")
+
+    def targets(self, service: str, data_centre: str) -> list[Instance]:
+        """Return the live targets of a service in a data centre."""
+        return self._select(InstanceRole.TARGET, data_centre, service)
+
+    def by_address(self, address: str) -> Instance | None:
+        """Return the instance that listens at an address."""
+        return next(
+            (row for row in self.all().values() if row.address == address), None
+        )
+
+    def _select(
+        self, role: InstanceRole, data_centre: str, service: str
+    ) -> list[Instance]:
+        rows = [
+            row
+            for row in self.all().values()
+            if row.role is role
+            and row.data_centre == data_centre
+            and row.service == service
+            and row.state is InstanceState.LIVE
+        ]
+        return sorted(rows, key=lambda row: row.name)
+
+    def _decode(self, name: str, raw: str) -> tuple[str, Instance]:
+        known = self.decoded.get(name)
+        if known is not None and known[0] == raw:
+            return known
+        return raw, msgspec.json.decode(raw, type=Instance)
--- /dev/null
+++ b/packages/common/src/briarthread_common/text/__init__.py
@@ -0,0 +1,1 @@
+"""The services text: sections, parsing, checks."""
--- /dev/null
+++ b/packages/common/src/briarthread_common/text/check_text.py
@@ -0,0 +1,128 @@
+"""Checks of a services text across its sections."""
+
+from collections.abc import Iterable, Iterator
+
+from briarthread_common.core.check_message import CheckMessage
+from briarthread_common.text.services_text import ServicesText
+
+
+def check_text(text: ServicesText) -> list[CheckMessage]:
+    """Return every fault that no single section shows."""
+    return [
+        *_check_services(text),
+        *_check_accounts(text),
+        *_check_cycles(text),
+        *_check_keys(text),
+    ]
+
+
+def check_change(old: ServicesText, new: ServicesText) -> list[CheckMessage]:
+    """
+    Return the faults of a change, each of which would lose keys in memory.
+
+    The place that remembers an idempotency key follows from the account's
+    home, the service's data centres and its number of shares. Moving it in
+    one step would let a key run twice, so such a change is refused.
+    """
+    faults: list[CheckMessage] = []
+    for name in old.services.keys() & new.services.keys():
+        if old.services[name].shares != new.services[name].shares:
+            faults.append(_moved(f"[service {name}] shares"))
+    for name in old.accounts.keys() & new.accounts.keys():
+        faults.extend(_check_home_change(name, old, new))
+    return faults
+
+
+def _check_home_change(
+    name: str, old: ServicesText, new: ServicesText
+) -> Iterator[CheckMessage]:
+    before, after = old.accounts[name], new.accounts[name]
+    for service_name in old.services.keys() & new.services.keys():
+        service = new.services[service_name]
+        if service.idempotent:
+            continue
+        if old.key_home(before, old.services[service_name]) != new.key_home(
+            after, service
+        ):
+            yield _moved(f"[account {name}] home for {service_name}")
+
+
+def _moved(place: str) -> CheckMessage:
+    return CheckMessage(
+        "text.E015",
+        place,
+        "would move idempotency keys away from where they are remembered",
+        "Remove the section, wait for the longest retry horizon, add it anew.",
+    )
+
+
+def _check_services(text: ServicesText) -> Iterator[CheckMessage]:
+    for service in text.services.values():
+        place = f"[service {service.name}]"
+        yield from _unknown(
+            f"{place} data_centres", service.data_centres, text.data_centres
+        )
+        yield from _unknown(f"{place} depends_on", service.depends_on, text.services)
+        if not service.data_centres:
+            yield CheckMessage("text.E010", place, "has no data centre")
+        if service.deadline > service.max_deadline:
+            yield CheckMessage(
+                "text.E011", f"{place} deadline", "is above max_deadline"
+            )
+
+
+def _check_accounts(text: ServicesText) -> Iterator[CheckMessage]:
+    for account in text.accounts.values():
+        place = f"[account {account.name}]"
+        yield from _unknown(f"{place} home", [account.home], text.data_centres)
+        yield from _unknown(f"{place} services", account.services, text.services)
+
+
+def _check_keys(text: ServicesText) -> Iterator[CheckMessage]:
+    owners: dict[str, str] = {}
+    for account in text.accounts.values():
+        for key in account.keys:
+            other = owners.setdefault(key, account.name)
+            if other != account.name:
+                yield CheckMessage(
+                    "text.E012",
+                    f"[account {account.name}] keys",
+                    f"shares a key with account {other}",
+                    "Give each account keys of its own.",
+                )
+
+
+def _check_cycles(text: ServicesText) -> Iterator[CheckMessage]:
+    for name in text.services:
+        path = _path_back(text, name)
+        if path and name == min(path):
+            yield CheckMessage(
+                "text.E013",
+                f"[service {name}] depends_on",
+                f"goes round: {' -> '.join([*path, name])}",
+            )
+
+
+def _path_back(text: ServicesText, start: str) -> list[str]:
+    paths = [[start]]
+    seen: set[str] = set()
+    while paths:
+        path = paths.pop()
+        for name in text.services[path[-1]].depends_on:
+            if name == start:
+                return path
+            if name in text.services and name not in seen:
+                seen.add(name)
+                paths.append([*path, name])
+    return []
+
+
+def _unknown(
+    place: str, names: Iterable[str], known: Iterable[str]
+) -> Iterator[CheckMessage]:
+    for name in names:
+        if name not in known:
+            listed = ", ".join(sorted(known)) or "none"
+            yield CheckMessage(
+                "text.E014", place, f"names unknown {name!r}", f"Known: {listed}."
+            )
--- /dev/null
+++ b/packages/common/src/briarthread_common/text/split_text.py
@@ -0,0 +1,58 @@
+"""Splitting of a services text into its sections."""
+
+import re
+
+from briarthread_common.core.check_message import CheckMessage
+from briarthread_common.core.exceptions import ChecksFailed
+
+HEADER = re.compile(r"^\[(?P<name>[^\]]*)\]\s*$")
+PREAMBLE = ""
+
+
+def split_text(text: str) -> dict[str, str]:
+    r"""
+    Return the sections of a text by their header, each as it was written.
+
+    Sections travel and are stored one by one, so that a change costs as
+    much as it changes. What stands before the first header is kept under
+    the empty name. Raise ChecksFailed when a header stands twice.
+
+    >>> split_text("# ours\n[service a]\nkind = plain\n")
+    {'': '# ours\n', 'service a': '[service a]\nkind = plain\n'}
+    """
+    sections: dict[str, list[str]] = {}
+    faults: list[CheckMessage] = []
+    name = PREAMBLE
+    for number, line in enumerate(text.splitlines(), start=1):
+        header = HEADER.match(line)
+        if header:
+            name = " ".join(header["name"].split())
+            if name in sections:
+                faults.append(
+                    CheckMessage(
+                        "text.E001", f"line {number}", f"[{name}] stands twice"
+                    )
+                )
+        sections.setdefault(name, []).append(line)
+    if faults:
+        raise ChecksFailed(faults)
+    return {name: "\n".join(lines) + "\n" for name, lines in sections.items()}
+
+
+def join_text(sections: dict[str, str]) -> str:
+    """Return the whole text, sections in order of kind and name."""
+    return "".join(sections[name] for name in sorted(sections))
+
+
+def changed_sections(old: dict[str, str], new: dict[str, str]) -> dict[str, str | None]:
+    """
+    Return the sections that differ, ``None`` for those removed.
+
+    >>> changed_sections({"a": "1", "b": "2"}, {"a": "1", "c": "3"})
+    {'c': '3', 'b': None}
+    """
+    changes: dict[str, str | None] = {
+        name: text for name, text in new.items() if old.get(name) != text
+    }
+    changes.update({name: None for name in old if name not in new})
+    return changes
--- /dev/null
+++ b/packages/common/src/briarthread_common/text/text_store.py
@@ -0,0 +1,134 @@
+"""Accepting a services text."""
+
+import secrets
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from briarthread_common.core.exceptions import (
+    ChecksFailed,
+    ConflictError,
+    PlatformError,
+)
+from briarthread_common.platform.feed_store import FeedStore
+from briarthread_common.text.build_text import build_text
+from briarthread_common.text.check_text import check_change
+from briarthread_common.text.services_text import ServicesText
+from briarthread_common.text.split_text import changed_sections
+
+META = "@meta"
+"""The item of the feed that says who applied the version."""
+TRY_BYTES = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Meta:
+    """Say who applied a version, when (Unix seconds), and in which try."""
+
+    by: str
+    at: float
+    try_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The text is accepted under this version."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Unchanged:
+    """The version in force says the same; nothing was written."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """Another version was accepted; nothing of this text is in force."""
+
+    number: int
+    by: str
+    sections: dict[str, str]
+
+
+ApplyResult = Accepted | Unchanged | Lost
+
+
+def without_meta(sections: Mapping[str, str]) -> dict[str, str]:
+    """Return the sections that an operator wrote."""
+    return {name: raw for name, raw in sections.items() if name != META}
+
+
+class TextStore:
+    """Accept texts by compare-and-set of the feed in the platform's table."""
+
+    def __init__(self, store: FeedStore) -> None:
+        self.store = store
+
+    async def apply(
+        self, base: int, sections: Mapping[str, str], by: str, now: float
+    ) -> ApplyResult:
+        """
+        Put sections in force after version ``base``.
+
+        Raise ChecksFailed when the text has faults, PlatformError when
+        whether it was accepted cannot be found out.
+        """
+        new = build_text(base + 1, sections)
+        current, items = await self._read()
+        if current != base:
+            return _lost(current, items)
+        changes = changed_sections(without_meta(items), dict(sections))
+        if not changes and current:
+            return Unchanged(current)
+        self._check_change(base, items, new)
+        meta = Meta(by, now, secrets.token_hex(TRY_BYTES))
+        changes[META] = msgspec.json.encode(meta).decode()
+        whole = {**sections, META: changes[META]}
+        try:
+            patch = await self.store.append(base, changes, whole)
+        except ConflictError:
+            return _lost(*await self._read())
+        except PlatformError:
+            return await self._settle(base, meta)
+        return Accepted(patch.number)
+
+    def _check_change(
+        self, base: int, items: dict[str, str], new: ServicesText
+    ) -> None:
+        if not base:
+            return
+        faults = check_change(build_text(base, without_meta(items)), new)
+        if faults:
+            raise ChecksFailed(faults)
+
+    async def _settle(self, base: int, meta: Meta) -> ApplyResult:
+        """Find out by the try's id whether a write without answer took effect."""
+        patch = await self.store.read_since(base)
+        if patch is None:
+            raise PlatformError("the write was lost; nothing was accepted")
+        number, items = await self._read()
+        raw = await self.store.read_patch(base + 1)
+        if raw is not None and _meta(raw.changes).try_id == meta.try_id:
+            return Accepted(base + 1)
+        return _lost(number, items)
+
+    async def _read(self) -> tuple[int, dict[str, str]]:
+        patch = await self.store.read_since(0)
+        if patch is None:
+            return 0, {}
+        return patch.number, {k: v for k, v in patch.changes.items() if v is not None}
+
+
+def _lost(number: int, items: dict[str, str]) -> Lost:
+    return Lost(number, _meta(items).by, without_meta(items))
+
+
+def _meta(items: Mapping[str, str | None]) -> Meta:
+    raw = items.get(META)
+    if raw is None:
+        return Meta("unknown", 0.0, "")
+    return msgspec.json.decode(raw, type=Meta)
--- /dev/null
+++ b/packages/common/src/briarthread_common/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without state of their own."""
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry of briarthread and the operator's commands."""
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the ``briarthread`` binary."""
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/commands/base.py
@@ -0,0 +1,31 @@
+"""The base class of the commands."""
+
+from collections.abc import Mapping
+
+from briarthread_common.core.exit_code import ExitCode
+from briarthread_common.http.http_channel import HttpChannel
+
+Arguments = Mapping[str, object]
+
+
+class Command:
+    """
+    Run one verb of the ``briarthread`` binary.
+
+    Subclasses state their usage, with which docopt reads their arguments,
+    and override ``run``.
+    """
+
+    usage = ""
+
+    async def run(self, arguments: Arguments) -> ExitCode:
+        """Do the work and return the exit code."""
+        raise NotImplementedError
+
+    async def handle(self, arguments: Arguments) -> ExitCode:
+        """Run the command with a channel that is closed after it."""
+        self.channel = HttpChannel()
+        try:
+            return await self.run(arguments)
+        finally:
+            await self.channel.close()
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/limits/__init__.py
@@ -0,0 +1,1 @@
+"""What each client account may use."""
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/main.py
@@ -0,0 +1,74 @@
+"""The ``briarthread`` binary."""
+
+import sys
+
+import anyio
+from docopt import docopt
+
+from briarthread_common.core.exceptions import (
+    ChannelError,
+    ChecksFailed,
+    PlatformError,
+)
+from briarthread_common.core.exit_code import ExitCode
+from briarthread_entry.commands.apply import ApplyCommand
+from briarthread_entry.commands.base import Command
+from briarthread_entry.commands.check import CheckCommand
+from briarthread_entry.commands.explain import ExplainCommand
+from briarthread_entry.commands.serve import ServeCommand
+from briarthread_entry.commands.show import ShowCommand
+from briarthread_entry.commands.status import StatusCommand
+
+VERSION = "briarthread 0.1.0"
+
+USAGE = """
+Balance load before expert-parallel model groups, and operate it.
+
+Usage:
+  briarthread COMMAND [ARGUMENTS...]
+  briarthread (-h | --help)
+  briarthread --version
+
+Commands:
+  serve    Run an entry.
+  check    Check a services text or a settings file.
+  apply    Put a services text in force.
+  show     Print the services text.
+  status   Print the state of entries and agents.
+  explain  Print what was decided about a request, an instance or a service.
+
+``briarthread COMMAND --help`` shows the help of a command.
+"""
+
+COMMANDS: dict[str, type[Command]] = {
+    "serve": ServeCommand,
+    "check": CheckCommand,
+    "apply": ApplyCommand,
+    "show": ShowCommand,
+    "status": StatusCommand,
+    "explain": ExplainCommand,
+}
+
+
+def run_command(argv: list[str]) -> ExitCode:
+    """Run the command that the arguments name and return its exit code."""
+    arguments = docopt(USAGE, argv=argv, version=VERSION, options_first=True)
+    command_type = COMMANDS.get(arguments["COMMAND"])
+    if command_type is None:
+        print(f"no command {arguments['COMMAND']!r}; try --help", file=sys.stderr)
+        return ExitCode.FAULTS
+    command = command_type()
+    options = docopt(command.usage, argv=argv)
+    try:
+        return anyio.run(command.handle, options)
+    except ChecksFailed as error:
+        print(error, file=sys.stderr)
+        return ExitCode.FAULTS
+    except (ChannelError, PlatformError) as error:
+        print(f"{error}; is the address right and up?", file=sys.stderr)
+        return ExitCode.UNREACHABLE
+
+
+def main() -> None:
+    """Run the binary and exit."""
+    sys.exit(run_command(sys.argv[1:]))
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/retries/__init__.py
@@ -0,0 +1,1 @@
+"""When an attempt is sent again."""
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/retries/retry_rules.py
@@ -0,0 +1,48 @@
+"""Which failed attempts are worth another one."""
+
+import random
+
+from briarthread_common.core.error_kind import ErrorKind
+
+MEMBERSHIP_KINDS = frozenset(
+    {
+        ErrorKind.DRAINING,
+        ErrorKind.WRONG_INCARNATION,
+        ErrorKind.NOT_HOLDER,
+    }
+)
+"""Refusals because instances come and go; they do not spend the budget."""
+
+LOAD_KINDS = frozenset(
+    {
+        ErrorKind.NO_TARGET,
+        ErrorKind.NOT_READY,
+        ErrorKind.OVERLOADED,
+        ErrorKind.DEADLINE_UNMEETABLE,
+        ErrorKind.REVOKED,
+        ErrorKind.TARGET_FAILED,
+        ErrorKind.OUTCOME_UNKNOWN,
+    }
+)
+"""Failures that more attempts could make worse; each spends the budget."""
+
+PROVED_BY_HOLDER = frozenset(
+    {
+        ErrorKind.OVERLOADED,
+        ErrorKind.DEADLINE_UNMEETABLE,
+        ErrorKind.REVOKED,
+        ErrorKind.KEY_REUSED,
+    }
+)
+"""Refusals that a holder gives after it has looked the key up."""
+
+MAX_ATTEMPTS = 3
+MAX_HOLDER_ATTEMPTS = 10
+FIRST_PAUSE = 0.02
+MAX_PAUSE = 0.5
+
+
+def pause_before(attempt: int, rng: random.Random) -> float:
+    """Return the seconds to wait before an attempt, doubling, with jitter."""
+    bound = min(MAX_PAUSE, FIRST_PAUSE * 2**attempt)
+    return bound * rng.uniform(0.5, 1.0)
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which target an attempt goes to."""
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/routing/target_state.py
@@ -0,0 +1,90 @@
+"""What an entry knows of one target."""
+
+from dataclasses import dataclass
+
+from briarthread_common.messages.instance import Instance
+from briarthread_common.messages.load_report import LoadReport
+
+EJECT_AFTER = 3
+"""Failures in a row after which a target is left out for a while."""
+EJECT_SECONDS = 5.0
+MAX_EJECT_SECONDS = 60.0
+SLOW_START_SECONDS = 5.0
+FIRST_SERVICE_MS = 20.0
+
+
+@dataclass(slots=True, eq=False)
+class TargetState:
+    """
+    Hold the last report of a target and what was sent to it since.
+
+    ``incarnation`` is empty until the agent has said who it is. Times are
+    Unix seconds.
+    """
+
+    instance: Instance
+    incarnation: str = ""
+    report: LoadReport | None = None
+    sent_since: int = 0
+    connected: bool = False
+    up_since: float = 0.0
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+
+    def take_report(self, report: LoadReport, now: float) -> bool:
+        """Take a report unless a newer one is known; tell if it was taken."""
+        if report.i != self.incarnation:
+            self.incarnation = report.i
+            self.report = None
+            self.up_since = now
+            self.failures = 0
+        elif self.report is not None and report.n <= self.report.n:
+            return False
+        self.report = report
+        self.sent_since = 0
+        return True
+
+    def note_success(self) -> None:
+        """Forget earlier failures."""
+        self.failures = 0
+        self.ejections = 0
+
+    def note_failure(self, now: float) -> bool:
+        """Count a failure; tell whether it ejects the target."""
+        self.failures += 1
+        if self.failures < EJECT_AFTER:
+            return False
+        self.failures = 0
+        self.ejections += 1
+        pause = min(EJECT_SECONDS * 2 ** (self.ejections - 1), MAX_EJECT_SECONDS)
+        self.ejected_until = now + pause
+        return True
+
+    def usable(self, now: float) -> bool:
+        """Tell whether new attempts may go there."""
+        return (
+            self.connected
+            and self.report is not None
+            and not self.report.d
+            and self.ejected_until <= now
+        )
+
+    def cost(self, now: float) -> float:
+        """
+        Return the milliseconds that one more attempt is expected to take.
+
+        It is the reported load and what was sent since, over the measured
+        rate. A target just up counts as slower at first, so that it is not
+        flooded on the ground of an empty report.
+        """
+        report = self.report
+        if report is None:
+            return float("inf")
+        service_ms = report.m or FIRST_SERVICE_MS
+        ahead = report.r + report.q + self.sent_since
+        expected = service_ms * (1 + ahead / max(report.s, 1))
+        age = now - self.up_since
+        if age < SLOW_START_SECONDS:
+            expected *= 2 - age / SLOW_START_SECONDS
+        return expected
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/routing/target_table.py
@@ -0,0 +1,57 @@
+"""The targets that an entry watches."""
+
+from briarthread_common.messages.instance import Instance
+from briarthread_common.spread.directory import Directory
+from briarthread_common.text.services_text import ServicesText
+from briarthread_common.utils.hashing import rendezvous_order
+from briarthread_entry.routing.target_state import TargetState
+
+SUBSET = 8
+"""Targets of a service that one entry watches in a data centre."""
+
+
+class TargetTable:
+    """
+    Hold a state for each target that this entry watches.
+
+    Of a service with many targets in the data centre an entry watches a
+    subset, drawn by rendezvous hash from its own name, so that entries
+    differ and a change of the list moves little.
+    """
+
+    def __init__(self, name: str, data_centre: str, directory: Directory) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.directory = directory
+        self.states: dict[str, TargetState] = {}
+
+    def refresh(self, text: ServicesText) -> None:
+        """Bring the watched targets in line with text and instance list."""
+        wanted = self._wanted(text)
+        for name in self.states.keys() - wanted.keys():
+            del self.states[name]
+        for name, instance in wanted.items():
+            known = self.states.get(name)
+            if known is None or known.instance != instance:
+                self.states[name] = TargetState(instance)
+
+    def of_service(self, service: str) -> list[TargetState]:
+        """Return the watched targets of a service."""
+        return [
+            state for state in self.states.values() if state.instance.service == service
+        ]
+
+    def by_address(self, address: str) -> TargetState | None:
+        """Return the watched target at an address."""
+        return next(
+            (s for s in self.states.values() if s.instance.address == address), None
+        )
+
+    def _wanted(self, text: ServicesText) -> dict[str, Instance]:
+        wanted: dict[str, Instance] = {}
+        for service in text.services.values():
+            rows = self.directory.targets(service.name, self.data_centre)
+            by_name = {row.name: row for row in rows}
+            chosen = rendezvous_order(self.name, by_name)[:SUBSET]
+            wanted.update({name: by_name[name] for name in chosen})
+        return wanted
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' requests from arrival to answer."""
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/serving/request_runner.py
@@ -0,0 +1,160 @@
+"""The one retry path of the entry."""
+
+import random
+
+import anyio
+
+from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.core.event_log import EventLog
+from briarthread_common.core.exceptions import RequestError
+from briarthread_common.core.metrics import Metrics
+from briarthread_common.core.outcome import Outcome
+from briarthread_common.http.call import Call
+from briarthread_common.messages.attempt import NO_SHARE, Attempt
+from briarthread_common.text.services_text import ServicesText
+from briarthread_common.utils.clock import Clock
+from briarthread_common.utils.hashing import random_id
+from briarthread_entry.retries.retry_budget import RetryBudget
+from briarthread_entry.retries.retry_rules import (
+    LOAD_KINDS,
+    MAX_ATTEMPTS,
+    MAX_HOLDER_ATTEMPTS,
+    MEMBERSHIP_KINDS,
+    PROVED_BY_HOLDER,
+    pause_before,
+)
+from briarthread_entry.routing.router import Pick, Router
+from briarthread_entry.routing.target_state import TargetState
+from briarthread_entry.serving.attempt_outcome import (
+    Answered,
+    AttemptOutcome,
+    Failed,
+    Lost,
+    NotRun,
+)
+from briarthread_entry.serving.attempt_sender import AttemptSender
+from briarthread_entry.serving.caller_request import CallerRequest
+
+
+class RequestRunner:
+    """
+    Run a request by as many attempts as are proved safe and worth it.
+
+    Another attempt is made only where the last one is proved not to have
+    run, or where the request is idempotent.
+    """
+
+    def __init__(
+        self,
+        router: Router,
+        sender: AttemptSender,
+        clock: Clock,
+        metrics: Metrics,
+        events: EventLog,
+        rng: random.Random,
+    ) -> None:
+        self.router = router
+        self.sender = sender
+        self.clock = clock
+        self.metrics = metrics
+        self.events = events
+        self.rng = rng
+        self.budget = RetryBudget()
+
+    async def run(self, request: CallerRequest, text: ServicesText, call: Call) -> None:
+        """Answer the caller, or raise the RequestError that it gets."""
+        limit = MAX_HOLDER_ATTEMPTS if request.needs_holder else MAX_ATTEMPTS
+        tried: set[str] = set()
+        for number in range(limit):
+            pick = await self.router.pick(request, text, tried)
+            tried.add(pick.target.instance.name)
+            outcome = await self._attempt(request, pick, call)
+            if isinstance(outcome, Answered):
+                self.budget.note_success()
+                return
+            self._note(request, pick.target, outcome)
+            self._check_retry(request, outcome, last=number + 1 == limit)
+            await anyio.sleep(pause_before(number, self.rng))
+            if self.clock.now() >= request.deadline:
+                raise self._final(request, outcome)
+
+    async def _attempt(
+        self, request: CallerRequest, pick: Pick, call: Call
+    ) -> AttemptOutcome:
+        row = pick.row
+        attempt = Attempt(
+            key=request.key,
+            id=random_id(self.rng),
+            service=request.service.name,
+            incarnation=pick.target.incarnation,
+            deadline=request.deadline,
+            account=request.account.name,
+            method=request.method,
+            path=request.path,
+            idempotent=request.idempotent,
+            keyed=request.keyed,
+            weight=request.account.weight,
+            priority=request.account.priority,
+            share=row.share if row else NO_SHARE,
+            share_version=row.version if row else 0,
+        )
+        pick.target.sent_since += 1
+        outcome = await self.sender.send(request, attempt, pick.target, call)
+        if isinstance(outcome, Answered):
+            pick.target.note_success()
+        return outcome
+
+    def _note(
+        self, request: CallerRequest, target: TargetState, outcome: AttemptOutcome
+    ) -> None:
+        error = outcome.error
+        name = target.instance.name
+        self.events.add(
+            "attempt-failed", name, f"{error.kind}: {error.detail}", request.id
+        )
+        blamed = isinstance(outcome, Lost) or error.kind in (
+            ErrorKind.NO_TARGET,
+            ErrorKind.TARGET_FAILED,
+            ErrorKind.REVOKED,
+        )
+        if blamed and target.note_failure(self.clock.now()):
+            self.events.add("target-ejected", name, f"last failure: {error.kind}")
+
+    def _check_retry(
+        self, request: CallerRequest, outcome: AttemptOutcome, last: bool
+    ) -> None:
+        """Return when another attempt is allowed, else raise the final error."""
+        error = outcome.error
+        proved = isinstance(outcome, NotRun)
+        safe = proved or (request.idempotent and isinstance(outcome, Lost | Failed))
+        if last or not safe:
+            raise self._final(request, outcome)
+        if error.kind in MEMBERSHIP_KINDS:
+            pass
+        elif error.kind not in LOAD_KINDS:
+            raise self._final(request, outcome)
+        elif not self.budget.spend(self.clock.now()):
+            self.metrics.refusals.labels(str(ErrorKind.RETRY_BUDGET)).inc()
+            raise self._final(request, outcome)
+        self.metrics.retries.labels(str(error.kind)).inc()
+
+    def _final(self, request: CallerRequest, outcome: AttemptOutcome) -> RequestError:
+        error = outcome.error
+        if request.needs_holder and error.kind not in PROVED_BY_HOLDER:
+            return unknown_for_key(error)
+        return error
+
+
+def unknown_for_key(error: RequestError) -> RequestError:
+    """
+    Return the error with the outcome unknown.
+
+    A refusal of one ask says nothing of an earlier ask with the same key;
+    only the holder, having looked the key up, can say that it did not run.
+    """
+    return RequestError(
+        error.kind,
+        error.detail,
+        outcome=Outcome.UNKNOWN,
+        retry_after=error.retry_after,
+    )
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/settings.py
@@ -0,0 +1,68 @@
+"""The settings of the entry, with their defaults."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from briarthread_common.conf.option import Option
+from briarthread_common.conf.option_kind import OptionKind
+from briarthread_common.conf.read_settings import read_settings
+from briarthread_common.conf.section_spec import SectionSpec
+from briarthread_common.conf.shared_sections import (
+    LOGS,
+    PEERS,
+    PLATFORM,
+    instance_section,
+)
+from briarthread_common.spread.spreader import SpreadOptions
+
+INSTANCE = instance_section()
+LIMITS = SectionSpec(
+    "limits",
+    "What the entry takes on.",
+    (
+        Option(
+            "max_in_flight",
+            OptionKind.INTEGER,
+            "1000",
+            "Requests that the entry serves at one time.",
+            minimum=1,
+        ),
+    ),
+)
+ENTRY_SECTIONS = (INSTANCE, LIMITS, PLATFORM, PEERS, LOGS)
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Hold the entry's settings; times are in seconds."""
+
+    name: str
+    data_centre: str
+    listen: str
+    platform_addresses: tuple[str, ...]
+    platform_timeout: float
+    spread: SpreadOptions
+    drain_notice: float
+    drain_timeout: float
+    max_in_flight: int = 1000
+    log_level: str = "INFO"
+    log_json: bool = False
+
+
+def load_entry_settings(path: Path) -> EntrySettings:
+    """Return the settings of a file or raise ChecksFailed with all faults."""
+    values = read_settings(path, ENTRY_SECTIONS)
+    instance = values["instance"]
+    return EntrySettings(
+        **instance,
+        platform_addresses=values["platform"]["addresses"],
+        platform_timeout=values["platform"]["timeout"],
+        spread=SpreadOptions(
+            name=instance["name"],
+            data_centre=instance["data_centre"],
+            **values["peers"],
+        ),
+        max_in_flight=values["limits"]["max_in_flight"],
+        log_level=values["logs"]["level"],
+        log_json=values["logs"]["json"],
+    )
--- /dev/null
+++ b/packages/measure/src/briarthread_measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement commands of briarthread; never shipped."""
--- /dev/null
+++ b/packages/standins/src/briarthread_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems of briarthread; never shipped."""
--- /dev/null
+++ b/packages/standins/src/briarthread_standins/fake_network.py
@@ -0,0 +1,227 @@
+"""A network inside one process, with faults."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+from loguru import logger
+
+from briarthread_common.core.exceptions import (
+    BrokenCallError,
+    ConnectionRefused,
+    NotWrittenError,
+)
+from briarthread_common.http.app import AnswerAborted
+from briarthread_common.http.channel import ChannelRequest, ChannelResponse
+
+CONNECT_TIMEOUT = 1.0
+LATENCY = 0.001
+BUFFERED_MESSAGES = 1000
+
+
+@dataclass(eq=False, slots=True)
+class Node:
+    """Hold what listens at an address and the calls it is serving."""
+
+    address: str
+    site: str
+    app: Any
+    frozen: bool = False
+    calls: dict[anyio.CancelScope, str] = field(default_factory=dict)
+
+
+class FakeNetwork:
+    """
+    Carry calls between applications in one process.
+
+    ``cuts`` holds the pairs of sites that cannot reach each other.
+    ``lose_answers`` counts, for a path, the calls whose answer is still to
+    be lost after the call took effect; ``duplicate`` likewise counts calls
+    that arrive twice.
+    """
+
+    def __init__(self, tasks: TaskGroup) -> None:
+        self.tasks = tasks
+        self.nodes: dict[str, Node] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.lose_answers: dict[str, int] = {}
+        self.duplicate: dict[str, int] = {}
+        self.changed = anyio.Event()
+        self.messages = 0
+
+    def listen(self, address: str, site: str, app: Any) -> None:
+        """Let an application answer at an address."""
+        self.nodes[address] = Node(address, site, app)
+
+    def close(self, address: str) -> None:
+        """Kill what answers at an address, with the calls it serves."""
+        node = self.nodes.pop(address, None)
+        if node is not None:
+            for scope in list(node.calls):
+                scope.cancel()
+
+    def serving_callers(self, node: Node) -> bool:
+        """Tell whether a node has a request or an attempt in flight."""
+        return any(
+            path.startswith(("/v1/services/", "/agent/v1/attempts"))
+            for path in node.calls.values()
+        )
+
+    def freeze(self, address: str, frozen: bool) -> None:
+        """Hold back, or let go, all that goes to or from an address."""
+        node = self.nodes.get(address)
+        if node is not None:
+            node.frozen = frozen
+        self._note_change()
+
+    def cut(self, one: str, other: str) -> None:
+        """Cut two sites off from each other."""
+        self.cuts.add(frozenset((one, other)))
+
+    def heal(self) -> None:
+        """Mend all cuts."""
+        self.cuts.clear()
+        self._note_change()
+
+    def channel(self, address: str, site: str) -> "FakeChannel":
+        """Return the channel of a process at an address."""
+        return FakeChannel(self, address, site)
+
+    def take_fault(self, faults: dict[str, int], path: str) -> bool:
+        """Tell whether a counted fault strikes a call, and count it off."""
+        left = faults.get(path, 0)
+        if left:
+            faults[path] = left - 1
+        return left > 0
+
+    def is_open(self, address: str, site: str, node: Node) -> bool:
+        """Tell whether messages pass between a process and a node now."""
+        mine = self.nodes.get(address)
+        if node.frozen or (mine is not None and mine.frozen):
+            return False
+        return frozenset((site, node.site)) not in self.cuts
+
+    async def wait_open(self, address: str, site: str, node: Node) -> None:
+        """Return once messages pass between a process and a node."""
+        while not self.is_open(address, site, node):
+            await self.changed.wait()
+
+    def start_call(self, node: Node, exchange: "Exchange") -> None:
+        """Let a node serve a call in a task of its own."""
+        self.messages += 1
+        self.tasks.start_soon(self._serve, node, exchange)
+
+    async def _serve(self, node: Node, exchange: "Exchange") -> None:
+        with anyio.CancelScope() as scope:
+            node.calls[scope] = exchange.request.path
+            try:
+                await node.app(exchange.scope, exchange.receive, exchange.send)
+            except AnswerAborted as error:
+                logger.debug("network: {}", error)
+            finally:
+                node.calls.pop(scope, None)
+        exchange.sender.close()
+
+    def _note_change(self) -> None:
+        event, self.changed = self.changed, anyio.Event()
+        event.set()
+
+
+class Exchange:
+    """Join the two ends of one call."""
+
+    def __init__(self, request: ChannelRequest) -> None:
+        self.request = request
+        self.disconnected = anyio.Event()
+        self.body_given = False
+        self.sender: MemoryObjectSendStream[dict[str, Any]]
+        self.receiver: MemoryObjectReceiveStream[dict[str, Any]]
+        self.sender, self.receiver = anyio.create_memory_object_stream(
+            BUFFERED_MESSAGES
+        )
+        path, _, query = request.path.partition("?")
+        self.scope = {
+            "type": "http",
+            "method": request.method,
+            "path": path,
+            "query_string": query.encode(),
+            "headers": [(k.encode(), v.encode()) for k, v in request.headers],
+        }
+
+    async def receive(self) -> dict[str, Any]:
+        """Give the server its next message."""
+        if not self.body_given:
+            self.body_given = True
+            return {"type": "http.request", "body": self.request.body}
+        await self.disconnected.wait()
+        return {"type": "http.disconnect"}
+
+    async def send(self, message: dict[str, Any]) -> None:
+        """Take a message of the server; drop it if the client is gone."""
+        try:
+            await self.sender.send(message)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+
+    def end(self) -> None:
+        """Hang up."""
+        self.disconnected.set()
+        self.receiver.close()
+
+
+class FakeChannel:
+    """Call nodes of the fake network from one address."""
+
+    def __init__(self, network: FakeNetwork, address: str, site: str) -> None:
+        self.network = network
+        self.address = address
+        self.site = site
+
+    @asynccontextmanager
+    async def stream(self, request: ChannelRequest) -> AsyncIterator[ChannelResponse]:
+        """Send a call; see Channel."""
+        node = await self._connect(request)
+        exchange = Exchange(request)
+        self.network.start_call(node, exchange)
+        if self.network.take_fault(self.network.duplicate, request.path):
+            self.network.start_call(node, Exchange(request))
+        try:
+            head = await self._next(node, exchange)
+            if self.network.take_fault(self.network.lose_answers, request.path):
+                raise BrokenCallError(f"answer to {request.path} was lost")
+            headers = {k.decode(): v.decode() for k, v in head["headers"]}
+            body = self._body(node, exchange)
+            yield ChannelResponse(head["status"], headers, body)
+        finally:
+            exchange.end()
+
+    async def _connect(self, request: ChannelRequest) -> Node:
+        await anyio.sleep(LATENCY)
+        node = self.network.nodes.get(request.address)
+        if node is None:
+            raise ConnectionRefused(f"{request.address} refused")
+        if not self.network.is_open(self.address, self.site, node):
+            await anyio.sleep(CONNECT_TIMEOUT)
+            raise NotWrittenError(f"{request.address} is out of reach")
+        return node
+
+    async def _body(self, node: Node, exchange: Exchange) -> AsyncIterator[bytes]:
+        while True:
+            message = await self._next(node, exchange)
+            if message.get("body"):
+                yield message["body"]
+            if not message.get("more_body", False):
+                return
+
+    async def _next(self, node: Node, exchange: Exchange) -> dict[str, Any]:
+        try:
+            message = await exchange.receiver.receive()
+        except anyio.EndOfStream as error:
+            raise BrokenCallError(f"{node.address} hung up") from error
+        await anyio.sleep(LATENCY)
+        await self.network.wait_open(self.address, self.site, node)
+        return message
--- /dev/null
+++ b/packages/standins/src/briarthread_standins/plain_service.py
@@ -0,0 +1,64 @@
+"""A plain service that counts its runs for each key."""
+
+from collections import Counter
+
+import anyio
+import msgspec
+from docopt import docopt
+
+from briarthread_common.http.app import App, Route
+from briarthread_common.http.call import Call
+from briarthread_standins.run_standin import run_standin
+
+USAGE = """
+Stand in for a plain service that counts its runs.
+
+Usage:
+  plain_service [--delay=SECONDS] LISTEN
+
+Options:
+  --delay=SECONDS  Time that each call takes [default: 0.005].
+"""
+LIMIT = 64 * 1024 * 1024
+
+
+class PlainService:
+    """
+    Answer each call after a while and count how often each body came.
+
+    The count takes effect before the answer is sent, as a booking does. The
+    body stands for the key, since a target sees no idempotency key.
+    """
+
+    def __init__(self, delay: float = 0.005) -> None:
+        self.delay = delay
+        self.runs: Counter[str] = Counter()
+        self.app = App(
+            [
+                Route("GET", "/standin/runs", self._handle_runs),
+                Route("*", "/", self._handle_call),
+            ]
+        )
+
+    async def _handle_call(self, call: Call) -> None:
+        body = await call.read_body(LIMIT)
+        self.runs[body.decode()] += 1
+        await anyio.sleep(self.delay)
+        await call.reply_json(
+            {"done": call.path, "run": self.runs[body.decode()], "body": body.decode()}
+        )
+
+    async def _handle_runs(self, call: Call) -> None:
+        body = msgspec.json.encode(self.runs)
+        await call.reply(200, body, [("content-type", "application/json")])
+
+
+def main() -> None:
+    """Run the stand-in as a process."""
+    arguments = docopt(USAGE)
+    service = PlainService(float(arguments["--delay"]))
+    run_standin(service.app, arguments["LISTEN"])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/standins/src/briarthread_standins/platform_app.py
@@ -0,0 +1,111 @@
+"""The platform stand-in over HTTP: table, instance list and switches."""
+
+from dataclasses import dataclass, field
+
+import anyio
+from docopt import docopt
+
+from briarthread_common.http.app import AnswerAborted, App, Route
+from briarthread_common.http.call import Call
+from briarthread_common.messages.instance import Instance
+from briarthread_common.platform.table_messages import ReadAnswer, Transaction
+from briarthread_standins.platform_state import PlatformMode, PlatformState
+from briarthread_standins.run_standin import run_standin
+
+USAGE = """
+Stand in for the platform's table and instance list.
+
+Usage:
+  platform_app LISTEN
+"""
+LIMIT = 64 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Switch:
+    """Set how the stand-in behaves; ``delay`` is in seconds."""
+
+    mode: PlatformMode
+    delay: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ListChange:
+    """Change the instance list."""
+
+    put: list[Instance] = field(default_factory=list)
+    remove: list[str] = field(default_factory=list)
+
+
+class PlatformApp:
+    """Answer as the platform would, with faults on request."""
+
+    def __init__(self) -> None:
+        self.state = PlatformState()
+        self.app = App(
+            [
+                Route("POST", "/v1/table/read", self._handle_read),
+                Route("POST", "/v1/table/transactions", self._handle_transaction),
+                Route("POST", "/v1/instances/since", self._handle_instances),
+                Route("POST", "/standin/switch", self._handle_switch),
+                Route("POST", "/standin/instances", self._handle_list_change),
+                Route("GET", "/standin/counts", self._handle_counts),
+            ]
+        )
+
+    async def _handle_read(self, call: Call) -> None:
+        keys = await call.read_json(list[str], LIMIT)
+        await self._fail_if_told()
+        self.state.reads += len(keys)
+        rows = [self.state.rows[key] for key in keys if key in self.state.rows]
+        await call.reply_json(ReadAnswer(rows))
+
+    async def _handle_transaction(self, call: Call) -> None:
+        transaction = await call.read_json(Transaction, LIMIT)
+        await self._fail_if_told()
+        answer = self.state.commit(transaction)
+        if self.state.mode is PlatformMode.LOST:
+            raise AnswerAborted("answer lost after the write")
+        await call.reply_json(answer)
+
+    async def _handle_instances(self, call: Call) -> None:
+        number = await call.read_json(int, LIMIT)
+        await self._fail_if_told()
+        await call.reply_json(self.state.instances.since(number))
+
+    async def _handle_switch(self, call: Call) -> None:
+        switch = await call.read_json(Switch, LIMIT)
+        self.state.mode = switch.mode
+        self.state.delay = switch.delay
+        await call.reply_json(True)
+
+    async def _handle_list_change(self, call: Call) -> None:
+        change = await call.read_json(ListChange, LIMIT)
+        if change.put:
+            self.state.list_instances(change.put)
+        if change.remove:
+            self.state.unlist(change.remove)
+        await call.reply_json(self.state.instances.number)
+
+    async def _handle_counts(self, call: Call) -> None:
+        counts = {"reads": self.state.reads, "writes": self.state.writes}
+        await call.reply_json(counts)
+
+    async def _fail_if_told(self) -> None:
+        match self.state.mode:
+            case PlatformMode.DOWN:
+                raise AnswerAborted("platform is down")
+            case PlatformMode.SLOW:
+                await anyio.sleep(self.state.delay)
+            case _:
+                return
+
+
+def main() -> None:
+    """Run the stand-in as a process."""
+    arguments = docopt(USAGE)
+    run_standin(PlatformApp().app, arguments["LISTEN"])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/standins/src/briarthread_standins/world.py
@@ -0,0 +1,269 @@
+"""A whole deployment in one process and in virtual time."""
+
+import random
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import TaskGroup
+
+from briarthread_agent.agent import Agent
+from briarthread_agent.settings import AgentSettings
+from briarthread_common.feeds.feed_set import FeedName
+from briarthread_common.http.channel import ChannelRequest
+from briarthread_common.messages.instance import (
+    Instance,
+    InstanceRole,
+    InstanceState,
+)
+from briarthread_common.platform.feed_store import FeedStore
+from briarthread_common.platform.platform_client import PlatformClient
+from briarthread_common.spread.spreader import SpreadOptions
+from briarthread_common.text.split_text import split_text
+from briarthread_common.text.text_store import ApplyResult, TextStore
+from briarthread_common.utils.clock import Clock
+from briarthread_entry.entry import Entry
+from briarthread_entry.settings import EntrySettings
+from briarthread_standins.fake_network import FakeNetwork
+from briarthread_standins.plain_service import PlainService
+from briarthread_standins.platform_app import PlatformApp
+
+PLATFORM_ADDRESS = "10.0.0.1:80"
+PLATFORM_SITE = "platform"
+CALLER_SITE = "callers"
+DRAIN_NOTICE = 1.0
+DRAIN_TIMEOUT = 30.0
+MAX_SEED = 2**32
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold what a caller got."""
+
+    status: int
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+    @property
+    def outcome(self) -> str:
+        """Return the promise of a failed answer, or nothing."""
+        return self.headers.get("briarthread-outcome", "")
+
+
+@dataclass(eq=False, slots=True)
+class Member:
+    """Hold one running process of the deployment."""
+
+    instance: Instance
+    part: Entry | Agent
+    scope: anyio.CancelScope
+
+
+class World:
+    """
+    Run entries, agents, targets and the platform over a fake network.
+
+    Each data centre is a site of the network, so that sites can be cut off
+    from each other, from the platform and from callers. Targets live on when
+    their agent is killed, and keep their counts.
+    """
+
+    def __init__(self, tasks: TaskGroup, seed: int = 0) -> None:
+        self.tasks = tasks
+        self.rng = random.Random(seed)
+        self.clock = Clock()
+        self.network = FakeNetwork(tasks)
+        self.platform = PlatformApp()
+        self.network.listen(PLATFORM_ADDRESS, PLATFORM_SITE, self.platform.app)
+        self.members: dict[str, Member] = {}
+        self.services: dict[str, PlainService] = {}
+        self.instances: dict[str, Instance] = {}
+        self.hosts = 0
+
+    def add_entry(self, name: str, data_centre: str) -> Instance:
+        """Put an entry on the platform's list and start it."""
+        address = self._next_address()
+        instance = Instance(name, data_centre, address, InstanceRole.ENTRY)
+        return self._add(instance)
+
+    def add_target(
+        self, name: str, data_centre: str, service: str, delay: float = 0.005
+    ) -> Instance:
+        """Put a target with its agent on the list and start both."""
+        target = PlainService(delay)
+        self.services[name] = target
+        self.network.listen(f"target-{name}", f"slot-{name}", target.app)
+        address = self._next_address()
+        instance = Instance(name, data_centre, address, InstanceRole.TARGET, service)
+        return self._add(instance)
+
+    def start(self, name: str) -> None:
+        """Start the process of an instance, as a new incarnation."""
+        instance = self.instances[name]
+        channel = self.network.channel(instance.address, instance.data_centre)
+        rng = random.Random(self.rng.randrange(MAX_SEED))
+        if instance.role is InstanceRole.ENTRY:
+            self.tasks.start_soon(self._run_entry, instance, channel, rng)
+        else:
+            self.tasks.start_soon(self._run_agent, instance, channel, rng)
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        member = self.members.pop(name, None)
+        if member is not None:
+            self.network.close(member.instance.address)
+            member.scope.cancel()
+
+    async def stop(self, name: str) -> None:
+        """Stop a process gracefully."""
+        member = self.members[name]
+        await member.part.drain()
+        await self._wait_calls(member.instance.address)
+        self.kill(name)
+
+    def mark_leaving(self, name: str) -> None:
+        """Let the platform's list say that an instance leaves."""
+        row = self.instances[name]
+        leaving = Instance(
+            row.name,
+            row.data_centre,
+            row.address,
+            row.role,
+            row.service,
+            InstanceState.LEAVING,
+        )
+        self.platform.state.list_instances([leaving])
+
+    async def apply(self, text: str, base: int = 0) -> ApplyResult:
+        """Apply a services text as an operator would."""
+        channel = self.network.channel("operator", CALLER_SITE)
+        platform = PlatformClient(channel, [PLATFORM_ADDRESS], 2.0)
+        store = TextStore(FeedStore(platform, FeedName.TEXT))
+        return await store.apply(base, split_text(text), "test", self.clock.now())
+
+    async def call(
+        self,
+        entry: str,
+        path: str,
+        account_key: str,
+        key: str | None = None,
+        body: bytes = b"",
+        timeout: float | None = None,
+        method: str = "POST",
+    ) -> Answer:
+        """Send a caller's request through an entry and return its answer."""
+        headers = [("authorization", f"Bearer {account_key}")]
+        if key is not None:
+            headers.append(("idempotency-key", key))
+        if timeout is not None:
+            headers.append(("briarthread-timeout", str(timeout)))
+        request = ChannelRequest(
+            method,
+            self.instances[entry].address,
+            f"/v1/services/{path}",
+            tuple(headers),
+            body,
+        )
+        channel = self.network.channel("caller", CALLER_SITE)
+        async with channel.stream(request) as response:
+            parts = [chunk async for chunk in response.body]
+            return Answer(response.status, dict(response.headers), b"".join(parts))
+
+    def runs(self, body: str) -> int:
+        """Return how often a body ran over all targets."""
+        return sum(service.runs[body] for service in self.services.values())
+
+    def agent(self, name: str) -> Agent:
+        """Return the running agent of a target."""
+        part = self.members[name].part
+        if not isinstance(part, Agent):
+            raise TypeError(f"{name} is no agent")
+        return part
+
+    def entry(self, name: str) -> Entry:
+        """Return a running entry."""
+        part = self.members[name].part
+        if not isinstance(part, Entry):
+            raise TypeError(f"{name} is no entry")
+        return part
+
+    def text_versions(self) -> dict[str, int]:
+        """Return the text version in force in each running process."""
+        return {
+            name: member.part.text.current().number
+            for name, member in self.members.items()
+        }
+
+    async def _run_entry(
+        self, instance: Instance, channel: object, rng: random.Random
+    ) -> None:
+        settings = EntrySettings(
+            name=instance.name,
+            data_centre=instance.data_centre,
+            listen=instance.address,
+            platform_addresses=(PLATFORM_ADDRESS,),
+            platform_timeout=2.0,
+            spread=self._spread_options(instance),
+            drain_notice=DRAIN_NOTICE,
+            drain_timeout=DRAIN_TIMEOUT,
+        )
+        async with anyio.create_task_group() as tasks:
+            entry = Entry(settings, channel, self.clock, rng)
+            self._join(instance, entry, entry.app, tasks.cancel_scope)
+            entry.start(tasks)
+            await anyio.sleep_forever()
+
+    async def _run_agent(
+        self, instance: Instance, channel: object, rng: random.Random
+    ) -> None:
+        settings = AgentSettings(
+            name=instance.name,
+            data_centre=instance.data_centre,
+            service=instance.service,
+            listen=instance.address,
+            target=f"target-{instance.name}",
+            platform_addresses=(PLATFORM_ADDRESS,),
+            platform_timeout=2.0,
+            spread=self._spread_options(instance),
+            drain_notice=DRAIN_NOTICE,
+            drain_timeout=DRAIN_TIMEOUT,
+        )
+        async with anyio.create_task_group() as tasks:
+            agent = Agent(settings, channel, self.clock, tasks, rng)
+            self._join(instance, agent, agent.app, tasks.cancel_scope)
+            agent.start()
+            await anyio.sleep_forever()
+
+    def _join(
+        self,
+        instance: Instance,
+        part: Entry | Agent,
+        app: object,
+        scope: anyio.CancelScope,
+    ) -> None:
+        self.network.listen(instance.address, instance.data_centre, app)
+        self.members[instance.name] = Member(instance, part, scope)
+
+    def _spread_options(self, instance: Instance) -> SpreadOptions:
+        seeds = [
+            row.address for row in self.instances.values() if row.name != instance.name
+        ]
+        return SpreadOptions(
+            instance.name, instance.data_centre, tuple(seeds), 4.0, 2.0
+        )
+
+    def _add(self, instance: Instance) -> Instance:
+        self.instances[instance.name] = instance
+        self.platform.state.list_instances([instance])
+        self.start(instance.name)
+        return instance
+
+    async def _wait_calls(self, address: str) -> None:
+        """Wait for the calls in flight, as the HTTP server does at a stop."""
+        node = self.network.nodes[address]
+        with anyio.move_on_after(DRAIN_TIMEOUT):
+            while self.network.serving_callers(node):
+                await anyio.sleep(0.05)
+
+    def _next_address(self) -> str:
+        self.hosts += 1
+        return f"10.0.{self.hosts // 250 + 1}.{self.hosts % 250 + 1}:80"
--- /dev/null
+++ b/setup.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Set up a virtual environment in .venv with everything this project needs.
+set -euo pipefail
+cd "$(dirname "$0")"
+[ -x .venv/bin/python ] || python3 -m venv .venv
+.venv/bin/python -m pip install --quiet --constraint constraints.txt \
+    setuptools wheel
+.venv/bin/python -m pip install --quiet --no-build-isolation \
+    --constraint constraints.txt \
+    --editable packages/common --editable packages/entry \
+    --editable packages/agent --editable packages/standins \
+    --editable packages/measure \
+    pytest pytest-bdd hypothesis ruff
--- /dev/null
+++ b/tests/world/test_serving.py
@@ -0,0 +1,91 @@
+"""A request is served from one end to the other."""
+
+import anyio
+import msgspec
+from builders import in_world
+
+from briarthread_standins.world import Answer, World
+
+
+def problem(answer: Answer) -> dict[str, object]:
+    return msgspec.json.decode(answer.body)
+
+
+def test_booking_is_answered_once_through_any_entry() -> None:
+    async def scenario(world: World) -> None:
+        first = await world.call(
+            "entry-palermo-0", "diary/b", "salon-0", "key-1", b"one"
+        )
+        again = await world.call(
+            "entry-catania-0", "diary/b", "salon-0", "key-1", b"one"
+        )
+        assert first.status == 200
+        assert again.body == first.body
+        assert world.runs("one") == 1
+
+    in_world(scenario)
+
+
+def test_same_key_of_another_account_is_another_request() -> None:
+    async def scenario(world: World) -> None:
+        for account in ("salon-0", "salon-1"):
+            answer = await world.call(
+                "entry-palermo-0", "diary/b", account, "key-1", account.encode()
+            )
+            assert msgspec.json.decode(answer.body)["body"] == account
+
+    in_world(scenario)
+
+
+def test_key_reused_for_another_body_is_refused() -> None:
+    async def scenario(world: World) -> None:
+        await world.call("entry-palermo-0", "diary/b", "salon-0", "key-1", b"one")
+        other = await world.call(
+            "entry-palermo-0", "diary/b", "salon-0", "key-1", b"two"
+        )
+        assert other.status == 422
+        assert problem(other)["outcome"] == "not-run"
+        assert world.runs("two") == 0
+
+    in_world(scenario)
+
+
+def test_wrong_key_learns_nothing_of_services() -> None:
+    async def scenario(world: World) -> None:
+        known = await world.call("entry-palermo-0", "diary/b", "wrong")
+        unknown = await world.call("entry-palermo-0", "nothing/b", "wrong")
+        assert known.status == unknown.status == 401
+        assert known.body == unknown.body
+
+    in_world(scenario)
+
+
+def test_unknown_service_and_bad_timeout_are_refused_as_not_run() -> None:
+    async def scenario(world: World) -> None:
+        unknown = await world.call("entry-palermo-0", "nothing/b", "salon-0")
+        late = await world.call("entry-palermo-0", "diary/b", "salon-0", timeout=10_000)
+        assert (unknown.status, late.status) == (404, 400)
+        assert unknown.outcome == late.outcome == "not-run"
+
+    in_world(scenario)
+
+
+def test_oversized_body_is_refused() -> None:
+    async def scenario(world: World) -> None:
+        answer = await world.call(
+            "entry-palermo-0", "diary/b", "salon-0", body=b"x" * (1 << 21)
+        )
+        assert answer.status == 413
+
+    in_world(scenario)
+
+
+def test_service_without_local_target_is_served_by_another_data_centre() -> None:
+    async def scenario(world: World) -> None:
+        for number in range(2):
+            world.kill(f"cards-palermo-{number}")
+        await anyio.sleep(3)
+        answer = await world.call("entry-palermo-0", "cards/c", "salon-0", body=b"c")
+        assert answer.status == 200
+
+    in_world(scenario)
