Tell a keyed caller not-run only on the holder's word

Cause: fuzzing found callers told not-run for a key that had run: (1) an agent that revoked an attempt while an earlier ask had run at the last holder of the share, (2) an entry that had just started and refused everything as not ready. Ruled out: the ledger and the quarantine; with both intact the false answers came from refusals made without looking the key up.

Change: a refusal counts as proof for a caller's key only where the holder gives it after looking the key up; all others say unknown with Retry-After.

Conclusion: an entry may not speak for the past of a key.

--- a/packages/entry/src/briarthread_entry/retries/retry_rules.py
+++ b/packages/entry/src/briarthread_entry/retries/retry_rules.py
@@ -30,11 +30,15 @@
     {
         ErrorKind.OVERLOADED,
         ErrorKind.DEADLINE_UNMEETABLE,
-        ErrorKind.REVOKED,
         ErrorKind.KEY_REUSED,
     }
 )
-"""Refusals that a holder gives after it has looked the key up."""
+"""
+Refusals that a holder gives after it has looked the key up.
+
+A revoked attempt is not among them: the agent that revokes it may hold the
+share no longer, or only since an earlier ask ran at another holder.
+"""
 
 MAX_ATTEMPTS = 3
 MAX_HOLDER_ATTEMPTS = 10
--- a/packages/entry/src/briarthread_entry/serving/request_handler.py
+++ b/packages/entry/src/briarthread_entry/serving/request_handler.py
@@ -17,7 +17,7 @@
 from briarthread_entry.routing.router import Router
 from briarthread_entry.serving.caller_request import CallerRequest
 from briarthread_entry.serving.dependencies import check_dependencies
-from briarthread_entry.serving.read_request import read_request
+from briarthread_entry.serving.read_request import KEY_HEADER, read_request
 from briarthread_entry.serving.request_runner import RequestRunner, unknown_for_key
 
 
@@ -66,7 +66,7 @@
             await self._serve(request, call)
         except RequestError as error:
             self.metrics.refusals.labels(str(error.kind)).inc()
-            raise
+            raise _unread(call, error) from error
         finally:
             self.in_flight -= 1
             self.metrics.seconds.observe(self.clock.now() - started)
@@ -118,3 +118,16 @@
             raise AnswerAborted(str(error)) from error
         headers = [("briarthread-request", request.id)]
         await call.reply_error(error, ERROR_ANSWERS[error.kind].status, headers)
+
+
+def _unread(call: Call, error: RequestError) -> RequestError:
+    """
+    Return what a caller is told when its request was not even read.
+
+    An entry that starts, or whose text is behind, knows nothing of an
+    earlier ask with the same key. Only a malformed request cannot have run.
+    """
+    keyed = any(name == KEY_HEADER.encode() for name, _ in call.scope["headers"])
+    if keyed and error.kind is not ErrorKind.BAD_REQUEST:
+        return unknown_for_key(error)
+    return error
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing."""
--- /dev/null
+++ b/tests/world/test_at_most_once.py
@@ -0,0 +1,161 @@
+"""A request that may not be repeated runs at most once, whatever fails."""
+
+import anyio
+from builders import in_world
+from fuzz.faults import ATTEMPTS
+
+from briarthread_standins.platform_app import PlatformMode
+from briarthread_standins.world import Answer, World
+
+ENTRIES = ("entry-palermo-0", "entry-catania-0", "entry-messina-0")
+
+
+async def book(world: World, entry: str, key: str, body: str) -> Answer:
+    return await world.call(entry, "diary/b", "salon-0", key, body.encode())
+
+
+def holder_of(world: World, body: str) -> str:
+    return next(name for name, s in world.services.items() if s.runs[body])
+
+
+def test_answer_lost_on_the_way_is_replayed_not_run_again() -> None:
+    async def scenario(world: World) -> None:
+        world.network.lose_answers[ATTEMPTS] = 1
+        answer = await book(world, ENTRIES[0], "k", "one")
+        assert answer.status == 200
+        assert world.runs("one") == 1
+
+    in_world(scenario)
+
+
+def test_attempt_that_arrives_twice_runs_once() -> None:
+    async def scenario(world: World) -> None:
+        world.network.duplicate[ATTEMPTS] = 1
+        await book(world, ENTRIES[0], "k", "one")
+        assert world.runs("one") == 1
+
+    in_world(scenario)
+
+
+def test_key_of_a_killed_holder_is_answered_unknown_with_retry_after() -> None:
+    async def scenario(world: World) -> None:
+        await book(world, ENTRIES[0], "k", "one")
+        name = holder_of(world, "one")
+        world.kill(name)
+        world.start(name)
+        await anyio.sleep(5)
+        again = await book(world, ENTRIES[1], "k", "one")
+        assert again.status == 503
+        assert again.outcome == "unknown"
+        assert int(again.headers["retry-after"]) > 0
+        assert world.runs("one") == 1
+
+    in_world(scenario)
+
+
+def test_share_of_a_dead_holder_is_served_again_after_quarantine() -> None:
+    async def scenario(world: World) -> None:
+        await book(world, ENTRIES[0], "k", "one")
+        name = holder_of(world, "one")
+        world.kill(name)
+        world.platform.state.unlist([name])
+        await anyio.sleep(100)
+        later = await book(world, ENTRIES[0], "k2", "two")
+        assert later.status == 200
+        assert world.runs("two") == 1
+
+    in_world(scenario)
+
+
+def test_keyless_bookings_are_served_while_shares_are_quarantined() -> None:
+    async def scenario(world: World) -> None:
+        for name in ("diary-palermo-0", "diary-palermo-1"):
+            world.kill(name)
+            world.start(name)
+        await anyio.sleep(8)
+        answer = await world.call(ENTRIES[0], "diary/b", "salon-0", body=b"new")
+        assert answer.status == 200
+
+    in_world(scenario)
+
+
+def test_bookings_go_on_through_a_ten_minute_platform_outage() -> None:
+    async def scenario(world: World) -> None:
+        world.platform.state.mode = PlatformMode.DOWN
+        for minute in range(10):
+            await anyio.sleep(60)
+            answer = await book(world, ENTRIES[0], f"k{minute}", f"b{minute}")
+            assert answer.status == 200
+
+    in_world(scenario)
+
+
+def test_bookings_go_on_in_a_data_centre_cut_off_from_everything() -> None:
+    async def scenario(world: World) -> None:
+        for other in ("catania", "messina", "platform"):
+            world.network.cut("palermo", other)
+        await anyio.sleep(60)
+        answer = await book(world, ENTRIES[0], "k", "one")
+        assert answer.status == 200
+
+    in_world(scenario)
+
+
+def test_key_held_in_a_data_centre_out_of_reach_is_unknown_at_once() -> None:
+    async def scenario(world: World) -> None:
+        world.network.cut("palermo", "catania")
+        start = world.clock.now()
+        answer = await book(world, ENTRIES[1], "k", "one")
+        assert answer.outcome == "unknown"
+        assert "retry-after" in answer.headers
+        assert world.clock.now() - start < 5.0
+        assert world.runs("one") == 0
+
+    in_world(scenario)
+
+
+def test_holder_that_stood_still_confirms_before_it_runs_a_key() -> None:
+    async def scenario(world: World) -> None:
+        await book(world, ENTRIES[0], "k", "one")
+        agent = world.agent(holder_of(world, "one"))
+        agent.gap.last_tick -= 10
+        assert agent.gap.check()
+        await anyio.sleep(4)
+        assert not agent.gap.check()
+        decisions = [event.decision for event in agent.events.ring]
+        assert "confirmed" in decisions
+
+    in_world(scenario)
+
+
+def test_leaving_holder_hands_its_memory_over() -> None:
+    async def scenario(world: World) -> None:
+        first = await book(world, ENTRIES[0], "k", "one")
+        await world.stop(holder_of(world, "one"))
+        again = await book(world, ENTRIES[2], "k", "one")
+        assert again.status == 200
+        assert again.body == first.body
+        assert world.runs("one") == 1
+
+    in_world(scenario)
+
+
+def test_run_in_flight_at_a_hand_over_is_answered_by_the_next_holder() -> None:
+    async def scenario(world: World) -> None:
+        for service in world.services.values():
+            service.delay = 0.8
+        answers: list[Answer] = []
+
+        async def ask(entry: str) -> None:
+            answers.append(await book(world, entry, "k", "one"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask, ENTRIES[0])
+            await anyio.sleep(0.1)
+            tasks.start_soon(world.stop, holder_of(world, "one"))
+            await anyio.sleep(0.5)
+            tasks.start_soon(ask, ENTRIES[2])
+        assert [answer.status for answer in answers] == [200, 200]
+        assert world.runs("one") == 1
+
+    in_world(scenario)
--- /dev/null
+++ b/tests/world/test_leaving.py
@@ -0,0 +1,108 @@
+"""A leaving target gets no new work; a planned stop cuts nothing off."""
+
+import anyio
+from builders import in_world
+
+from briarthread_standins.world import Answer, World
+
+ENTRY = "entry-palermo-0"
+PATIENCE = 3.0
+
+
+async def ask_often(
+    world: World, service: str, count: int, keyed: bool = False
+) -> list[Answer]:
+    answers: list[Answer] = []
+
+    async def ask(number: int) -> None:
+        key = f"k{number}" if keyed else None
+        body = f"{service}-{number}".encode()
+        answers.append(
+            await world.call(ENTRY, f"{service}/x", "salon-0", key, body, timeout=10)
+        )
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(count):
+            tasks.start_soon(ask, number)
+            await anyio.sleep(0.02)
+    return answers
+
+
+def test_target_that_says_it_leaves_gets_nothing_new() -> None:
+    async def scenario(world: World) -> None:
+        leaving = world.agent("cards-palermo-0")
+        leaving.reporter.drain()
+        await anyio.sleep(0.5)
+        before = world.services["cards-palermo-0"].runs.total()
+        await ask_often(world, "cards", 30)
+        assert world.services["cards-palermo-0"].runs.total() == before
+
+    in_world(scenario)
+
+
+def test_target_that_the_list_calls_leaving_gets_nothing_new() -> None:
+    async def scenario(world: World) -> None:
+        world.mark_leaving("cards-palermo-0")
+        await anyio.sleep(PATIENCE)
+        before = world.services["cards-palermo-0"].runs.total()
+        await ask_often(world, "cards", 30)
+        assert world.services["cards-palermo-0"].runs.total() == before
+
+    in_world(scenario)
+
+
+def test_target_that_goes_silent_gets_nothing_new_after_a_while() -> None:
+    async def scenario(world: World) -> None:
+        world.network.freeze(world.instances["cards-palermo-0"].address, True)
+        await anyio.sleep(15)
+        answers = await ask_often(world, "cards", 30)
+        assert {answer.status for answer in answers} == {200}
+        assert (
+            max(world.entry(ENTRY).table.states["cards-palermo-0"].sent_since, 0) == 0
+        )
+
+    in_world(scenario)
+
+
+def test_planned_stop_of_every_agent_in_turn_fails_no_request() -> None:
+    async def scenario(world: World) -> None:
+        answers: list[Answer] = []
+
+        async def load(service: str, keyed: bool) -> None:
+            answers.extend(await ask_often(world, service, 400, keyed))
+
+        async def roll() -> None:
+            for name in ("diary-palermo-0", "diary-palermo-1", "cards-palermo-0"):
+                await world.stop(name)
+                await anyio.sleep(0.1)
+                world.start(name)
+                await anyio.sleep(1)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(load, "diary", True)
+            tasks.start_soon(load, "diary", False)
+            tasks.start_soon(load, "cards", False)
+            tasks.start_soon(roll)
+        assert len(answers) == 1200
+        failed = [answer for answer in answers if answer.status != 200]
+        assert failed == []
+
+    in_world(scenario)
+
+
+def test_stopping_entry_answers_what_it_has_in_flight() -> None:
+    async def scenario(world: World) -> None:
+        for service in world.services.values():
+            service.delay = 0.5
+        answers: list[Answer] = []
+
+        async def ask() -> None:
+            answers.append(await world.call(ENTRY, "diary/x", "salon-0", "k", b"b"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            await anyio.sleep(0.1)
+            await world.stop(ENTRY)
+        assert [answer.status for answer in answers] == [200]
+
+    in_world(scenario)
