Keep all ranks of a group on one expert map by agreement of its agents

Cause: nothing changed a group's map yet. Change: a planner stages, announces and confirms a map through the agents; an agent whose engine holds without the confirmation asks all others and decides only on one that confirmed it or on promises of all never to. A lock-step stand-in notes every step with more than one map, and a fuzzing machine kills planners, agents and engines, delays, doubles and loses calls, with fencing on and off.

Found by the machine and mended, each reproduced by it first: a new agent was refused by a fencing engine because it did not know its predecessor's fencing number (the epoch now comes first); a rank that started anew loaded a decided map before the step from which it holds (it now loads the present one with the schedule); a hold on a rank without a map was never settled.

--- a/packages/agent/src/briarthread_agent/agent.py
+++ b/packages/agent/src/briarthread_agent/agent.py
@@ -16,6 +16,8 @@
 from briarthread_agent.holding.share_guard import ShareGuard
 from briarthread_agent.holding.share_keeper import MEMORY_PATH, ShareKeeper
 from briarthread_agent.limits.fair_queue import FairQueue
+from briarthread_agent.maps.engine_client import EngineClient
+from briarthread_agent.maps.map_keeper import MapKeeper
 from briarthread_agent.reports.load_reporter import LoadReporter
 from briarthread_agent.settings import AgentSettings
 from briarthread_common.core.event_log import EventLog
@@ -39,6 +41,7 @@
 
 FIRST_SLOTS = 8
 FIRST_QUEUE = 64
+MILLISECONDS = 1000
 
 
 class Agent:
@@ -102,6 +105,16 @@
         self.handler = AttemptHandler(
             runner, self.reporter, self.text, settings.service, self.metrics
         )
+        epoch = int(clock.now() * MILLISECONDS)
+        self.maps = MapKeeper(
+            settings.name,
+            self.incarnation,
+            EngineClient(channel, settings.target, epoch),
+            self.text,
+            self.directory,
+            channel,
+            self.events,
+        )
         self.app = App(self._routes())
 
     def start(self) -> None:
@@ -110,6 +123,7 @@
         self.tasks.start_soon(self.gap.run)
         self.tasks.start_soon(self.keeper.run)
         self.tasks.start_soon(self._follow_text)
+        self.tasks.start_soon(self.maps.run)
 
     async def drain(self) -> None:
         """
@@ -147,6 +161,7 @@
             Route("GET", HELLO_PATH, self._handle_hello),
             Route("POST", MEMORY_PATH, self._handle_memory),
             Route("POST", EXCHANGE_PATH, self.spreader.handle_exchange),
+            *self.maps.routes(),
             *pages.routes(),
         ]
 
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/maps/__init__.py
@@ -0,0 +1,1 @@
+"""Keeping all ranks of a group on one expert map."""
--- a/packages/common/src/briarthread_common/text/build_text.py
+++ b/packages/common/src/briarthread_common/text/build_text.py
@@ -1,12 +1,14 @@
 """Building of a typed text from its sections."""
 
 from collections.abc import Mapping
+from dataclasses import replace
 
 from briarthread_common.core.check_message import CheckMessage
 from briarthread_common.core.exceptions import ChecksFailed
 from briarthread_common.text.account import Account
 from briarthread_common.text.check_text import check_text
 from briarthread_common.text.data_centre import DataCentre
+from briarthread_common.text.group import Group
 from briarthread_common.text.objective import Objective
 from briarthread_common.text.parse_section import parse_section
 from briarthread_common.text.service import Service
@@ -34,6 +36,8 @@
             case Account() as account:
                 text.accounts[account.name] = account
                 text.accounts_by_key.update(dict.fromkeys(account.keys, account))
+            case Group() as group:
+                text.groups[group.name] = group
             case DataCentre() as data_centre:
                 text.data_centres[data_centre.name] = data_centre
             case Objective() as found:
@@ -41,11 +45,4 @@
     faults.extend(check_text(text))
     if faults:
         raise ChecksFailed(faults)
-    return ServicesText(
-        number,
-        text.services,
-        text.accounts,
-        text.data_centres,
-        objective,
-        text.accounts_by_key,
-    )
+    return replace(text, objective=objective)
--- a/packages/common/src/briarthread_common/text/check_text.py
+++ b/packages/common/src/briarthread_common/text/check_text.py
@@ -11,6 +11,7 @@
     return [
         *_check_services(text),
         *_check_accounts(text),
+        *_check_groups(text),
         *_check_cycles(text),
         *_check_keys(text),
     ]
@@ -78,6 +79,27 @@
         yield from _unknown(f"{place} services", account.services, text.services)
 
 
+def _check_groups(text: ServicesText) -> Iterator[CheckMessage]:
+    owners: dict[str, str] = {}
+    for group in text.groups.values():
+        place = f"[group {group.name}]"
+        yield from _unknown(f"{place} service", [group.service], text.services)
+        yield from _unknown(
+            f"{place} data_centre", [group.data_centre], text.data_centres
+        )
+        if group.ranks * group.slots < group.experts:
+            yield CheckMessage(
+                "text.E016", f"{place} slots", "leave no room for every expert"
+            )
+        for target in group.targets:
+            if owners.setdefault(target, group.name) != group.name:
+                yield CheckMessage(
+                    "text.E017",
+                    f"{place} targets",
+                    f"has {target}, which is in group {owners[target]} too",
+                )
+
+
 def _check_keys(text: ServicesText) -> Iterator[CheckMessage]:
     owners: dict[str, str] = {}
     for account in text.accounts.values():
--- /dev/null
+++ b/packages/common/src/briarthread_common/text/group.py
@@ -0,0 +1,28 @@
+"""One lock-step group of the text."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """
+    Describe a group of targets that step together on one expert map.
+
+    ``targets`` lists its instances; each has ``ranks_each`` ranks, and each
+    rank has room for ``slots`` experts a layer.
+    """
+
+    name: str
+    service: str
+    data_centre: str
+    targets: tuple[str, ...]
+    ranks_each: int
+    layers: int
+    experts: int
+    slots: int
+    expert_bytes: int
+
+    @property
+    def ranks(self) -> int:
+        """Return the number of ranks."""
+        return len(self.targets) * self.ranks_each
--- a/packages/common/src/briarthread_common/text/parse_section.py
+++ b/packages/common/src/briarthread_common/text/parse_section.py
@@ -9,6 +9,7 @@
 from briarthread_common.core.check_message import CheckMessage
 from briarthread_common.text.account import Account
 from briarthread_common.text.data_centre import DataCentre
+from briarthread_common.text.group import Group
 from briarthread_common.text.objective import Objective
 from briarthread_common.text.section_specs import TEXT_SPECS, UNNAMED_SECTIONS
 from briarthread_common.text.service import Service, TargetKind
@@ -16,7 +17,7 @@
 CACHED_SECTIONS = 16384
 """A change parses only the sections that it touches; the rest come from here."""
 
-Parsed = Service | Account | DataCentre | Objective
+Parsed = Service | Account | Group | DataCentre | Objective
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +59,8 @@
             return Service(name=name, **values)
         case "account":
             return Account(name=name, **values)
+        case "group":
+            return Group(name=name, **values)
         case "data_centre":
             return DataCentre(name=name, **values)
         case _:
--- a/packages/common/src/briarthread_common/text/section_specs.py
+++ b/packages/common/src/briarthread_common/text/section_specs.py
@@ -85,6 +85,27 @@
     ),
 )
 
+GROUP = SectionSpec(
+    "group",
+    "Targets of a service that step together on one expert map.",
+    (
+        Option("service", OptionKind.TEXT, None, "Service that they serve."),
+        Option("data_centre", OptionKind.TEXT, None, "Where they are."),
+        Option("targets", OptionKind.NAMES, None, "Their instances, in rank order."),
+        Option("ranks_each", OptionKind.INTEGER, "1", "Ranks of each target.", 1),
+        Option("layers", OptionKind.INTEGER, "1", "Layers with experts.", 1),
+        Option("experts", OptionKind.INTEGER, "256", "Experts of a layer.", 1),
+        Option("slots", OptionKind.INTEGER, "9", "Experts a rank holds a layer.", 1),
+        Option(
+            "expert_bytes",
+            OptionKind.INTEGER,
+            "44040192",
+            "Bytes of one expert's weights in one layer.",
+            1,
+        ),
+    ),
+)
+
 DATA_CENTRE = SectionSpec(
     "data_centre",
     "A data centre with entries and targets of its own.",
@@ -106,5 +127,7 @@
     ),
 )
 
-TEXT_SPECS = {spec.name: spec for spec in (SERVICE, ACCOUNT, DATA_CENTRE, OBJECTIVE)}
+TEXT_SPECS = {
+    spec.name: spec for spec in (SERVICE, ACCOUNT, GROUP, DATA_CENTRE, OBJECTIVE)
+}
 UNNAMED_SECTIONS = frozenset({OBJECTIVE.name})
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/maps/coordinator.py
@@ -0,0 +1,161 @@
+"""Bringing a planned map in force on all agents of a group."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+import anyio
+
+from briarthread_common.core.event_log import EventLog
+from briarthread_common.http.call_many import call_many
+from briarthread_common.http.channel import Channel
+from briarthread_common.messages.expert_map import NO_MAP, ExpertMap
+from briarthread_common.messages.map_messages import (
+    ANNOUNCE_PATH,
+    CONFIRM_PATH,
+    STAGE_PATH,
+    STANDING_PATH,
+    AnnounceMap,
+    ConfirmMap,
+    MapAnswer,
+    StageMap,
+    Standing,
+)
+from briarthread_common.spread.directory import Directory
+from briarthread_common.text.group import Group
+
+T = TypeVar("T")
+CALL_TIMEOUT = 2.0
+STAGE_TIMEOUT = 120.0
+STEP_LEAD = 100
+"""Steps between the slowest rank and the one from which a map holds."""
+CONFIRM_TRIES = 5
+RETRY_SECONDS = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """The map holds from this step on."""
+
+    step: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotPlaced:
+    """The group stays on its map; ``reason`` says why."""
+
+    reason: str
+
+
+class Coordinator:
+    """
+    Stage a map on every rank, announce it, and confirm it once all know it.
+
+    Nothing here has to last: if this process dies at any point, the agents
+    settle among themselves whether the map holds.
+    """
+
+    def __init__(self, channel: Channel, directory: Directory, events: EventLog):
+        self.channel = channel
+        self.directory = directory
+        self.events = events
+
+    async def place(
+        self, group: Group, expert_map: ExpertMap, fence: int
+    ) -> Placed | NotPlaced:
+        """Bring a map in force under a planner's fencing number."""
+        result = await self._place(group, expert_map, fence)
+        subject = f"{group.name}/map/{expert_map.version}"
+        match result:
+            case Placed(step=step):
+                self.events.add("map-moved", subject, f"from step {step}")
+            case NotPlaced(reason=reason):
+                self.events.add("map-not-moved", subject, reason)
+        return result
+
+    async def standings(self, group: Group) -> dict[str, Standing]:
+        """Return the standing of each agent that answers, by name."""
+        return await self._call_all(group, STANDING_PATH, lambda name: None, Standing)
+
+    async def _place(
+        self, group: Group, expert_map: ExpertMap, fence: int
+    ) -> Placed | NotPlaced:
+        standings = await self.standings(group)
+        if len(standings) < len(group.targets):
+            return NotPlaced("an agent is silent")
+        if any(row.version == NO_MAP or row.pending for row in standings.values()):
+            return NotPlaced("a rank has no map yet or holds for another")
+        staged = await self._call_all(
+            group,
+            STAGE_PATH,
+            lambda name: StageMap(group.name, fence, expert_map),
+            MapAnswer,
+            STAGE_TIMEOUT,
+        )
+        refusal = _refusal(group, staged)
+        if refusal:
+            return NotPlaced(f"not staged: {refusal}")
+        step = max(answer.step for answer in staged.values()) + STEP_LEAD
+        announced = await self._call_all(
+            group,
+            ANNOUNCE_PATH,
+            lambda name: AnnounceMap(
+                group.name,
+                standings[name].incarnation,
+                fence,
+                expert_map.version,
+                step,
+            ),
+            MapAnswer,
+        )
+        refusal = _refusal(group, announced)
+        if refusal:
+            return NotPlaced(f"not announced: {refusal}")
+        return await self._confirm(group, standings, expert_map.version, fence, step)
+
+    async def _confirm(
+        self,
+        group: Group,
+        standings: dict[str, Standing],
+        version: int,
+        fence: int,
+        step: int,
+    ) -> Placed | NotPlaced:
+        for _ in range(CONFIRM_TRIES):
+            answers = await self._call_all(
+                group,
+                CONFIRM_PATH,
+                lambda name: ConfirmMap(
+                    group.name, standings[name].incarnation, fence, version
+                ),
+                MapAnswer,
+            )
+            if any(answer.accepted for answer in answers.values()):
+                return Placed(step)
+            await anyio.sleep(RETRY_SECONDS)
+        return NotPlaced("no agent took the confirmation")
+
+    async def _call_all(
+        self,
+        group: Group,
+        path: str,
+        build: Callable[[str], object],
+        answer_type: type[T],
+        timeout: float = CALL_TIMEOUT,
+    ) -> dict[str, T]:
+        """Return the answers by the target's name, silent ones left out."""
+        rows = self.directory.all()
+        names = {rows[name].address: name for name in group.targets if name in rows}
+        messages = {address: build(name) for address, name in names.items()}
+        answers = await call_many(self.channel, path, messages, answer_type, timeout)
+        return {names[address]: answer for address, answer in answers.items()}
+
+
+def _refusal(group: Group, answers: dict[str, MapAnswer]) -> str:
+    for name in group.targets:
+        answer = answers.get(name)
+        if answer is None:
+            return f"{name} is silent"
+        if not answer.accepted:
+            return f"{name}: {answer.reason}"
+    return ""
--- a/packages/standins/src/briarthread_standins/fake_network.py
+++ b/packages/standins/src/briarthread_standins/fake_network.py
@@ -41,7 +41,9 @@
     ``cuts`` holds the pairs of sites that cannot reach each other.
     ``lose_answers`` counts, for a path, the calls whose answer is still to
     be lost after the call took effect; ``duplicate`` likewise counts calls
-    that arrive twice.
+    that arrive twice, the second time ``late`` seconds after the first, and
+    ``delay`` those that break for the caller and arrive only then. A count
+    can be kept for a path at one address, as ``path@address``.
     """
 
     def __init__(self, tasks: TaskGroup) -> None:
@@ -50,6 +52,8 @@
         self.cuts: set[frozenset[str]] = set()
         self.lose_answers: dict[str, int] = {}
         self.duplicate: dict[str, int] = {}
+        self.delay: dict[str, int] = {}
+        self.late = 0.0
         self.changed = anyio.Event()
         self.messages = 0
 
@@ -91,12 +95,13 @@
         """Return the channel of a process at an address."""
         return FakeChannel(self, address, site)
 
-    def take_fault(self, faults: dict[str, int], path: str) -> bool:
+    def take_fault(self, faults: dict[str, int], request: ChannelRequest) -> bool:
         """Tell whether a counted fault strikes a call, and count it off."""
-        left = faults.get(path, 0)
-        if left:
-            faults[path] = left - 1
-        return left > 0
+        for key in (request.path, f"{request.path}@{request.address}"):
+            if faults.get(key, 0):
+                faults[key] -= 1
+                return True
+        return False
 
     def is_open(self, address: str, site: str, node: Node) -> bool:
         """Tell whether messages pass between a process and a node now."""
@@ -115,6 +120,16 @@
         self.messages += 1
         self.tasks.start_soon(self._serve, node, exchange)
 
+    def start_late_call(self, node: Node, exchange: "Exchange") -> None:
+        """Let a copy of a call arrive late, whoever then listens there."""
+        self.tasks.start_soon(self._serve_late, node.address, exchange)
+
+    async def _serve_late(self, address: str, exchange: "Exchange") -> None:
+        await anyio.sleep(self.late)
+        node = self.nodes.get(address)
+        if node is not None:
+            await self._serve(node, exchange)
+
     async def _serve(self, node: Node, exchange: "Exchange") -> None:
         with anyio.CancelScope() as scope:
             node.calls[scope] = exchange.request.path
@@ -186,12 +201,15 @@
         """Send a call; see Channel."""
         node = await self._connect(request)
         exchange = Exchange(request)
+        if self.network.take_fault(self.network.delay, request):
+            self.network.start_late_call(node, exchange)
+            raise BrokenCallError(f"{request.path} was held up")
         self.network.start_call(node, exchange)
-        if self.network.take_fault(self.network.duplicate, request.path):
-            self.network.start_call(node, Exchange(request))
+        if self.network.take_fault(self.network.duplicate, request):
+            self.network.start_late_call(node, Exchange(request))
         try:
             head = await self._next(node, exchange)
-            if self.network.take_fault(self.network.lose_answers, request.path):
+            if self.network.take_fault(self.network.lose_answers, request):
                 raise BrokenCallError(f"answer to {request.path} was lost")
             headers = {k.decode(): v.decode() for k, v in head["headers"]}
             body = self._body(node, exchange)
--- /dev/null
+++ b/packages/standins/src/briarthread_standins/rank_group.py
@@ -0,0 +1,176 @@
+"""Engines that run in lock-step on an expert map."""
+
+from dataclasses import dataclass, field
+
+import anyio
+
+from briarthread_common.http.app import App, Route
+from briarthread_common.http.call import Call
+from briarthread_common.messages.engine_order import (
+    ORDER_PATH,
+    STATE_PATH,
+    EngineOrder,
+    EngineState,
+    OrderAnswer,
+    OrderKind,
+)
+
+LIMIT = 64 * 1024 * 1024
+STAGE_SECONDS = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Mismatch:
+    """Record a step in which ranks were on different maps."""
+
+    step: int
+    versions: tuple[int, ...]
+
+
+class RankEngine:
+    """
+    Stand in for the engine of one rank.
+
+    With ``fencing`` off it takes any order, also one of an agent long gone,
+    and a late switch then takes effect at once.
+    """
+
+    def __init__(self, fencing: bool) -> None:
+        self.fencing = fencing
+        self.token = (0, 0)
+        self.alive = True
+        self.step = 0
+        self.version = 0
+        self.staged = 0
+        self.hold_for = 0
+        self.hold_step = 0
+        self.scheduled = 0
+        self.app = App(
+            [
+                Route("POST", ORDER_PATH, self._handle_order),
+                Route("GET", STATE_PATH, self._handle_state),
+            ]
+        )
+
+    def restart(self) -> None:
+        """Lose everything, as a replaced rank does; the step is the group's."""
+        self.token = (0, 0)
+        self.version = self.staged = self.scheduled = 0
+        self.hold_for = self.hold_step = 0
+
+    def state(self) -> EngineState:
+        """Return how the engine stands."""
+        return EngineState(
+            self.step,
+            self.version,
+            self.staged,
+            self.hold_for,
+            self.hold_step,
+            self.is_held(),
+            self.scheduled,
+        )
+
+    def is_held(self) -> bool:
+        """Tell whether it waits for a decision before its next step."""
+        return bool(
+            self.hold_for and self.step >= self.hold_step and not self.scheduled
+        )
+
+    def can_step(self) -> bool:
+        """Tell whether it takes part in a step now."""
+        return self.alive and self.version != 0 and not self.is_held()
+
+    def begin_step(self) -> None:
+        """Switch to the scheduled map if this is its first step."""
+        if self.scheduled and self.step >= self.hold_step:
+            self.version = self.scheduled
+            self.scheduled = self.hold_for = self.hold_step = 0
+
+    async def take(self, order: EngineOrder) -> OrderAnswer:
+        """Carry an order out."""
+        token = (order.epoch, order.fence)
+        if self.fencing and token < self.token:
+            return OrderAnswer(False, self.state(), "old fencing number")
+        self.token = max(self.token, token)
+        reason = await self._carry_out(order)
+        return OrderAnswer(not reason, self.state(), reason)
+
+    async def _carry_out(self, order: EngineOrder) -> str:
+        match order.kind:
+            case OrderKind.STAGE:
+                await anyio.sleep(STAGE_SECONDS)
+                self.staged = order.version
+            case OrderKind.HOLD:
+                return self._hold(order)
+            case OrderKind.SWITCH:
+                return self._switch(order)
+            case OrderKind.RESUME:
+                if self.hold_for != order.version or self.scheduled:
+                    return "not holding for that version"
+                self.hold_for = self.hold_step = 0
+            case OrderKind.LOAD:
+                if self.version:
+                    return "has a map"
+                self.version = order.version
+                self.scheduled = self.hold_for = self.staged = order.scheduled
+                self.hold_step = order.step
+        return ""
+
+    def _hold(self, order: EngineOrder) -> str:
+        if self.staged != order.version:
+            return "version is not staged"
+        if self.hold_for:
+            return "holds for another version"
+        if self.step >= order.step:
+            return "step has passed"
+        self.hold_for = order.version
+        self.hold_step = order.step
+        return ""
+
+    def _switch(self, order: EngineOrder) -> str:
+        if self.hold_for == order.version:
+            self.scheduled = order.version
+            return ""
+        if self.fencing or self.staged != order.version:
+            return "not holding for that version"
+        self.version = order.version
+        return ""
+
+    async def _handle_order(self, call: Call) -> None:
+        order = await call.read_json(EngineOrder, LIMIT)
+        await call.reply_json(await self.take(order))
+
+    async def _handle_state(self, call: Call) -> None:
+        await call.reply_json(self.state())
+
+
+@dataclass(slots=True)
+class RankGroup:
+    """
+    Step all ranks together, and note every step with more than one map.
+
+    ``step_time`` is in seconds.
+    """
+
+    engines: list[RankEngine]
+    step_time: float = 0.006
+    step: int = 0
+    mismatches: list[Mismatch] = field(default_factory=list)
+
+    async def run(self) -> None:
+        """Step until cancelled; no rank steps without all others."""
+        while True:
+            if all(engine.can_step() for engine in self.engines):
+                self.run_step()
+            await anyio.sleep(self.step_time)
+
+    def run_step(self) -> None:
+        """Run one step."""
+        for engine in self.engines:
+            engine.begin_step()
+        versions = tuple(engine.version for engine in self.engines)
+        if len(set(versions)) > 1:
+            self.mismatches.append(Mismatch(self.step, versions))
+        self.step += 1
+        for engine in self.engines:
+            engine.step = self.step
--- a/packages/standins/src/briarthread_standins/world.py
+++ b/packages/standins/src/briarthread_standins/world.py
@@ -26,6 +26,7 @@
 from briarthread_standins.fake_network import FakeNetwork
 from briarthread_standins.plain_service import PlainService
 from briarthread_standins.platform_app import PlatformApp
+from briarthread_standins.rank_group import RankEngine, RankGroup
 
 PLATFORM_ADDRESS = "10.0.0.1:80"
 PLATFORM_SITE = "platform"
@@ -96,6 +97,21 @@
         instance = Instance(name, data_centre, address, InstanceRole.TARGET, service)
         return self._add(instance)
 
+    def add_group(
+        self, names: list[str], data_centre: str, service: str, fencing: bool
+    ) -> RankGroup:
+        """Put the targets of a lock-step group on the list and start them."""
+        engines = [RankEngine(fencing) for _ in names]
+        group = RankGroup(engines)
+        for name, engine in zip(names, engines, strict=True):
+            self.network.listen(f"target-{name}", f"slot-{name}", engine.app)
+            address = self._next_address()
+            self._add(
+                Instance(name, data_centre, address, InstanceRole.TARGET, service)
+            )
+        self.tasks.start_soon(group.run)
+        return group
+
     def start(self, name: str) -> None:
         """Start the process of an instance, as a new incarnation."""
         instance = self.instances[name]
--- a/tests/fuzz/booking_machine.py
+++ b/tests/fuzz/booking_machine.py
@@ -1,18 +1,12 @@
 """Stateful fuzzing of bookings under faults."""
 
-import asyncio
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
-
 import anyio
 from builders import START_SECONDS, build_text, build_world
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from hypothesis.stateful import initialize, invariant, rule
 
 from briarthread_common.core.exceptions import ChannelError
 from briarthread_standins.platform_app import PlatformMode
-from briarthread_standins.virtual_time import VirtualLoop
-from briarthread_standins.world import World
 from fuzz.faults import (
     Cut,
     Duplicate,
@@ -27,27 +21,19 @@
     faults,
 )
 from fuzz.oracle import Oracle
+from fuzz.world_machine import WorldMachine, count
 
-T = TypeVar("T")
 SITES = ("palermo", "catania")
 ENTRIES = tuple(f"entry-{site}-0" for site in SITES)
 AGENTS = tuple(f"diary-{site}-{number}" for site in SITES for number in range(2))
 KEY_LIFE = 40.0
 """Seconds for which a key is asked again; the retry horizon is 60."""
-SETTLE_SECONDS = 30.0
+KINDS_OF_REPAIR = 4
 HOLD_SECONDS = 30.0
 """How long a patient caller holds the line; its deadline is 5 s."""
 
-counts: dict[str, int] = {}
-"""Steps and faults of all runs of this process, for the long command."""
-
-
-def count(what: str) -> None:
-    """Count a step or a fault."""
-    counts[what] = counts.get(what, 0) + 1
-
 
-class BookingMachine(RuleBasedStateMachine):
+class BookingMachine(WorldMachine):
     """
     Ask for bookings while instances, links and the platform misbehave.
 
@@ -57,28 +43,19 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.loop = VirtualLoop()
         self.oracle = Oracle()
-        self.world: World
-        self.frozen: set[str] = set()
 
     @initialize(seed=st.integers(0, 10_000))
     def start(self, seed: int) -> None:
         """Bring a small world up."""
-        ready = asyncio.Event()
-        self.holder = self.loop.create_task(self._hold(seed, ready))
-        self._run(ready.wait())
-
-    async def _hold(self, seed: int, ready: asyncio.Event) -> None:
-        async with anyio.create_task_group() as tasks:
-            self.tasks = tasks
-            self.world = build_world(tasks, seed, SITES, services=("diary",))
-            await anyio.sleep(1)
-            text = build_text(SITES, "queue = 2\nslots = 2\n")
-            await self.world.apply(text)
-            await anyio.sleep(START_SECONDS)
-            ready.set()
-            await anyio.sleep_forever()
+        self.start_world(seed)
+
+    async def build(self, seed: int) -> None:
+        """Start two data centres whose diary has short queues."""
+        self.world = build_world(self.tasks, seed, SITES, services=("diary",))
+        await anyio.sleep(1)
+        await self.world.apply(build_text(SITES, "queue = 2\nslots = 2\n"))
+        await anyio.sleep(START_SECONDS)
 
     @rule(
         numbers=st.lists(st.integers(0, 3), min_size=1, max_size=4),
@@ -111,7 +88,7 @@
         count("asks")
         epoch = int(self.loop.time() // KEY_LIFE)
         key = f"<{account}/{epoch}/{number}>"
-        self._do(self.tasks.start_soon, self._ask, key, entry, account, patience)
+        self.do(self.tasks.start_soon, self._ask, key, entry, account, patience)
 
     async def _ask(self, key: str, entry: str, account: int, patience: float) -> None:
         self.oracle.note_ask(key)
@@ -132,13 +109,13 @@
     def wait(self, seconds: float) -> None:
         """Let time pass."""
         count("waits")
-        self._pass(seconds)
+        self.let_pass(seconds)
 
     @rule(fault=faults(SITES, ENTRIES, AGENTS))
     def break_something(self, fault: Fault) -> None:
         """Bring a fault about."""
         count(type(fault).__name__)
-        self._do(self._break, fault)
+        self.do(self._break, fault)
 
     def _break(self, fault: Fault) -> None:
         match fault:
@@ -168,7 +145,7 @@
                 if name in self.world.members:
                     self.tasks.start_soon(self._stop, name)
             case _:
-                self._freeze(name, True)
+                self.freeze(name, True)
 
     async def _stop(self, name: str) -> None:
         member = self.world.members[name]
@@ -176,11 +153,11 @@
         if self.world.members.get(name) is member:
             self.world.kill(name)
 
-    @rule(which=st.integers(0, 3))
+    @rule(which=st.integers(0, KINDS_OF_REPAIR - 1))
     def repair(self, which: int) -> None:
         """Mend one kind of fault everywhere."""
         count("repairs")
-        self._do(self._repair, which)
+        self.do(self._repair, which)
 
     def _repair(self, which: int) -> None:
         match which:
@@ -190,16 +167,9 @@
                 self.world.platform.state.mode = PlatformMode.UP
             case 2:
                 for name in AGENTS:
-                    self._freeze(name, False)
+                    self.freeze(name, False)
             case _:
-                self._start_missing()
-
-    def _start_missing(self) -> None:
-        instances = self.world.instances
-        missing = [name for name in instances if name not in self.world.members]
-        for name in missing:
-            self.world.platform.state.list_instances([instances[name]])
-            self.world.start(name)
+                self.start_missing()
 
     @invariant()
     def nothing_is_violated(self) -> None:
@@ -208,42 +178,13 @@
             self.oracle.check_runs(key, self.world.runs(key))
         assert not self.oracle.violations, self.oracle.violations
 
-    def teardown(self) -> None:
-        """Mend everything, let it settle, check the final counts."""
-        try:
-            self._settle_and_check()
-        finally:
-            self.holder.cancel()
-            self.loop.run_until_complete(
-                asyncio.gather(self.holder, return_exceptions=True)
-            )
-            self.loop.close()
-
-    def _settle_and_check(self) -> None:
-        for which in range(4):
-            self._do(self._repair, which)
-        self._pass(SETTLE_SECONDS)
-        count("runs of the machine")
+    def repair_all(self) -> None:
+        """Mend every fault."""
+        for which in range(KINDS_OF_REPAIR):
+            self._repair(which)
+
+    def check_end(self) -> None:
+        """Check the final counts of all keys."""
         for key in self.oracle.keys:
             self.oracle.check_end(key, self.world.runs(key))
         assert not self.oracle.violations, self.oracle.violations
-
-    def _freeze(self, name: str, frozen: bool) -> None:
-        self.world.network.freeze(self.world.instances[name].address, frozen)
-
-    def _do(self, function: Callable[..., object], *arguments: object) -> None:
-        """Call a function inside the loop."""
-
-        async def act() -> None:
-            function(*arguments)
-            await anyio.sleep(0)
-
-        self._run(act())
-
-    def _pass(self, seconds: float) -> None:
-        self._run(anyio.sleep(seconds))
-
-    def _run(self, awaitable: Awaitable[T]) -> T:
-        if self.holder.done():
-            self.holder.result()
-        return self.loop.run_until_complete(awaitable)
--- /dev/null
+++ b/tests/fuzz/map_machine.py
@@ -0,0 +1,237 @@
+"""Stateful fuzzing of expert maps under faults."""
+
+import anyio
+from builders import build_text
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize, invariant, rule
+
+from briarthread_common.messages.engine_order import ORDER_PATH
+from briarthread_common.messages.expert_map import even_map
+from briarthread_common.messages.map_messages import (
+    ANNOUNCE_PATH,
+    CONFIRM_PATH,
+    STAGE_PATH,
+    VERDICT_PATH,
+)
+from briarthread_entry.maps.coordinator import Coordinator
+from briarthread_standins.world import World
+from fuzz.world_machine import WorldMachine, count
+
+SITE = "palermo"
+RANKS = tuple(f"rank-{number}" for number in range(3))
+PLANNER_SITES = ("planner-0", "planner-1")
+PATHS = (STAGE_PATH, ANNOUNCE_PATH, CONFIRM_PATH, VERDICT_PATH, ORDER_PATH)
+VERSIONS_A_FENCE = 1000
+CONFIRM_SECONDS = 0.08
+"""Time in which a planner gets as far as its first confirmations."""
+CALM_SECONDS = 4.0
+GROUP_TEXT = (
+    "[service assistant]\nkind = engine\ndata_centres = palermo\nidempotent = yes\n"
+    f"[group experts]\nservice = assistant\ndata_centre = {SITE}\n"
+    f"targets = {', '.join(RANKS)}\nexperts = 8\nslots = 4\n"
+)
+
+
+class MapMachine(WorldMachine):
+    """
+    Propose maps from racing planners while ranks, agents and links fail.
+
+    The invariant: in every step all ranks are on one map. At the end, with
+    everything mended, the group steps again.
+    """
+
+    @initialize(seed=st.integers(0, 10_000), fencing=st.booleans())
+    def start(self, seed: int, fencing: bool) -> None:
+        """Bring a group of three ranks up."""
+        self.fencing = fencing
+        self.fence = 1
+        self.proposals = 0
+        self.planner_scopes: list[anyio.CancelScope] = []
+        self.start_world(seed)
+
+    async def build(self, seed: int) -> None:
+        """Start an entry and the group."""
+        self.world = World(self.tasks, seed)
+        self.world.add_entry("entry-0", SITE)
+        self.group = self.world.add_group(list(RANKS), SITE, "assistant", self.fencing)
+        await anyio.sleep(1)
+        await self.world.apply(build_text((SITE,), more=GROUP_TEXT))
+        await anyio.sleep(8)
+
+    @rule(planner=st.integers(0, 1), new_lease=st.booleans())
+    def propose(self, planner: int, new_lease: bool) -> None:
+        """Let a planner propose a map, under a new or an old lease."""
+        count("proposals")
+        if new_lease:
+            self.fence += 1
+        self.proposals += 1
+        version = self.fence * VERSIONS_A_FENCE + self.proposals
+        self.do(self.tasks.start_soon, self._propose, planner, version)
+
+    async def _propose(self, planner: int, version: int) -> None:
+        group = self.world.entry("entry-0").text.current().groups["experts"]
+        entry = self.world.entry("entry-0")
+        channel = self.world.network.channel("planner", PLANNER_SITES[planner])
+        coordinator = Coordinator(channel, entry.directory, entry.events)
+        expert_map = even_map(version, 1, 8, len(RANKS))
+        with anyio.CancelScope() as scope:
+            self.planner_scopes.append(scope)
+            fence = version // VERSIONS_A_FENCE
+            result = await coordinator.place(group, expert_map, fence)
+            count(type(result).__name__)
+
+    @rule(
+        confirmed=st.sets(st.sampled_from(RANKS)),
+        then=st.sampled_from(["freeze", "kill", "replace", "nothing"]),
+        late=st.sampled_from([0.1, 0.7, 1.0, 1.5]),
+        seconds=st.sampled_from([0.0, 0.2, 0.7, 1.2]),
+        calm=st.booleans(),
+    )
+    def propose_and_die(
+        self,
+        confirmed: set[str],
+        then: str,
+        late: float,
+        seconds: float,
+        calm: bool,
+    ) -> None:
+        """Let a planner die after only some ranks got its confirmation."""
+        count("planner deaths in a confirmation")
+        if calm:
+            self.do(self.repair_all)
+            self.let_pass(CALM_SECONDS)
+        network = self.world.network
+        network.late = late
+        for name in set(RANKS) - confirmed:
+            address = self.world.instances[name].address
+            network.delay[f"{CONFIRM_PATH}@{address}"] = 1
+        self.propose(0, new_lease=True)
+        self.let_pass(CONFIRM_SECONDS)
+        self.do(self._kill_planners)
+        for name in confirmed:
+            self.do(self._strike, name, then)
+        self.let_pass(seconds)
+
+    def _strike(self, name: str, then: str) -> None:
+        match then:
+            case "freeze":
+                self.freeze(name, True)
+            case "kill":
+                self.world.kill(name)
+            case "replace":
+                self.world.kill(name)
+                self.world.start(name)
+
+    @rule()
+    def kill_planners(self) -> None:
+        """Kill all planners in the middle of what they do."""
+        count("planner kills")
+        self.do(self._kill_planners)
+
+    def _kill_planners(self) -> None:
+        for scope in self.planner_scopes:
+            scope.cancel()
+        self.planner_scopes = []
+
+    @rule(seconds=st.sampled_from([0.002, 0.004, 0.01, 0.05, 0.2, 0.6, 0.7, 1.0, 3.0]))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.let_pass(seconds)
+
+    @rule(name=st.sampled_from(RANKS), again=st.booleans())
+    def kill_agent(self, name: str, again: bool) -> None:
+        """Kill an agent, perhaps replacing it at once."""
+        count("agent kills")
+        self.do(self.world.kill, name)
+        if again:
+            self.do(self.world.start, name)
+
+    @rule(number=st.integers(0, len(RANKS) - 1), again=st.booleans())
+    def kill_engine(self, number: int, again: bool) -> None:
+        """Kill an engine, perhaps replacing it at once."""
+        count("engine kills")
+        self.do(self._kill_engine, number)
+        if again:
+            self.do(self._start_engine, number)
+
+    def _kill_engine(self, number: int) -> None:
+        self.group.engines[number].alive = False
+        self.world.network.close(f"target-{RANKS[number]}")
+
+    def _start_engine(self, number: int) -> None:
+        engine = self.group.engines[number]
+        if engine.alive:
+            return
+        engine.restart()
+        engine.alive = True
+        name = RANKS[number]
+        self.world.network.listen(f"target-{name}", f"slot-{name}", engine.app)
+
+    @rule(name=st.sampled_from(RANKS))
+    def freeze_agent(self, name: str) -> None:
+        """Hold back all messages of an agent."""
+        count("freezes")
+        self.do(self.freeze, name, True)
+
+    @rule(planner=st.sampled_from(PLANNER_SITES))
+    def cut(self, planner: str) -> None:
+        """Cut a planner off from the group."""
+        count("cuts")
+        self.world.network.cut(planner, SITE)
+
+    @rule(path=st.sampled_from(PATHS), times=st.integers(1, 3))
+    def lose_answers(self, path: str, times: int) -> None:
+        """Lose answers on a path after their calls took effect."""
+        count("lost answers")
+        self.world.network.lose_answers[path] = times
+
+    @rule(
+        path=st.sampled_from(PATHS),
+        times=st.integers(1, 3),
+        late=st.sampled_from([0.1, 0.7, 1.5]),
+    )
+    def delay(self, path: str, times: int, late: float) -> None:
+        """Let calls on a path break for the caller and arrive later."""
+        count("delays")
+        self.world.network.delay[path] = times
+        self.world.network.late = late
+
+    @rule(
+        path=st.sampled_from(PATHS),
+        times=st.integers(1, 3),
+        late=st.sampled_from([0.0, 0.1, 0.7, 1.5]),
+    )
+    def duplicate(self, path: str, times: int, late: float) -> None:
+        """Let calls on a path arrive again, later."""
+        count("duplicates")
+        self.world.network.duplicate[path] = times
+        self.world.network.late = late
+
+    @rule()
+    def repair(self) -> None:
+        """Mend everything."""
+        count("repairs")
+        self.do(self.repair_all)
+
+    def repair_all(self) -> None:
+        """Mend every fault."""
+        for name in RANKS:
+            self.freeze(name, False)
+        for number in range(len(RANKS)):
+            self._start_engine(number)
+        self.world.network.heal()
+        self.world.network.delay.clear()
+        self.start_missing()
+
+    @invariant()
+    def all_ranks_are_on_one_map(self) -> None:
+        """Check the steps so far."""
+        assert not self.group.mismatches, self.group.mismatches
+
+    def check_end(self) -> None:
+        """Check that the group steps, on one map."""
+        before = self.group.step
+        self.let_pass(5.0)
+        states = [engine.state() for engine in self.group.engines]
+        assert self.group.step > before, states
+        assert not self.group.mismatches, self.group.mismatches
--- a/tests/fuzz/run_long.py
+++ b/tests/fuzz/run_long.py
@@ -2,7 +2,7 @@
 Fuzz with fresh seeds for a while, outside CI.
 
 Usage:
-  run_long [--minutes=N]
+  run_long [--minutes=N] (bookings | maps)
 
 Options:
   --minutes=N  How long to run [default: 10].
@@ -23,13 +23,15 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from fuzz.booking_machine import BookingMachine, counts  # noqa: E402
+from fuzz.booking_machine import BookingMachine  # noqa: E402
+from fuzz.map_machine import MapMachine  # noqa: E402
+from fuzz.world_machine import WorldMachine, counts  # noqa: E402
 
 BATCH = 40
 SECONDS_A_MINUTE = 60
 
 
-def run_batch() -> bool:
+def run_batch(machine: type[WorldMachine]) -> bool:
     """Run some examples; tell whether the oracle was satisfied."""
     options = settings(
         max_examples=BATCH,
@@ -40,7 +42,7 @@
         phases=[Phase.generate],
     )
     try:
-        run_state_machine_as_test(BookingMachine, settings=options)
+        run_state_machine_as_test(machine, settings=options)
     except AssertionError:
         traceback.print_exc()
         return False
@@ -49,14 +51,16 @@
 
 def main() -> int:
     """Run batches until the time is over and return the exit code."""
-    minutes = float(docopt(__doc__)["--minutes"])
+    arguments = docopt(__doc__)
+    minutes = float(arguments["--minutes"])
+    machine = BookingMachine if arguments["bookings"] else MapMachine
     logger.remove()
     end = time.monotonic() + minutes * SECONDS_A_MINUTE
     batches = 0
     violated = 0
     while time.monotonic() < end:
         batches += 1
-        violated += not run_batch()
+        violated += not run_batch(machine)
     for name, number in sorted(counts.items()):
         print(f"{number:8} {name}")
     print(f"{batches:8} batches, {violated} with a violation")
