Keep a share's quarantine when it is handed over before it was claimed

Cause: a long fuzz run found a key run twice. An agent that replaced a killed one inherits its shares with the quarantine only in its own memory until the row is written; stopped before that, it handed the row on with the old quarantine of 0, and the next holder ran the key again. Ruled out: the ledger and the tombstones, which this agent never consulted.

Change: one function gives the end of a held share's quarantine, for the check and for the row handed on. The new test ran the key twice before the change and answers unknown after it.

--- a/packages/agent/src/briarthread_agent/holding/share_guard.py
+++ b/packages/agent/src/briarthread_agent/holding/share_guard.py
@@ -72,6 +72,17 @@
         service = self.text.current().services[self.me.service]
         return self.clock.now() + service.retry_horizon + service.max_deadline
 
+    def quarantine_of(self, row: ShareRow) -> float:
+        """
+        Return when the quarantine of a held share ends.
+
+        A row that names another incarnation is that of the process that this
+        one replaced, whose memory is lost whatever the row says.
+        """
+        if row.incarnation == self.incarnation:
+            return row.quarantine
+        return self.inherited.setdefault(row.share, self.quarantine_end())
+
     def _check_share(self, attempt: Attempt) -> None:
         row = self.row(attempt.share)
         if row is None or not self.holds(row) or attempt.share in self.moving:
@@ -81,10 +92,7 @@
         self._check_quarantine(row)
 
     def _check_quarantine(self, row: ShareRow) -> None:
-        end = row.quarantine
-        if row.incarnation != self.incarnation:
-            end = self.inherited.setdefault(row.share, self.quarantine_end())
-        left = end - self.clock.now()
+        left = self.quarantine_of(row) - self.clock.now()
         if left > 0:
             raise RequestError(
                 ErrorKind.QUARANTINED,
--- a/packages/agent/src/briarthread_agent/holding/share_keeper.py
+++ b/packages/agent/src/briarthread_agent/holding/share_keeper.py
@@ -118,7 +118,7 @@
         try:
             hello = await ask_hello(self.channel, successor.address)
             await self._send_memory(shares, successor)
-            given = [_given_to(row, successor, hello.incarnation) for row in rows]
+            given = [self._given_to(row, successor, hello.incarnation) for row in rows]
             await self._write(given)
             await self.spreader.exchange_with(successor.address)
             self.events.add("handed-over", successor.name, f"shares {shares}")
@@ -169,8 +169,7 @@
     def _inherit(self, row: ShareRow) -> list[ShareRow]:
         if row.incarnation == self.guard.incarnation:
             return []
-        end = self.guard.inherited.setdefault(row.share, self.guard.quarantine_end())
-        return [self._row(row.share, end)]
+        return [self._row(row.share, self.guard.quarantine_of(row))]
 
     async def _may_take(self, row: ShareRow) -> bool:
         if not self._is_next(row.share, {row.holder}):
@@ -239,6 +238,17 @@
             quarantine=quarantine,
         )
 
+    def _given_to(
+        self, row: ShareRow, successor: Instance, incarnation: str
+    ) -> ShareRow:
+        return replace(
+            row,
+            holder=successor.name,
+            address=successor.address,
+            incarnation=incarnation,
+            quarantine=self.guard.quarantine_of(row),
+        )
+
     def _is_next(self, share: int, without: set[str]) -> bool:
         successor = self._next_holder(share, without)
         return successor is not None and successor.name == self.me.name
@@ -249,12 +259,3 @@
         key = share_name(self.me.service, self.me.data_centre, share)
         order = rendezvous_order(key, by_name)
         return by_name[order[0]] if order else None
-
-
-def _given_to(row: ShareRow, successor: Instance, incarnation: str) -> ShareRow:
-    return replace(
-        row,
-        holder=successor.name,
-        address=successor.address,
-        incarnation=incarnation,
-    )
--- a/tests/world/test_at_most_once.py
+++ b/tests/world/test_at_most_once.py
@@ -140,6 +140,23 @@
     in_world(scenario)
 
 
+def test_share_inherited_and_handed_over_stays_in_quarantine() -> None:
+    async def scenario(world: World) -> None:
+        await book(world, ENTRIES[0], "k", "one")
+        name = holder_of(world, "one")
+        world.kill(name)
+        world.platform.state.mode = PlatformMode.DOWN
+        world.start(name)
+        await anyio.sleep(3)
+        world.platform.state.mode = PlatformMode.UP
+        await world.stop(name)
+        again = await book(world, ENTRIES[1], "k", "one")
+        assert again.outcome == "unknown"
+        assert world.runs("one") == 1
+
+    in_world(scenario)
+
+
 def test_run_in_flight_at_a_hand_over_is_answered_by_the_next_holder() -> None:
     async def scenario(world: World) -> None:
         for service in world.services.values():
