Plan the maps of groups and weigh each move against its cost

Cause: maps could be placed but nothing planned them. Change: the entry that is first in a group's order asks one agent for the map and the tokens of each expert, keeps decayed counts, and moves only where the time saved, times skew_weight, is above the loading time, times rebalance_weight. A lease with a fencing number is taken just before a map is placed.

Load reports now keep to a budget: an entry with many services watches two targets of each and asks for reports at an interval that follows the number watched.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -5,7 +5,8 @@
 from pathlib import Path
 
 import httpcore
-from deployment import Deployment
+
+from briarthread_standins.deployment import Deployment
 
 TEXT = Path(__file__).parent / "caruso.ini"
 DATA_CENTRES = ["palermo", "catania", "messina"]
--- a/packages/agent/src/briarthread_agent/maps/engine_client.py
+++ b/packages/agent/src/briarthread_agent/maps/engine_client.py
@@ -12,6 +12,7 @@
     OrderKind,
 )
 from briarthread_common.messages.expert_map import ExpertMap
+from briarthread_common.messages.map_report import ENGINE_REPORT_PATH, MapReport
 
 ORDER_TIMEOUT = 2.0
 """Seconds within which an order arrives or never does."""
@@ -44,6 +45,18 @@
             ORDER_TIMEOUT,
         )
 
+    async def report(self) -> MapReport:
+        """Return the engine's map and counts; raise ChannelError if silent."""
+        return await call_json(
+            self.channel,
+            self.address,
+            "GET",
+            ENGINE_REPORT_PATH,
+            None,
+            MapReport,
+            ORDER_TIMEOUT,
+        )
+
     async def order(
         self,
         kind: OrderKind,
--- a/packages/agent/src/briarthread_agent/maps/map_keeper.py
+++ b/packages/agent/src/briarthread_agent/maps/map_keeper.py
@@ -31,6 +31,7 @@
     VerdictAnswer,
     VerdictRequest,
 )
+from briarthread_common.messages.map_report import REPORT_PATH
 from briarthread_common.spread.directory import Directory
 from briarthread_common.text.group import Group
 from briarthread_common.text.text_view import TextView
@@ -95,6 +96,7 @@
             Route("POST", CONFIRM_PATH, self._handle_confirm),
             Route("POST", VERDICT_PATH, self._handle_verdict),
             Route("GET", STANDING_PATH, self._handle_standing),
+            Route("GET", REPORT_PATH, self._handle_report),
         ]
 
     def group(self) -> Group | None:
@@ -318,6 +320,13 @@
         )
         await call.reply_json(standing)
 
+    async def _handle_report(self, call: Call) -> None:
+        try:
+            report = await self.engine.report()
+        except ChannelError as error:
+            raise RequestError(ErrorKind.NOT_READY, str(error)) from error
+        await call.reply_json(report)
+
     async def _order(
         self,
         fence: int,
--- a/packages/agent/src/briarthread_agent/reports/load_reporter.py
+++ b/packages/agent/src/briarthread_agent/reports/load_reporter.py
@@ -7,11 +7,10 @@
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.exceptions import RequestError
 from briarthread_common.http.call import Call
-from briarthread_common.messages.load_report import LoadReport
+from briarthread_common.messages.load_report import LoadReport, heartbeat_interval
 
-HEARTBEAT_INTERVAL = 5.0
-"""Longest time in seconds between two lines of a stream."""
 MIN_INTERVAL = 0.05
+MAX_INTERVAL = 60.0
 NOTICEABLE = 0.1
 """Part of the load by which it must change before a line is worth sending."""
 
@@ -66,7 +65,7 @@
             await self._wait_worth_sending(sent, every)
 
     async def _wait_worth_sending(self, sent: LoadReport, every: float) -> None:
-        with anyio.move_on_after(HEARTBEAT_INTERVAL):
+        with anyio.move_on_after(heartbeat_interval(every)):
             while True:
                 await self._pause(every)
                 if self.draining != sent.d or self._changed(sent):
@@ -91,4 +90,4 @@
         seconds = float(raw) if name == "every" else 1.0
     except ValueError as error:
         raise RequestError(ErrorKind.BAD_REQUEST, "every takes seconds") from error
-    return min(max(seconds, MIN_INTERVAL), HEARTBEAT_INTERVAL)
+    return min(max(seconds, MIN_INTERVAL), MAX_INTERVAL)
--- a/packages/common/src/briarthread_common/messages/load_report.py
+++ b/packages/common/src/briarthread_common/messages/load_report.py
@@ -2,6 +2,17 @@
 
 from dataclasses import dataclass
 
+HEARTBEAT_SECONDS = 5.0
+
+
+def heartbeat_interval(every: float) -> float:
+    """
+    Return the longest time in seconds between two lines of a stream.
+
+    ``every`` is the shortest one, which the entry asked for.
+    """
+    return max(HEARTBEAT_SECONDS, every)
+
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
--- a/packages/entry/src/briarthread_entry/entry.py
+++ b/packages/entry/src/briarthread_entry/entry.py
@@ -19,6 +19,7 @@
 from briarthread_common.text.text_view import TextView
 from briarthread_common.utils.clock import Clock
 from briarthread_entry.limits.account_limiter import AccountLimiter
+from briarthread_entry.maps.group_planner import GroupPlanner
 from briarthread_entry.routing.router import Router
 from briarthread_entry.routing.target_table import TargetTable
 from briarthread_entry.routing.watcher import Watcher
@@ -56,6 +57,17 @@
         self.watcher = Watcher(
             self.table, self.text, channel, self.spreader, clock, self.events, rng
         )
+        self.planner = GroupPlanner(
+            settings.name,
+            settings.data_centre,
+            self.text,
+            self.directory,
+            self.platform,
+            channel,
+            clock,
+            self.events,
+            rng,
+        )
         shares = ShareView(self.feeds.shares)
         self.router = Router(self.table, shares, channel, clock, rng)
         self.runner = RequestRunner(
@@ -85,6 +97,7 @@
         """Start the background tasks in a task group."""
         tasks.start_soon(self.spreader.run)
         tasks.start_soon(self.watcher.run)
+        tasks.start_soon(self.planner.run)
 
     async def drain(self) -> None:
         """Say that the entry leaves, and go on serving until it is heard."""
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/maps/group_planner.py
@@ -0,0 +1,163 @@
+"""The duty of planning the maps of groups."""
+
+import random
+from dataclasses import dataclass
+
+import anyio
+from loguru import logger
+
+from briarthread_common.core.event_log import EventLog
+from briarthread_common.core.exceptions import ChannelError, PlatformError
+from briarthread_common.http.channel import Channel
+from briarthread_common.http.channel_calls import call_json
+from briarthread_common.messages.expert_map import ExpertMap
+from briarthread_common.messages.map_report import REPORT_PATH, MapReport
+from briarthread_common.platform.lease import Held, HeldByOther, Lease
+from briarthread_common.platform.platform_client import PlatformClient
+from briarthread_common.spread.directory import Directory
+from briarthread_common.text.group import Group
+from briarthread_common.text.text_view import TextView
+from briarthread_common.utils.clock import Clock
+from briarthread_common.utils.hashing import rendezvous_order
+from briarthread_entry.maps.coordinator import Coordinator
+from briarthread_entry.placement.move_rule import Move, Stay, decide_move
+from briarthread_entry.placement.popularity import Popularity
+
+PLAN_INTERVAL = 300.0
+REPORT_TIMEOUT = 5.0
+LEASE_SECONDS = 180.0
+STORE_BYTES = 500e6
+"""Bytes a second that a group gets of the rate-limited weight store."""
+VERSIONS_A_FENCE = 1 << 20
+"""Maps proposed under different fencing numbers never share a version."""
+
+
+@dataclass(slots=True)
+class GroupWatch:
+    """Hold what the planner remembers of a group between two looks."""
+
+    popularity: Popularity
+    last: list[list[int]]
+
+
+class GroupPlanner:
+    """
+    Plan the maps of the groups for which this entry is first in order.
+
+    Looking and deciding need no lease: two entries that both do it only do
+    work twice. A lease with a fencing number is taken just before a map is
+    placed, so a platform outage stops moves and nothing else.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        text: TextView,
+        directory: Directory,
+        platform: PlatformClient,
+        channel: Channel,
+        clock: Clock,
+        events: EventLog,
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.text = text
+        self.directory = directory
+        self.platform = platform
+        self.channel = channel
+        self.clock = clock
+        self.events = events
+        self.rng = rng
+        self.coordinator = Coordinator(channel, directory, events)
+        self.watches: dict[str, GroupWatch] = {}
+        self.proposals = 0
+
+    async def run(self) -> None:
+        """Look after the groups until cancelled."""
+        while True:
+            await anyio.sleep(PLAN_INTERVAL * self.rng.uniform(0.8, 1.2))
+            for group in list(self.text.current().groups.values()):
+                if self._is_mine(group):
+                    await self._plan_quietly(group)
+
+    async def plan(self, group: Group) -> None:
+        """Look at a group, decide, and place a better map if it pays."""
+        report = await self._report(group)
+        if report is None or not self._observe(group, report):
+            return
+        decision = decide_move(
+            0,
+            report.expert_map,
+            self.watches[group.name].popularity.counts,
+            group.slots,
+            group.expert_bytes / STORE_BYTES,
+            self.text.current().objective,
+        )
+        match decision:
+            case Stay(reason=reason):
+                self.events.add("map-stays", group.name, reason)
+            case Move():
+                await self._place(group, decision)
+
+    async def _place(self, group: Group, move: Move) -> None:
+        lease = Lease(self.platform, self.clock, f"groups/{group.name}", LEASE_SECONDS)
+        match await lease.take(self.name):
+            case HeldByOther(holder=holder):
+                self.events.add("map-stays", group.name, f"{holder} plans it")
+            case Held(fence=fence):
+                self.proposals += 1
+                version = fence * VERSIONS_A_FENCE + self.proposals
+                self.events.add(
+                    "map-move",
+                    group.name,
+                    f"{move.moved} experts, saves {move.saved:.0f} s, "
+                    f"costs {move.cost:.0f} s of loading",
+                )
+                wanted = ExpertMap(version, move.expert_map.layers)
+                await self.coordinator.place(group, wanted, fence)
+
+    async def _plan_quietly(self, group: Group) -> None:
+        try:
+            await self.plan(group)
+        except (ChannelError, PlatformError) as error:
+            logger.debug("maps: {}: {}", group.name, error)
+
+    async def _report(self, group: Group) -> MapReport | None:
+        rows = self.directory.all()
+        known = [rows[name].address for name in group.targets if name in rows]
+        if not known:
+            return None
+        return await call_json(
+            self.channel,
+            self.rng.choice(known),
+            "GET",
+            REPORT_PATH,
+            None,
+            MapReport,
+            REPORT_TIMEOUT,
+        )
+
+    def _observe(self, group: Group, report: MapReport) -> bool:
+        """Take the tokens since the last look in; tell whether there were any."""
+        watch = self.watches.get(group.name)
+        if watch is None:
+            popularity = Popularity(group.layers, group.experts)
+            popularity.updated = self.clock.now()
+            self.watches[group.name] = GroupWatch(popularity, report.counts)
+            return False
+        fresh = [
+            [max(new - old, 0) for new, old in zip(news, olds, strict=True)]
+            for news, olds in zip(report.counts, watch.last, strict=True)
+        ]
+        watch.last = report.counts
+        watch.popularity.add(self.clock.now(), fresh)
+        return any(map(any, fresh))
+
+    def _is_mine(self, group: Group) -> bool:
+        if group.data_centre != self.data_centre:
+            return False
+        names = [row.name for row in self.directory.entries(self.data_centre)]
+        order = rendezvous_order(f"plan/{group.name}", names)
+        return bool(order) and order[0] == self.name
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/placement/improve_map.py
@@ -0,0 +1,153 @@
+"""A better placement at a bounded cost."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from briarthread_common.messages.expert_map import ExpertMap
+from briarthread_entry.placement.rank_loads import Layer, rank_loads
+
+COLD_RANKS = 4
+"""How many of the least loaded ranks are tried for each move."""
+MIN_GAIN = 0.002
+"""Part of the mean load that a move must take off the slowest rank."""
+
+
+NO_EXPERT = -1
+
+
+@dataclass(frozen=True, slots=True)
+class Swap:
+    """
+    Take load off the hot rank by way of a cold one.
+
+    The cold rank loads ``hot_expert`` in place of ``cold_expert``, or into a
+    free slot if that is ``NO_EXPERT``. With ``copy`` the hot rank keeps its
+    replica, else it loads ``cold_expert`` in its place.
+    """
+
+    hot_expert: int
+    cold_rank: int
+    cold_expert: int
+    gain: float
+    copy: bool
+
+    @property
+    def loads(self) -> int:
+        """Return how many experts some rank has to load."""
+        return 1 if self.copy else 2
+
+
+def improve_map(
+    version: int,
+    present: ExpertMap,
+    counts: list[list[float]],
+    slots: int,
+    max_moves: int,
+) -> ExpertMap:
+    """
+    Return the present map with up to ``max_moves`` experts loaded anew.
+
+    Layer by layer it takes load off the slowest rank, by a swap with a cold
+    rank or by a copy in place of a replica there, as long as that gains.
+    """
+    left = max_moves
+    layers = []
+    for layer, layer_counts in zip(present.layers, counts, strict=True):
+        better, used = improve_layer(layer, layer_counts, slots, left)
+        left -= used
+        layers.append(better)
+    return ExpertMap(version, layers)
+
+
+def improve_layer(
+    layer: Layer, counts: list[float], slots: int, max_moves: int
+) -> tuple[Layer, int]:
+    """Return a better layer and the number of experts to load for it."""
+    better = [list(rank) for rank in layer]
+    used = 0
+    floor = MIN_GAIN * sum(counts) / len(layer)
+    while used < max_moves:
+        swap = _best_swap(better, counts, slots)
+        if swap is None or swap.gain <= floor or used + swap.loads > max_moves:
+            break
+        _carry_out(better, counts, swap)
+        used += swap.loads
+    return better, used
+
+
+def _best_swap(layer: Layer, counts: list[float], slots: int) -> Swap | None:
+    loads = rank_loads(layer, counts)
+    replicas = Counter(expert for rank in layer for expert in rank)
+    order = sorted(range(len(layer)), key=lambda r: (loads[r], r))
+    hot = order[-1]
+    swaps = [
+        swap
+        for cold in order[:COLD_RANKS]
+        for swap in _swaps(layer, counts, loads, replicas, hot, cold)
+    ]
+    swaps.extend(
+        swap
+        for cold in order[:-1]
+        if len(layer[cold]) < slots
+        for swap in _copies(layer, counts, loads, replicas, hot, cold)
+    )
+    return max(swaps, key=lambda swap: swap.gain / swap.loads, default=None)
+
+
+def _swaps(
+    layer: Layer,
+    counts: list[float],
+    loads: list[float],
+    replicas: Counter[int],
+    hot: int,
+    cold: int,
+) -> list[Swap]:
+    swaps = []
+    for out in layer[hot]:
+        if out in layer[cold]:
+            continue
+        part = counts[out] / replicas[out]
+        for back in layer[cold]:
+            if back in layer[hot]:
+                continue
+            other = counts[back] / replicas[back]
+            after = max(loads[hot] - part + other, loads[cold] + part - other)
+            swaps.append(Swap(out, cold, back, loads[hot] - after, copy=False))
+            if replicas[back] > 1:
+                thinner = counts[out] / (replicas[out] + 1)
+                after = max(loads[hot] - part + thinner, loads[cold] + thinner - other)
+                swaps.append(Swap(out, cold, back, loads[hot] - after, copy=True))
+    return swaps
+
+
+def _copies(
+    layer: Layer,
+    counts: list[float],
+    loads: list[float],
+    replicas: Counter[int],
+    hot: int,
+    cold: int,
+) -> list[Swap]:
+    """Return the copies of hot experts into a free slot of a cold rank."""
+    copies = []
+    for out in layer[hot]:
+        if out in layer[cold]:
+            continue
+        part = counts[out] / replicas[out]
+        thinner = counts[out] / (replicas[out] + 1)
+        after = max(loads[hot] - part + thinner, loads[cold] + thinner)
+        copies.append(Swap(out, cold, NO_EXPERT, loads[hot] - after, copy=True))
+    return copies
+
+
+def _carry_out(layer: Layer, counts: list[float], swap: Swap) -> None:
+    loads = rank_loads(layer, counts)
+    hot = max(range(len(layer)), key=lambda r: (loads[r], r))
+    cold = layer[swap.cold_rank]
+    if swap.cold_expert == NO_EXPERT:
+        cold.append(swap.hot_expert)
+        return
+    cold[cold.index(swap.cold_expert)] = swap.hot_expert
+    if not swap.copy:
+        ranks = layer[hot]
+        ranks[ranks.index(swap.hot_expert)] = swap.cold_expert
--- a/packages/entry/src/briarthread_entry/routing/target_table.py
+++ b/packages/entry/src/briarthread_entry/routing/target_table.py
@@ -6,8 +6,9 @@
 from briarthread_common.utils.hashing import rendezvous_order
 from briarthread_entry.routing.target_state import TargetState
 
-SUBSET = 8
-"""Targets of a service that one entry watches in a data centre."""
+MAX_WATCHED = 64
+"""Targets that one entry watches, unless it has very many services."""
+MIN_SUBSET = 2
 
 
 class TargetTable:
@@ -49,9 +50,23 @@
 
     def _wanted(self, text: ServicesText) -> dict[str, Instance]:
         wanted: dict[str, Instance] = {}
+        subset = subset_size(len(text.services))
         for service in text.services.values():
             rows = self.directory.targets(service.name, self.data_centre)
             by_name = {row.name: row for row in rows}
-            chosen = rendezvous_order(self.name, by_name)[:SUBSET]
+            chosen = rendezvous_order(self.name, by_name)[:subset]
             wanted.update({name: by_name[name] for name in chosen})
         return wanted
+
+
+def subset_size(services: int) -> int:
+    """
+    Return how many targets of each service an entry watches.
+
+    A small deployment watches all of them; at many services two of each are
+    enough to choose between.
+
+    >>> subset_size(2), subset_size(31)
+    (32, 2)
+    """
+    return max(MIN_SUBSET, MAX_WATCHED // max(services, 1))
--- a/packages/entry/src/briarthread_entry/routing/watcher.py
+++ b/packages/entry/src/briarthread_entry/routing/watcher.py
@@ -10,7 +10,7 @@
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.core.exceptions import BrokenCallError, ChannelError
 from briarthread_common.http.channel import Channel, ChannelRequest
-from briarthread_common.messages.load_report import LoadReport
+from briarthread_common.messages.load_report import LoadReport, heartbeat_interval
 from briarthread_common.spread.spreader import Spreader
 from briarthread_common.text.text_view import TextView
 from briarthread_common.utils.clock import Clock
@@ -22,8 +22,8 @@
 BUDGET = 1000
 """Bytes a second that an entry spends on reports, of the 3 KB for control."""
 MIN_INTERVAL = 0.25
-SILENCE_SECONDS = 12.0
-"""Time without a line (heartbeats come every 5 s) that counts as down."""
+MISSED_HEARTBEATS = 2.5
+"""Heartbeats without a line after which a target counts as down."""
 RETRY_SECONDS = 1.0
 REFRESH_SECONDS = 1.0
 
@@ -99,13 +99,14 @@
 
     async def _follow(self, state: TargetState) -> None:
         every = report_interval(len(self.table.states))
+        silence = MISSED_HEARTBEATS * heartbeat_interval(every)
         request = ChannelRequest(
             "GET", state.instance.address, f"/agent/v1/load?every={every:.2f}"
         )
         async with self.channel.stream(request) as response:
             lines = _lines(response.body)
             while True:
-                with anyio.move_on_after(SILENCE_SECONDS):
+                with anyio.move_on_after(silence):
                     line = await anext(lines, None)
                     self._take_line(state, line)
                     continue
--- /dev/null
+++ b/packages/measure/src/briarthread_measure/agent_farm.py
@@ -0,0 +1,94 @@
+"""
+Serve the load streams of many agents from one process.
+
+Usage:
+  agent_farm FIRST_PORT COUNT CHANGES
+
+CHANGES is how often each agent's load changes a second. Each agent answers
+hello, exchange and load as the real one does, by the same code.
+"""
+
+import random
+
+import anyio
+from docopt import docopt
+
+from briarthread_agent.limits.fair_queue import FairQueue
+from briarthread_agent.reports.load_reporter import LoadReporter
+from briarthread_common.feeds.feed_set import FeedSet
+from briarthread_common.http.app import App, Route
+from briarthread_common.http.call import Call
+from briarthread_common.http.server import HttpServer
+from briarthread_common.messages.exchange import Exchange
+from briarthread_common.messages.hello import HELLO_PATH, Hello
+from briarthread_common.spread.spreader import EXCHANGE_PATH
+from briarthread_common.utils.clock import Clock
+from briarthread_common.utils.hashing import random_id
+
+LIMIT = 64 * 1024 * 1024
+MAX_RUNNING = 16
+
+
+class FarmAgent:
+    """Hold one agent's load and its routes."""
+
+    def __init__(self, feeds: FeedSet, rng: random.Random) -> None:
+        self.feeds = feeds
+        self.rng = rng
+        self.queue = FairQueue(Clock(), MAX_RUNNING, MAX_RUNNING)
+        self.reporter = LoadReporter(random_id(rng), self.queue)
+        self.app = App(
+            [
+                Route("GET", "/agent/v1/load", self.reporter.handle_stream),
+                Route("GET", HELLO_PATH, self._handle_hello),
+                Route("POST", EXCHANGE_PATH, self._handle_exchange),
+            ]
+        )
+
+    async def change_load(self, changes: float) -> None:
+        """Change the load so often a second until cancelled."""
+        while changes > 0:
+            await anyio.sleep(self.rng.uniform(0.5, 1.5) / changes)
+            self.queue.running = self.rng.randrange(MAX_RUNNING)
+
+    async def _handle_hello(self, call: Call) -> None:
+        await call.reply_json(Hello("farm", self.reporter.incarnation))
+
+    async def _handle_exchange(self, call: Call) -> None:
+        heard = await call.read_json(Exchange, LIMIT)
+        for patch in heard.patches:
+            feed = self.feeds.by_name(patch.feed)
+            if patch.base <= feed.number:
+                feed.install(patch)
+        await call.reply_json(Exchange(self.feeds.versions()))
+
+
+async def _no_drain() -> None:
+    return
+
+
+async def run_farm(first_port: int, count: int, changes: float) -> None:
+    """Serve all agents until a signal stops the process."""
+    rng = random.Random(first_port)
+    feeds = FeedSet()
+    async with anyio.create_task_group() as tasks:
+        for number in range(count):
+            agent = FarmAgent(feeds, rng)
+            listen = f"127.0.0.1:{first_port + number}"
+            tasks.start_soon(agent.change_load, changes)
+            tasks.start_soon(HttpServer(agent.app, listen, 1).run, _no_drain)
+
+
+def main() -> None:
+    """Run the farm."""
+    arguments = docopt(__doc__)
+    anyio.run(
+        run_farm,
+        int(arguments["FIRST_PORT"]),
+        int(arguments["COUNT"]),
+        float(arguments["CHANGES"]),
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/measure/src/briarthread_measure/line_fit.py
@@ -0,0 +1,40 @@
+"""Fitting of a line to measured points."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from statistics import fmean
+
+
+@dataclass(frozen=True, slots=True)
+class LineFit:
+    """
+    Hold a line and how far the points lie from it.
+
+    ``residual`` is the largest distance of a point from the line, as a part
+    of the largest measured value.
+    """
+
+    slope: float
+    intercept: float
+    residual: float
+
+    def at(self, size: float) -> float:
+        """Return the line's value at a size."""
+        return self.intercept + self.slope * size
+
+
+def fit_line(sizes: Sequence[float], values: Sequence[float]) -> LineFit:
+    """
+    Fit a line by least squares.
+
+    >>> fit_line([1, 2, 3, 4], [3, 5, 7, 9])
+    LineFit(slope=2.0, intercept=1.0, residual=0.0)
+    """
+    mean_size, mean_value = fmean(sizes), fmean(values)
+    spread = sum((size - mean_size) ** 2 for size in sizes)
+    pairs = list(zip(sizes, values, strict=True))
+    slope = sum((s - mean_size) * (v - mean_value) for s, v in pairs) / spread
+    intercept = mean_value - slope * mean_size
+    furthest = max(abs(value - intercept - slope * size) for size, value in pairs)
+    largest = max(abs(value) for value in values)
+    return LineFit(slope, intercept, furthest / largest if largest else 0.0)
--- /dev/null
+++ b/packages/measure/src/briarthread_measure/memory_probe.py
@@ -0,0 +1,143 @@
+"""
+Print the resident bytes that a number of items takes in a fresh process.
+
+Usage:
+  memory_probe KIND COUNT
+"""
+
+import asyncio
+import os
+import random
+from collections.abc import Callable
+
+import anyio
+from docopt import docopt
+
+from briarthread_agent.attempts.ledger import Ledger
+from briarthread_agent.attempts.record import Record
+from briarthread_common.feeds.feed_set import FeedSet
+from briarthread_common.messages.attempt import Attempt
+from briarthread_common.messages.expert_map import even_map
+from briarthread_common.shares.share_view import ShareView
+from briarthread_common.spread.directory import Directory
+from briarthread_common.text.text_view import TextView
+from briarthread_common.utils.clock import Clock
+from briarthread_common.utils.hashing import random_id
+from briarthread_entry.limits.account_limiter import AccountLimiter
+from briarthread_measure.full_size import (
+    DATA_CENTRES,
+    EXPERTS,
+    GROUP_RANKS,
+    instance_items,
+    share_items,
+    text_sections,
+    whole,
+)
+from briarthread_measure.process_usage import read_usage
+
+ANSWER_BYTES = 500
+ADDRESSES = ["127.0.0.1:9999"]
+
+
+def hold_accounts(count: int) -> object:
+    """Hold a text with so many accounts, raw and typed."""
+    feeds = FeedSet()
+    feeds.text.install(whole("text", text_sections(count)))
+    view = TextView(feeds.text)
+    return feeds, view.current()
+
+
+def hold_instances(count: int) -> object:
+    """Hold an instance list, raw and typed."""
+    feeds = FeedSet()
+    feeds.instances.install(whole("instances", instance_items(0, count, ADDRESSES)))
+    directory = Directory(feeds.instances)
+    return feeds, directory.all(), directory
+
+
+def hold_shares(count: int) -> object:
+    """Hold share rows, raw and typed."""
+    services = max(count // (DATA_CENTRES * 12), 1)
+    feeds = FeedSet()
+    items = share_items(services)
+    feeds.shares.install(whole("shares", items))
+    view = ShareView(feeds.shares)
+    rows = [
+        view.get(service, data_centre, int(share))
+        for service, data_centre, share in (name.split("/") for name in items)
+    ]
+    return feeds, view, rows
+
+
+def hold_keys(count: int) -> object:
+    """Hold remembered keys with an answer each."""
+    rng = random.Random(1)
+    ledger = Ledger(Clock())
+    for _ in range(count):
+        attempt = Attempt(
+            key=f"client/{random_id(rng)}",
+            id=random_id(rng),
+            service="model-0",
+            incarnation="0123456789abcdef",
+            deadline=60.0,
+            account="client",
+            method="POST",
+            path="/bookings",
+            idempotent=False,
+            keyed=True,
+        )
+        record = Record(attempt, rng.getrandbits(64), 120.0, 1 << 20)
+        record.answer.start(200, (("content-type", "application/json"),))
+        record.answer.add(bytes(rng.randbytes(ANSWER_BYTES)))
+        record.answer.finish()
+        ledger.add(record)
+    return ledger
+
+
+def hold_buckets(count: int) -> object:
+    """Hold the limits' state of so many active accounts."""
+    feeds = FeedSet()
+    feeds.text.install(whole("text", text_sections(count)))
+    accounts = TextView(feeds.text).current().accounts
+    before = read_usage(os.getpid()).rss
+    limiter = AccountLimiter(Clock())
+    for account in accounts.values():
+        limiter.enter(account, 1)
+    return before, feeds, limiter
+
+
+def hold_layers(count: int) -> object:
+    """Hold an expert map with so many layers."""
+    return [even_map(1, 1, EXPERTS, GROUP_RANKS) for _ in range(count)]
+
+
+PROBES: dict[str, Callable[[int], object]] = {
+    "accounts": hold_accounts,
+    "instances": hold_instances,
+    "shares": hold_shares,
+    "keys": hold_keys,
+    "buckets": hold_buckets,
+    "layers": hold_layers,
+}
+
+
+async def probe(kind: str, count: int) -> int:
+    """Return the bytes by which the process grew."""
+    PROBES[kind](1)
+    before = read_usage(os.getpid()).rss
+    held = PROBES[kind](count)
+    after = read_usage(os.getpid()).rss
+    if kind == "buckets":
+        before = held[0]
+    await asyncio.sleep(0)
+    return after - before
+
+
+def main() -> None:
+    """Print one number."""
+    arguments = docopt(__doc__)
+    print(anyio.run(probe, arguments["KIND"], int(arguments["COUNT"])))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/standins/src/briarthread_standins/rank_group.py
+++ b/packages/standins/src/briarthread_standins/rank_group.py
@@ -14,6 +14,8 @@
     OrderAnswer,
     OrderKind,
 )
+from briarthread_common.messages.expert_map import FIRST_MAP, ExpertMap, even_map
+from briarthread_common.messages.map_report import ENGINE_REPORT_PATH, MapReport
 
 LIMIT = 64 * 1024 * 1024
 STAGE_SECONDS = 0.05
@@ -35,8 +37,10 @@
     and a late switch then takes effect at once.
     """
 
-    def __init__(self, fencing: bool) -> None:
+    def __init__(self, fencing: bool, first_map: ExpertMap | None = None) -> None:
         self.fencing = fencing
+        self.maps = {FIRST_MAP: first_map or even_map(FIRST_MAP, 1, 1, 1)}
+        self.counts: list[list[int]] = []
         self.token = (0, 0)
         self.alive = True
         self.step = 0
@@ -49,6 +53,7 @@
             [
                 Route("POST", ORDER_PATH, self._handle_order),
                 Route("GET", STATE_PATH, self._handle_state),
+                Route("GET", ENGINE_REPORT_PATH, self._handle_report),
             ]
         )
 
@@ -100,6 +105,7 @@
             case OrderKind.STAGE:
                 await anyio.sleep(STAGE_SECONDS)
                 self.staged = order.version
+                self.maps[order.version] = order.expert_map
             case OrderKind.HOLD:
                 return self._hold(order)
             case OrderKind.SWITCH:
@@ -140,6 +146,9 @@
         order = await call.read_json(EngineOrder, LIMIT)
         await call.reply_json(await self.take(order))
 
+    async def _handle_report(self, call: Call) -> None:
+        await call.reply_json(MapReport(self.maps[self.version], self.counts))
+
     async def _handle_state(self, call: Call) -> None:
         await call.reply_json(self.state())
 
--- a/packages/standins/src/briarthread_standins/world.py
+++ b/packages/standins/src/briarthread_standins/world.py
@@ -10,6 +10,7 @@
 from briarthread_agent.settings import AgentSettings
 from briarthread_common.feeds.feed_set import FeedName
 from briarthread_common.http.channel import ChannelRequest
+from briarthread_common.messages.expert_map import ExpertMap
 from briarthread_common.messages.instance import (
     Instance,
     InstanceRole,
@@ -98,10 +99,15 @@
         return self._add(instance)
 
     def add_group(
-        self, names: list[str], data_centre: str, service: str, fencing: bool
+        self,
+        names: list[str],
+        data_centre: str,
+        service: str,
+        fencing: bool,
+        first_map: ExpertMap | None = None,
     ) -> RankGroup:
         """Put the targets of a lock-step group on the list and start them."""
-        engines = [RankEngine(fencing) for _ in names]
+        engines = [RankEngine(fencing, first_map) for _ in names]
         group = RankGroup(engines)
         for name, engine in zip(names, engines, strict=True):
             self.network.listen(f"target-{name}", f"slot-{name}", engine.app)
