--- a/packages/agent/src/briarthread_agent/main.py
+++ b/packages/agent/src/briarthread_agent/main.py
@@ -10,11 +10,11 @@
 
 from briarthread_agent.agent import Agent
 from briarthread_agent.settings import AgentSettings, load_agent_settings
-from briarthread_common.core.exceptions import ChecksFailed
+from briarthread_common.core.exceptions import ChecksFailed, ListenError
 from briarthread_common.core.exit_code import ExitCode
 from briarthread_common.core.logs import set_up_logs
 from briarthread_common.http.http_channel import HttpChannel
-from briarthread_common.http.server import HttpServer
+from briarthread_common.http.server import HttpServer, open_listener
 from briarthread_common.utils.clock import Clock
 
 VERSION = "briarthread-agent 0.1.0"
@@ -42,12 +42,13 @@
 async def serve(settings: AgentSettings) -> None:
     """Run the agent until a signal stops it."""
     channel = HttpChannel()
+    listener = open_listener(settings.listen)
     async with anyio.create_task_group() as tasks:
         agent = Agent(
             settings, channel, Clock.from_system(), tasks, random.SystemRandom()
         )
         agent.start()
-        server = HttpServer(agent.app, settings.listen, settings.drain_timeout)
+        server = HttpServer(agent.app, listener, settings.drain_timeout)
         logger.info("agent: {} listens on {}", settings.name, settings.listen)
         await server.run(agent.drain)
         tasks.cancel_scope.cancel()
@@ -66,4 +67,8 @@
         print("settings are good")
         sys.exit(ExitCode.DONE)
     set_up_logs(settings.log_level, settings.log_json)
-    anyio.run(serve, settings)
+    try:
+        anyio.run(serve, settings)
+    except ListenError as error:
+        print(f"{error}; is it in use or not this machine's?", file=sys.stderr)
+        sys.exit(ExitCode.FAILED)
--- a/packages/common/src/briarthread_common/core/exceptions.py
+++ b/packages/common/src/briarthread_common/core/exceptions.py
@@ -68,5 +68,9 @@
     """A transaction's check did not hold; nothing of it took effect."""
 
 
+class ListenError(BriarthreadError):
+    """The address in the settings cannot be listened on."""
+
+
 class FeedGapError(BriarthreadError):
     """A patch starts above the version that the feed has."""
--- a/packages/common/src/briarthread_common/http/server.py
+++ b/packages/common/src/briarthread_common/http/server.py
@@ -2,12 +2,15 @@
 
 import contextlib
 import signal
+import socket
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
 import anyio
 import uvicorn
 
+from briarthread_common.core.exceptions import ListenError
+
 KEEPALIVE_SECONDS = 75
 """Longer than the client's, so that the client closes first."""
 MAX_HEADER_BYTES = 32 * 1024
@@ -31,12 +34,10 @@
     listener closes and the requests in flight are awaited.
     """
 
-    def __init__(self, app: Any, listen: str, drain_timeout: float) -> None:
-        host, _, port = listen.rpartition(":")
+    def __init__(self, app: Any, listener: socket.socket, drain_timeout: float) -> None:
+        self.listener = listener
         config = uvicorn.Config(
             app,
-            host=host,
-            port=int(port),
             http="h11",
             lifespan="off",
             log_config=None,
@@ -54,8 +55,9 @@
         """Serve until a signal asks to stop and all requests are done."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._wait_signal, on_drain)
-            await self.server.serve()
+            await self.server.serve([self.listener])
             tasks.cancel_scope.cancel()
+        self.listener.close()
 
     async def _wait_signal(self, on_drain: Callable[[], Awaitable[None]]) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -63,3 +65,15 @@
                 await on_drain()
                 self.server.should_exit = True
                 return
+
+
+def open_listener(listen: str) -> socket.socket:
+    """Return a socket that listens at IP:PORT or raise ListenError."""
+    host, _, port = listen.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    try:
+        return socket.create_server(
+            (host.strip("[]"), int(port)), family=family, backlog=BACKLOG
+        )
+    except OSError as error:
+        raise ListenError(f"cannot listen on {listen}: {error.strerror}") from error
--- a/packages/entry/src/briarthread_entry/commands/serve.py
+++ b/packages/entry/src/briarthread_entry/commands/serve.py
@@ -8,7 +8,7 @@
 
 from briarthread_common.core.exit_code import ExitCode
 from briarthread_common.core.logs import set_up_logs
-from briarthread_common.http.server import HttpServer
+from briarthread_common.http.server import HttpServer, open_listener
 from briarthread_common.utils.clock import Clock
 from briarthread_entry.commands.base import Arguments, Command
 from briarthread_entry.entry import Entry
@@ -36,9 +36,10 @@
         entry = Entry(
             settings, self.channel, Clock.from_system(), random.SystemRandom()
         )
+        listener = open_listener(settings.listen)
+        server = HttpServer(entry.app, listener, settings.drain_timeout)
         async with anyio.create_task_group() as tasks:
             entry.start(tasks)
-            server = HttpServer(entry.app, settings.listen, settings.drain_timeout)
             logger.info("entry: {} listens on {}", settings.name, settings.listen)
             await server.run(entry.drain)
             tasks.cancel_scope.cancel()
--- a/packages/entry/src/briarthread_entry/main.py
+++ b/packages/entry/src/briarthread_entry/main.py
@@ -8,6 +8,7 @@
 from briarthread_common.core.exceptions import (
     ChannelError,
     ChecksFailed,
+    ListenError,
     PlatformError,
 )
 from briarthread_common.core.exit_code import ExitCode
@@ -64,6 +65,9 @@
     except ChecksFailed as error:
         print(error, file=sys.stderr)
         return ExitCode.FAULTS
+    except ListenError as error:
+        print(f"{error}; is it in use or not this machine's?", file=sys.stderr)
+        return ExitCode.FAILED
     except (ChannelError, PlatformError) as error:
         print(f"{error}; is the address right and up?", file=sys.stderr)
         return ExitCode.UNREACHABLE
--- a/packages/standins/src/briarthread_standins/fake_network.py
+++ b/packages/standins/src/briarthread_standins/fake_network.py
@@ -25,11 +25,17 @@
 
 @dataclass(eq=False, slots=True)
 class Node:
-    """Hold what listens at an address and the calls it is serving."""
+    """
+    Hold what listens at an address and the calls it is serving.
+
+    With ``takes_late`` off, a late copy of a call dies with the process that
+    it was sent to, as it does with a TCP connection.
+    """
 
     address: str
     site: str
     app: Any
+    takes_late: bool = True
     frozen: bool = False
     calls: dict[anyio.CancelScope, str] = field(default_factory=dict)
 
@@ -57,9 +63,11 @@
         self.changed = anyio.Event()
         self.messages = 0
 
-    def listen(self, address: str, site: str, app: Any) -> None:
+    def listen(
+        self, address: str, site: str, app: Any, takes_late: bool = True
+    ) -> None:
         """Let an application answer at an address."""
-        self.nodes[address] = Node(address, site, app)
+        self.nodes[address] = Node(address, site, app, takes_late)
 
     def close(self, address: str) -> None:
         """Kill what answers at an address, with the calls it serves."""
@@ -121,13 +129,13 @@
         self.tasks.start_soon(self._serve, node, exchange)
 
     def start_late_call(self, node: Node, exchange: "Exchange") -> None:
-        """Let a copy of a call arrive late, whoever then listens there."""
-        self.tasks.start_soon(self._serve_late, node.address, exchange)
+        """Let a copy of a call arrive late, if somebody then takes it."""
+        self.tasks.start_soon(self._serve_late, node, exchange)
 
-    async def _serve_late(self, address: str, exchange: "Exchange") -> None:
+    async def _serve_late(self, sent_to: Node, exchange: "Exchange") -> None:
         await anyio.sleep(self.late)
-        node = self.nodes.get(address)
-        if node is not None:
+        node = self.nodes.get(sent_to.address)
+        if node is sent_to or (node is not None and node.takes_late):
             await self._serve(node, exchange)
 
     async def _serve(self, node: Node, exchange: "Exchange") -> None:
--- a/packages/standins/src/briarthread_standins/run_standin.py
+++ b/packages/standins/src/briarthread_standins/run_standin.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from briarthread_common.http.server import HttpServer
+from briarthread_common.http.server import HttpServer, open_listener
 
 
 async def _no_drain() -> None:
@@ -13,4 +13,4 @@
 
 def run_standin(app: Any, listen: str) -> None:
     """Serve a stand-in's application until a signal stops it."""
-    anyio.run(HttpServer(app, listen, 1).run, _no_drain)
+    anyio.run(HttpServer(app, open_listener(listen), 1).run, _no_drain)
--- a/packages/standins/src/briarthread_standins/world.py
+++ b/packages/standins/src/briarthread_standins/world.py
@@ -110,7 +110,9 @@
         engines = [RankEngine(fencing, first_map) for _ in names]
         group = RankGroup(engines)
         for name, engine in zip(names, engines, strict=True):
-            self.network.listen(f"target-{name}", f"slot-{name}", engine.app)
+            self.network.listen(
+                f"target-{name}", f"slot-{name}", engine.app, takes_late=False
+            )
             address = self._next_address()
             self._add(
                 Instance(name, data_centre, address, InstanceRole.TARGET, service)
