Keep goodput under overload, and never call a begun call not-run

Late answers counted as failures of the target, so both targets were ejected just when capacity was short. Ruled out: the queue's prediction, whose refusals were few. The same work showed two false not-runs for repeatable calls: an agent forgot a run that was cancelled while it ran and then called it revoked, and a last refusal hid that an earlier attempt may have run. A third fault cut answers off between head and body at the deadline.

Change: only real faults eject a target; an attempt that cannot finish any more is refused when its turn comes; a cancelled run is remembered as such; the final error says not-run only if every attempt proved it; a whole answer once begun is finished.

--- a/packages/agent/src/briarthread_agent/attempts/ledger.py
+++ b/packages/agent/src/briarthread_agent/attempts/ledger.py
@@ -44,6 +44,8 @@
             raise RequestError(
                 ErrorKind.KEY_REUSED, "the key was used for another request"
             )
+        if attempt.idempotent and record.answer.error is not None:
+            return None
         record.ids.add(attempt.id)
         return record
 
--- a/packages/agent/src/briarthread_agent/attempts/runner.py
+++ b/packages/agent/src/briarthread_agent/attempts/runner.py
@@ -16,6 +16,9 @@
 from briarthread_common.text.service import Service
 from briarthread_common.utils.clock import Clock
 
+START_PART = 0.7
+"""Part of the mean service time that must be left for a run to begin."""
+
 
 class StartGuard(Protocol):
     """Decide whether an attempt may start on this agent now."""
@@ -74,7 +77,8 @@
         record.readers -= 1
         if record.readers == 0 and not record.answer.ended and not record.must_finish:
             record.scope.cancel()
-            self.ledger.forget(record)
+            if record.state is RecordState.QUEUED:
+                self.ledger.forget(record)
 
     async def _run(self, record: Record, headers: Headers, body: bytes) -> None:
         attempt = record.attempt
@@ -91,7 +95,7 @@
             self.ledger.forget(record)
             return
         if not record.answer.ended:
-            record.answer.fail(RequestError(ErrorKind.REVOKED, "run was cancelled"))
+            record.answer.fail(self._cancelled(record))
         record.state = RecordState.ENDED
         if self._never_reached(record):
             self.ledger.forget(record)
@@ -104,6 +108,13 @@
             raise RequestError(
                 ErrorKind.DEADLINE_PASSED, "deadline passed in the queue"
             )
+        left = record.attempt.deadline - self.clock.now()
+        if left < START_PART * self.queue.mean_service_time():
+            raise RequestError(
+                ErrorKind.DEADLINE_UNMEETABLE,
+                "too little time left to run",
+                retry_after=self.queue.backlog(),
+            )
         self.guard.check_start(record.attempt)
 
     def _expiry(self, attempt: Attempt, service: Service) -> float:
@@ -112,6 +123,12 @@
             return max(kept, self.clock.now() + service.retry_horizon)
         return kept
 
+    def _cancelled(self, record: Record) -> RequestError:
+        """Return what a cancelled run was: not run only if it never began."""
+        if record.state is RecordState.QUEUED:
+            return RequestError(ErrorKind.REVOKED, "cancelled in the queue")
+        return RequestError(ErrorKind.OUTCOME_UNKNOWN, "cancelled while it ran")
+
     def _never_reached(self, record: Record) -> bool:
         error = record.answer.error
         return error is not None and error.kind is ErrorKind.NO_TARGET
--- a/packages/common/src/briarthread_common/http/app.py
+++ b/packages/common/src/briarthread_common/http/app.py
@@ -59,7 +59,9 @@
             await self._answer_error(call, error)
         except AnswerAborted:
             raise
-        except Exception:
+        except Exception as error:
+            if _is_abort(error):
+                raise AnswerAborted(call.path) from error
             logger.exception("http: handler failed on {}", call.path)
             internal = RequestError(ErrorKind.INTERNAL, "see the log")
             await self._answer_error(call, internal)
@@ -75,3 +77,10 @@
         if call.started:
             raise AnswerAborted(str(error)) from error
         await call.reply_error(error, ERROR_ANSWERS[error.kind].status)
+
+
+def _is_abort(error: Exception) -> bool:
+    """Tell whether a task group failed by nothing but an aborted answer."""
+    if not isinstance(error, ExceptionGroup):
+        return False
+    return error.split(AnswerAborted)[1] is None
--- a/packages/common/src/briarthread_common/http/call.py
+++ b/packages/common/src/briarthread_common/http/call.py
@@ -14,6 +14,10 @@
 Headers = Iterable[tuple[str, str]]
 
 
+REPLY_SECONDS = 5.0
+"""Longest time that a slow reader holds a whole answer up."""
+
+
 class CallerGone(Exception):  # noqa: N818
     """The other side hung up before its answer was complete."""
 
@@ -22,7 +26,8 @@
     """
     Wrap one ASGI call: its head, its body and the answer to it.
 
-    Header names are lower case; a header given twice is refused, because
+    ``started`` says that the answer's head was sent, ``finished`` that its
+    end was. Header names are lower case; a header given twice is refused, because
     two readers could each take another one of the two.
     """
 
@@ -39,6 +44,7 @@
         self.path: str = scope["path"]
         self.query: str = scope.get("query_string", b"").decode("latin-1")
         self.started = False
+        self.finished = False
 
     @property
     def headers(self) -> dict[str, str]:
@@ -90,9 +96,11 @@
         scope.cancel()
 
     async def reply(self, status: int, body: bytes, headers: Headers = ()) -> None:
-        """Send a whole answer."""
-        await self.start(status, [*headers, ("content-length", str(len(body)))])
-        await self.send({"type": "http.response.body", "body": body})
+        """Send a whole answer; once begun, no deadline cuts it off."""
+        with anyio.move_on_after(REPLY_SECONDS, shield=True):
+            await self.start(status, [*headers, ("content-length", str(len(body)))])
+            await self.send({"type": "http.response.body", "body": body})
+            self.finished = True
 
     async def reply_json(self, message: object, status: int = 200) -> None:
         """Send a message as JSON."""
@@ -124,3 +132,4 @@
     async def finish(self) -> None:
         """End a body sent in chunks; only now does it count as whole."""
         await self.send({"type": "http.response.body", "body": b""})
+        self.finished = True
--- a/packages/entry/src/briarthread_entry/retries/retry_rules.py
+++ b/packages/entry/src/briarthread_entry/retries/retry_rules.py
@@ -22,10 +22,22 @@
         ErrorKind.REVOKED,
         ErrorKind.TARGET_FAILED,
         ErrorKind.OUTCOME_UNKNOWN,
+        ErrorKind.DEADLINE_PASSED,
     }
 )
 """Failures that more attempts could make worse; each spends the budget."""
 
+BLAMED_KINDS = frozenset(
+    {ErrorKind.NO_TARGET, ErrorKind.TARGET_FAILED, ErrorKind.OUTCOME_UNKNOWN}
+)
+"""
+Failures that count towards the ejection of a target.
+
+A late answer and a revoked attempt are not among them: both come from a
+target that is alive and has too much to do, and ejecting it takes away
+capacity just when it is short.
+"""
+
 PROVED_BY_HOLDER = frozenset(
     {
         ErrorKind.OVERLOADED,
--- a/packages/entry/src/briarthread_entry/routing/choose_target.py
+++ b/packages/entry/src/briarthread_entry/routing/choose_target.py
@@ -1,11 +1,12 @@
 """The choice among targets."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from briarthread_entry.routing.target_state import TargetState
 
 CHOICES = 2
+Choose = Callable[[Sequence[TargetState], float, random.Random], TargetState | None]
 
 
 def choose_target(
--- a/packages/entry/src/briarthread_entry/routing/router.py
+++ b/packages/entry/src/briarthread_entry/routing/router.py
@@ -14,7 +14,7 @@
 from briarthread_common.text.service import Service
 from briarthread_common.text.services_text import ServicesText
 from briarthread_common.utils.clock import Clock
-from briarthread_entry.routing.choose_target import choose_target
+from briarthread_entry.routing.choose_target import Choose, choose_target
 from briarthread_entry.routing.target_state import TargetState
 from briarthread_entry.routing.target_table import TargetTable
 from briarthread_entry.serving.caller_request import CallerRequest
@@ -35,6 +35,7 @@
     A request whose key was given by the caller and may run only once goes
     to the holder of its share. Any other goes to the cheaper of two targets
     here, or where none here can take it, to one in another data centre.
+    ``choose`` picks among the targets here; measurements put others in.
     """
 
     def __init__(
@@ -44,12 +45,14 @@
         channel: Channel,
         clock: Clock,
         rng: random.Random,
+        choose: Choose = choose_target,
     ) -> None:
         self.table = table
         self.shares = shares
         self.channel = channel
         self.clock = clock
         self.rng = rng
+        self.choose = choose
 
     async def pick(
         self, request: CallerRequest, text: ServicesText, tried: set[str]
@@ -62,7 +65,7 @@
             for state in self.table.of_service(request.service.name)
             if state.instance.name not in tried
         ]
-        chosen = choose_target(local, self.clock.now(), self.rng)
+        chosen = self.choose(local, self.clock.now(), self.rng)
         if chosen is None:
             chosen = await self._pick_remote(request.service, tried)
         return Pick(chosen)
--- a/packages/entry/src/briarthread_entry/serving/attempt_outcome.py
+++ b/packages/entry/src/briarthread_entry/serving/attempt_outcome.py
@@ -31,4 +31,5 @@
     error: RequestError
 
 
-AttemptOutcome = Answered | NotRun | Failed | Lost
+Failure = NotRun | Failed | Lost
+AttemptOutcome = Answered | Failure
--- a/packages/entry/src/briarthread_entry/serving/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/serving/attempt_sender.py
@@ -42,7 +42,7 @@
 
 ANSWERED = "answered"
 REVOKE_TIMEOUT = 0.5
-ANSWER_MARGIN = 0.05
+ANSWER_MARGIN = 0.03
 """Seconds before the deadline at which the final answer is prepared."""
 MAX_JOINS = 3
 """How often a broken connection to a running attempt is made anew."""
@@ -86,6 +86,8 @@
                 return outcome
             if call.started:
                 raise AnswerAborted("the answer broke off")
+            if self._left(attempt) <= 0:
+                return outcome
             verdict = await self._revoke(attempt, target)
             if verdict is RevokeState.REVOKED:
                 return _revoked()
@@ -105,7 +107,7 @@
             tasks.start_soon(self._exchange, request, attempt, target, call, progress)
             outcome = await self._await_outcome(request, attempt, target, progress)
             tasks.cancel_scope.cancel()
-        return outcome
+        return Answered() if call.finished else outcome
 
     async def _await_outcome(
         self,
@@ -125,7 +127,7 @@
                 return _lost("the agent is silent")
         with anyio.move_on_after(self._left(attempt)):
             await progress.done.wait()
-        return progress.outcome or _lost("no answer before the deadline")
+        return progress.outcome or _too_late()
 
     async def _exchange(
         self,
@@ -215,7 +217,7 @@
         target.take_report(report, self.clock.now())
 
     def _left(self, attempt: Attempt) -> float:
-        return max(attempt.deadline - ANSWER_MARGIN - self.clock.now(), 0.0)
+        return max(attempt.deadline + ANSWER_MARGIN - self.clock.now(), 0.0)
 
 
 def _read_refusal(result: str, response: ChannelResponse) -> AttemptOutcome:
@@ -240,5 +242,16 @@
     return NotRun(RequestError(ErrorKind.REVOKED, "silent agent; attempt revoked"))
 
 
+def _too_late() -> Lost:
+    """Return the outcome of an attempt whose agent is alive but too slow."""
+    return Lost(
+        RequestError(
+            ErrorKind.DEADLINE_PASSED,
+            "no answer before the deadline",
+            outcome=Outcome.UNKNOWN,
+        )
+    )
+
+
 def _lost(detail: str) -> Lost:
     return Lost(RequestError(ErrorKind.OUTCOME_UNKNOWN, detail))
--- a/packages/entry/src/briarthread_entry/serving/request_handler.py
+++ b/packages/entry/src/briarthread_entry/serving/request_handler.py
@@ -18,7 +18,7 @@
 from briarthread_entry.serving.caller_request import CallerRequest
 from briarthread_entry.serving.dependencies import check_dependencies
 from briarthread_entry.serving.read_request import KEY_HEADER, read_request
-from briarthread_entry.serving.request_runner import RequestRunner, unknown_for_key
+from briarthread_entry.serving.request_runner import RequestRunner, with_unknown_outcome
 
 
 class RequestHandler:
@@ -91,7 +91,9 @@
         try:
             self._admit(request, text)
         except RequestError as error:
-            raise unknown_for_key(error) if request.needs_holder else error from error
+            raise (
+                with_unknown_outcome(error) if request.needs_holder else error
+            ) from error
         try:
             await self.runner.run(request, text, call)
         finally:
@@ -129,5 +131,5 @@
     """
     keyed = any(name == KEY_HEADER.encode() for name, _ in call.scope["headers"])
     if keyed and error.kind is not ErrorKind.BAD_REQUEST:
-        return unknown_for_key(error)
+        return with_unknown_outcome(error)
     return error
--- a/packages/entry/src/briarthread_entry/serving/request_runner.py
+++ b/packages/entry/src/briarthread_entry/serving/request_runner.py
@@ -16,6 +16,7 @@
 from briarthread_common.utils.hashing import random_id
 from briarthread_entry.retries.retry_budget import RetryBudget
 from briarthread_entry.retries.retry_rules import (
+    BLAMED_KINDS,
     LOAD_KINDS,
     MAX_ATTEMPTS,
     MAX_HOLDER_ATTEMPTS,
@@ -29,10 +30,11 @@
     Answered,
     AttemptOutcome,
     Failed,
+    Failure,
     Lost,
     NotRun,
 )
-from briarthread_entry.serving.attempt_sender import AttemptSender
+from briarthread_entry.serving.attempt_sender import ANSWER_MARGIN, AttemptSender
 from briarthread_entry.serving.caller_request import CallerRequest
 
 
@@ -65,18 +67,37 @@
         """Answer the caller, or raise the RequestError that it gets."""
         limit = MAX_HOLDER_ATTEMPTS if request.needs_holder else MAX_ATTEMPTS
         tried: set[str] = set()
+        failures: list[Failure] = []
         for number in range(limit):
-            pick = await self.router.pick(request, text, tried)
+            pick = await self._pick(request, text, tried, failures)
             tried.add(pick.target.instance.name)
             outcome = await self._attempt(request, pick, call)
             if isinstance(outcome, Answered):
                 self.budget.note_success()
                 return
+            failures.append(outcome)
             self._note(request, pick.target, outcome)
-            self._check_retry(request, outcome, last=number + 1 == limit)
+            self._check_retry(request, failures, last=number + 1 == limit)
             await anyio.sleep(pause_before(number, self.rng))
-            if self.clock.now() >= request.deadline:
-                raise self._final(request, outcome)
+            if self.clock.now() + ANSWER_MARGIN >= request.deadline:
+                raise self._final(request, failures)
+
+    async def _pick(
+        self,
+        request: CallerRequest,
+        text: ServicesText,
+        tried: set[str],
+        failures: list[Failure],
+    ) -> Pick:
+        """Return the next target; with none left the failures decide."""
+        try:
+            return await self.router.pick(request, text, tried)
+        except RequestError as error:
+            if failures:
+                raise self._final(request, failures) from error
+            raise (
+                with_unknown_outcome(error) if request.needs_holder else error
+            ) from error
 
     async def _attempt(
         self, request: CallerRequest, pick: Pick, call: Call
@@ -87,7 +108,7 @@
             id=random_id(self.rng),
             service=request.service.name,
             incarnation=pick.target.incarnation,
-            deadline=request.deadline,
+            deadline=request.deadline - 2 * ANSWER_MARGIN,
             account=request.account.name,
             method=request.method,
             path=request.path,
@@ -105,47 +126,50 @@
         return outcome
 
     def _note(
-        self, request: CallerRequest, target: TargetState, outcome: AttemptOutcome
+        self, request: CallerRequest, target: TargetState, outcome: Failure
     ) -> None:
         error = outcome.error
         name = target.instance.name
         self.events.add(
             "attempt-failed", name, f"{error.kind}: {error.detail}", request.id
         )
-        blamed = isinstance(outcome, Lost) or error.kind in (
-            ErrorKind.NO_TARGET,
-            ErrorKind.TARGET_FAILED,
-            ErrorKind.REVOKED,
-        )
-        if blamed and target.note_failure(self.clock.now()):
+        if error.kind in BLAMED_KINDS and target.note_failure(self.clock.now()):
             self.events.add("target-ejected", name, f"last failure: {error.kind}")
 
     def _check_retry(
-        self, request: CallerRequest, outcome: AttemptOutcome, last: bool
+        self, request: CallerRequest, failures: list[Failure], last: bool
     ) -> None:
         """Return when another attempt is allowed, else raise the final error."""
+        outcome = failures[-1]
         error = outcome.error
         proved = isinstance(outcome, NotRun)
         safe = proved or (request.idempotent and isinstance(outcome, Lost | Failed))
         if last or not safe:
-            raise self._final(request, outcome)
+            raise self._final(request, failures)
         if error.kind in MEMBERSHIP_KINDS:
             pass
         elif error.kind not in LOAD_KINDS:
-            raise self._final(request, outcome)
+            raise self._final(request, failures)
         elif not self.budget.spend(self.clock.now()):
             self.metrics.refusals.labels(str(ErrorKind.RETRY_BUDGET)).inc()
-            raise self._final(request, outcome)
+            raise self._final(request, failures)
         self.metrics.retries.labels(str(error.kind)).inc()
 
-    def _final(self, request: CallerRequest, outcome: AttemptOutcome) -> RequestError:
-        error = outcome.error
+    def _final(self, request: CallerRequest, failures: list[Failure]) -> RequestError:
+        """
+        Return the last failure, as not run only if no attempt may have run.
+
+        A repeatable call may have been begun by an earlier attempt, whatever
+        became of the last one.
+        """
+        error = failures[-1].error
+        certain = all(isinstance(failure, NotRun) for failure in failures)
         if request.needs_holder and error.kind not in PROVED_BY_HOLDER:
-            return unknown_for_key(error)
-        return error
+            certain = False
+        return error if certain else with_unknown_outcome(error)
 
 
-def unknown_for_key(error: RequestError) -> RequestError:
+def with_unknown_outcome(error: RequestError) -> RequestError:
     """
     Return the error with the outcome unknown.
 
--- a/packages/measure/src/briarthread_measure/control_run.py
+++ b/packages/measure/src/briarthread_measure/control_run.py
@@ -2,11 +2,13 @@
 Measure what control costs a real entry at full size, and by its parts.
 
 Usage:
-  control_run [--seconds=N]
+  control_run [--seconds=N] [PART]
 
 Options:
   --seconds=N  How long each run is watched [default: 20].
 
+PART is workers, texts, exchanges or full; all of them by default.
+
 Each run starts the platform stand-in, a farm of agents and one entry that
 knows 490 entries, 1,300 workers, 4,200 accounts, 31 services and their
 shares. All traffic on loopback is the entry's own, so the interface's counter
@@ -121,11 +123,8 @@
         "number": number + 1,
         "changes": {header: section},
     }
-    post(
-        ENTRY,
-        "/peer/v1/exchange",
-        {"versions": {"text": number + 1}, "patches": [patch]},
-    )
+    versions = {"text": number + 1, "instances": 1, "shares": 1}
+    post(ENTRY, "/peer/v1/exchange", {"versions": versions, "patches": [patch]})
 
 
 def drive(load: Load, seconds: float) -> None:
@@ -244,30 +243,56 @@
     )
 
 
-def main() -> None:
-    """Run all and print the table."""
-    seconds = float(docopt(__doc__)["--seconds"])
+def run_workers(seconds: float) -> None:
+    """Measure by the number of workers on the list."""
     costs = []
     agents = [0, 240, 480, 720, AGENTS]
     for count in agents:
         costs.append(run(Load(agents=count), seconds))
         show(f"{count} workers listed", costs[-1])
     slope("workers", "a worker listed", [float(n) for n in agents], costs)
+
+
+def run_texts(seconds: float) -> None:
+    """Measure by the rate of text changes."""
     rates = [0.0, 1.0, 2.0, 4.0]
     costs = [run(Load(agents=0, text_changes=rate), seconds) for rate in rates]
     for rate, cost in zip(rates, costs, strict=True):
         show(f"{rate:g} text changes a second", cost)
     slope("text changes", "a change", rates, costs)
+
+
+def run_exchanges(seconds: float) -> None:
+    """Measure by the rate of peers' exchanges."""
     rates = [0.0, 2.0, 4.0, 8.0]
     costs = [run(Load(agents=0, exchanges=rate), seconds) for rate in rates]
     for rate, cost in zip(rates, costs, strict=True):
         show(f"{rate:g} exchanges a second", cost)
     slope("exchanges", "an exchange", rates, costs)
+
+
+def run_full(seconds: float) -> None:
+    """Measure all of it at full size."""
     show("full size, not on poll duty", run(Load(text_changes=0.066), seconds))
     show(
         "full size, on poll duty", run(Load(text_changes=0.066, on_duty=True), seconds)
     )
 
 
+def main() -> None:
+    """Run all and print the table."""
+    arguments = docopt(__doc__)
+    seconds = float(arguments["--seconds"])
+    parts = {
+        "workers": run_workers,
+        "texts": run_texts,
+        "exchanges": run_exchanges,
+        "full": run_full,
+    }
+    for name, run_part in parts.items():
+        if arguments["PART"] in (None, name):
+            run_part(seconds)
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/packages/measure/src/briarthread_measure/routing_run.py
@@ -0,0 +1,118 @@
+"""
+Compare ways to choose a target, in virtual time and with the real processes' code.
+
+Usage:
+  routing_run [--seeds=N]
+
+Options:
+  --seeds=N  Runs of each way, the same seeds for all [default: 5].
+
+Two entries stand before eight targets of four slots, one of which is three
+times as slow. Requests come at random, at 70 % of what the targets can do.
+"""
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import anyio
+from docopt import docopt
+from loguru import logger
+
+from briarthread_entry.routing.choose_target import Choose, choose_target
+from briarthread_entry.routing.target_state import TargetState
+from briarthread_measure.expert_moves import percentile, spread_text
+from briarthread_measure.open_load import OpenLoad, Tally
+from briarthread_standins.virtual_time import run_virtual
+from briarthread_standins.world import World
+
+ENTRIES, TARGETS, SLOTS = 2, 8, 4
+SERVICE_SECONDS = 0.05
+SLOW_FACTOR = 3.0
+LOAD_PART = 0.7
+SECONDS = 10.0
+TEXT = (
+    "[data_centre one]\n[service cards]\ndata_centres = one\nidempotent = yes\n"
+    f"slots = {SLOTS}\nqueue = 200\ndeadline = 5\n"
+)
+
+
+def choose_random(
+    states: Sequence[TargetState], now: float, rng: random.Random
+) -> TargetState | None:
+    """Choose any usable target."""
+    usable = [state for state in states if state.usable(now)]
+    return rng.choice(usable) if usable else None
+
+
+@dataclass(slots=True)
+class RoundRobin:
+    """Choose usable targets in turn."""
+
+    turn: int = 0
+
+    def __call__(
+        self, states: Sequence[TargetState], now: float, rng: random.Random
+    ) -> TargetState | None:
+        """Return the next target."""
+        usable = [state for state in states if state.usable(now)]
+        self.turn += 1
+        return usable[self.turn % len(usable)] if usable else None
+
+
+def choose_least_requests(
+    states: Sequence[TargetState], now: float, rng: random.Random
+) -> TargetState | None:
+    """Choose the least reported load, without what was sent since."""
+    usable = [state for state in states if state.usable(now)]
+    return min(
+        usable, key=lambda s: (s.report.r + s.report.q, rng.random()), default=None
+    )
+
+
+WAYS: dict[str, Callable[[], Choose]] = {
+    "random": lambda: choose_random,
+    "round robin": RoundRobin,
+    "least reported": lambda: choose_least_requests,
+    "cheaper of two": lambda: choose_target,
+}
+
+
+async def run(way: str, seed: int) -> Tally:
+    """Run one way with one seed."""
+    async with anyio.create_task_group() as tasks:
+        world = World(tasks, seed)
+        for number in range(ENTRIES):
+            world.add_entry(f"entry-{number}", "one")
+        for number in range(TARGETS):
+            delay = SERVICE_SECONDS * (SLOW_FACTOR if number == 0 else 1.0)
+            world.add_target(f"target-{number}", "one", "cards", delay)
+        load = OpenLoad(world, TEXT, seed)
+        await load.start()
+        for number in range(ENTRIES):
+            world.entry(f"entry-{number}").router.choose = WAYS[way]()
+        capacity = SLOTS * (TARGETS - 1 + 1 / SLOW_FACTOR) / SERVICE_SECONDS
+        tally = await load.run("caller", LOAD_PART * capacity, SECONDS, 5.0)
+        tasks.cancel_scope.cancel()
+    return tally
+
+
+def main() -> None:
+    """Print a line a way."""
+    seeds = int(docopt(__doc__)["--seeds"])
+    logger.remove()
+    for way in WAYS:
+        runs = [run_virtual(run, way, seed) for seed in range(seeds)]
+        columns = [
+            f"p{part * 100:.0f} "
+            + spread_text(
+                [percentile(one.latencies, part) * 1000 for one in runs], ".0f"
+            )
+            for part in (0.5, 0.95, 0.99)
+        ]
+        failed = sum(one.refused + one.unknown for one in runs)
+        print(f"{way:16} ms {', '.join(columns)}; {failed} failed", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/world/test_whole_answers.py
@@ -0,0 +1,39 @@
+"""A caller receives a whole answer, or is told that it gets none."""
+
+from builders import in_world
+
+from briarthread_standins.world import World
+
+TIMEOUT = 0.5
+STEP = 0.0005
+STEPS = 80
+
+
+def test_answer_that_comes_at_the_deadline_is_whole_or_not_begun() -> None:
+    async def scenario(world: World) -> None:
+        statuses = set()
+        for number in range(STEPS):
+            for name, service in world.services.items():
+                if name.startswith("cards"):
+                    service.delay = TIMEOUT - 0.07 + number * STEP
+            answer = await world.call(
+                "entry-palermo-0", "cards/x", "salon-0", body=b"x", timeout=TIMEOUT
+            )
+            statuses.add(answer.status)
+            if answer.status != 200:
+                assert answer.outcome == "unknown"
+        assert statuses == {200, 504}
+
+    in_world(scenario, data_centres=("palermo",), targets=1)
+
+
+def test_repeatable_call_that_was_begun_is_never_told_not_run() -> None:
+    async def scenario(world: World) -> None:
+        world.services["cards-palermo-0"].delay = 60.0
+        answer = await world.call(
+            "entry-palermo-0", "cards/x", "salon-0", body=b"x", timeout=4.0
+        )
+        assert world.runs("x") == 1
+        assert answer.outcome == "unknown"
+
+    in_world(scenario, data_centres=("palermo",), targets=1)
