Switch an engine only while it holds for the version; send answers at once

A late confirmation made an agent order a switch of an engine that had been replaced meanwhile and ignores fencing; a late copy of the staging had given it the weights. Change: an agent looks whether its engine holds before it orders a switch.

Cause 2: the first relay measurement took over 40 ms a request. The listening socket did not state its protocol, so asyncio left Nagle's algorithm on. Ruled out: the pool and the queue; the processors were 14 % busy.

--- a/packages/agent/src/briarthread_agent/maps/map_keeper.py
+++ b/packages/agent/src/briarthread_agent/maps/map_keeper.py
@@ -175,6 +175,8 @@
             await self._decide(version, OrderKind.RESUME, "nobody had confirmed it")
 
     async def _decide(self, version: int, kind: OrderKind, reason: str) -> None:
+        if not await self._holds_for(version):
+            return
         await self.engine.order(kind, version)
         if kind is OrderKind.SWITCH:
             self.stage = Stage.CONFIRMED
@@ -182,6 +184,19 @@
             self.pending = NO_MAP
         self.events.add(f"map-{kind}", f"map/{version}", reason)
 
+    async def _holds_for(self, version: int) -> bool:
+        """
+        Tell whether the engine holds for a version, or is to switch to it.
+
+        One that was replaced meanwhile holds for nothing. If it ignores
+        fencing it might take a switch all the same, ahead of the others.
+        """
+        try:
+            state = await self.engine.state()
+        except ChannelError:
+            return False
+        return state.hold_for == version
+
     async def _join(self) -> None:
         """
         Give a rank that has just started the map of its group.
@@ -272,8 +287,14 @@
             if self.pending != message.version or self.stage is Stage.REFUSED:
                 await call.reply_json(MapAnswer(False, 0, "refused before"))
                 return
-            self.stage = Stage.CONFIRMED
-            answer = await self._order(message.fence, OrderKind.SWITCH, message.version)
+            if await self._holds_for(message.version):
+                self.stage = Stage.CONFIRMED
+                answer = await self._order(
+                    message.fence, OrderKind.SWITCH, message.version
+                )
+            else:
+                self._refuse(message.version)
+                answer = MapAnswer(False, 0, "engine does not hold for it")
         await call.reply_json(answer)
 
     async def _handle_verdict(self, call: Call) -> None:
--- a/packages/common/src/briarthread_common/http/server.py
+++ b/packages/common/src/briarthread_common/http/server.py
@@ -68,12 +68,20 @@
 
 
 def open_listener(listen: str) -> socket.socket:
-    """Return a socket that listens at IP:PORT or raise ListenError."""
+    """
+    Return a socket that listens at IP:PORT or raise ListenError.
+
+    The protocol is stated, because asyncio turns Nagle's algorithm off only
+    on sockets that say they are TCP; with it on each answer took 40 ms more.
+    """
     host, _, port = listen.rpartition(":")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
-        return socket.create_server(
-            (host.strip("[]"), int(port)), family=family, backlog=BACKLOG
-        )
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host.strip("[]"), int(port)))
+        listener.listen(BACKLOG)
     except OSError as error:
+        listener.close()
         raise ListenError(f"cannot listen on {listen}: {error.strerror}") from error
+    return listener
