--- /dev/null
+++ b/tests/common/test_call.py
@@ -0,0 +1,26 @@
+"""The answer of a call is sent whole."""
+
+import anyio
+
+from briarthread_common.http.call import Call
+from briarthread_standins.virtual_time import run_virtual
+
+SLOW_SECONDS = 0.2
+
+
+def test_whole_answer_once_begun_is_not_cut_off_by_a_deadline() -> None:
+    sent: list[dict[str, object]] = []
+
+    async def send_slowly(message: dict[str, object]) -> None:
+        await anyio.sleep(SLOW_SECONDS)
+        sent.append(message)
+
+    async def scenario() -> Call:
+        scope = {"method": "GET", "path": "/", "headers": []}
+        call = Call(scope, anyio.sleep_forever, send_slowly)
+        with anyio.move_on_after(SLOW_SECONDS * 1.5):
+            await call.reply(200, b"whole")
+        return call
+
+    assert run_virtual(scenario).finished
+    assert sent[-1]["body"] == b"whole"
--- a/tests/common/test_feed.py
+++ b/tests/common/test_feed.py
@@ -19,21 +19,31 @@
 
 
 @settings(derandomize=True, database=None, deadline=None)
-@given(order=st.permutations(range(PATCHES)), asked=st.integers(0, PATCHES))
-def test_any_order_of_patches_leads_forward_only(order: list[int], asked: int) -> None:
+@given(
+    order=st.lists(st.integers(0, PATCHES - 1), max_size=40),
+    wholes=st.lists(st.integers(1, PATCHES), max_size=4),
+    asked=st.integers(0, PATCHES),
+)
+def test_any_order_of_patches_leads_forward_only(
+    order: list[int], wholes: list[int], asked: int
+) -> None:
     feed, source = Feed("text"), Feed("text")
     for patch in patches():
         source.install(patch)
     seen = [0]
-    for place in order:
+    arriving = [patches()[place] for place in order]
+    for place, number in enumerate(wholes):
+        whole = FeedPatch("text", 0, number, {f"item-{number}": "whole"})
+        arriving.insert(place * len(order) // len(wholes), whole)
+    for patch in arriving:
         try:
-            feed.install(patches()[place])
+            feed.install(patch)
         except FeedGapError:
-            assert patches()[place].base > feed.number
+            assert patch.base > feed.number
         seen.append(feed.number)
     assert seen == sorted(seen)
     patch = source.since(asked)
-    if patch is not None and patch.base <= feed.number:
+    if patch is not None and patch.base <= feed.number and not wholes:
         feed.install(patch)
         assert feed.items == source.items
 
--- a/tests/world/test_at_most_once.py
+++ b/tests/world/test_at_most_once.py
@@ -140,6 +140,20 @@
     in_world(scenario)
 
 
+def test_run_whose_caller_hung_up_is_finished_before_a_planned_stop() -> None:
+    async def scenario(world: World) -> None:
+        for service in world.services.values():
+            service.delay = 3.0
+        with anyio.move_on_after(0.2):
+            await book(world, ENTRIES[0], "k", "one")
+        await world.stop(holder_of(world, "one"))
+        again = await book(world, ENTRIES[2], "k", "one")
+        assert again.status == 200
+        assert world.runs("one") == 1
+
+    in_world(scenario)
+
+
 def test_share_inherited_and_handed_over_stays_in_quarantine() -> None:
     async def scenario(world: World) -> None:
         await book(world, ENTRIES[0], "k", "one")
--- a/tests/world/test_leaving.py
+++ b/tests/world/test_leaving.py
@@ -106,3 +106,16 @@
         assert [answer.status for answer in answers] == [200]
 
     in_world(scenario)
+
+
+def test_stopping_agent_is_known_to_leave_before_it_refuses_anything() -> None:
+    async def scenario(world: World) -> None:
+        name = "cards-palermo-0"
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(world.stop, name)
+            await anyio.sleep(0.3)
+            state = world.entry(ENTRY).table.states[name]
+            assert state.connected
+            assert not state.usable(world.clock.now())
+
+    in_world(scenario)
--- a/tests/world/test_whole_answers.py
+++ b/tests/world/test_whole_answers.py
@@ -1,5 +1,6 @@
 """A caller receives a whole answer, or is told that it gets none."""
 
+import anyio
 from builders import in_world
 
 from briarthread_standins.world import World
@@ -37,3 +38,28 @@
         assert answer.outcome == "unknown"
 
     in_world(scenario, data_centres=("palermo",), targets=1)
+
+
+def test_refusal_after_an_attempt_that_may_have_run_is_not_called_not_run() -> None:
+    async def scenario(world: World) -> None:
+        first, second = "cards-palermo-0", "cards-palermo-1"
+        world.services[first].delay = 2.0
+        world.entry("entry-palermo-0").router.choose = lambda states, now, rng: min(
+            states, key=lambda state: state.instance.name, default=None
+        )
+        world.agent(second).guard.draining = True
+        answers = []
+
+        async def ask() -> None:
+            answers.append(
+                await world.call("entry-palermo-0", "cards/x", "salon-0", body=b"x")
+            )
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            await anyio.sleep(0.5)
+            world.kill(first)
+        assert world.runs("x") == 1
+        assert answers[0].outcome == "unknown"
+
+    in_world(scenario, data_centres=("palermo",), targets=2)
