--- a/packages/agent/src/briarthread_agent/agent.py
+++ b/packages/agent/src/briarthread_agent/agent.py
@@ -143,6 +143,7 @@
             await self.keeper.send_late_answers()
         except ChannelError as error:
             logger.warning("agent: late answers were not handed over: {}", error)
+        self.reporter.close()
 
     def ready(self) -> str:
         """Return why the agent is not ready, or nothing."""
--- a/packages/agent/src/briarthread_agent/reports/load_reporter.py
+++ b/packages/agent/src/briarthread_agent/reports/load_reporter.py
@@ -30,6 +30,7 @@
         self.number = 0
         self.draining = False
         self.drained = anyio.Event()
+        self.closed = anyio.Event()
 
     def report(self) -> LoadReport:
         """Return the load now, under the next number."""
@@ -49,14 +50,20 @@
         self.draining = True
         self.drained.set()
 
+    def close(self) -> None:
+        """End all streams, so that the server's stop need not wait for them."""
+        self.closed.set()
+
     async def handle_stream(self, call: Call) -> None:
         """Send lines until the entry hangs up."""
         every = _interval(call.query)
         await call.start(200, [("content-type", "application/x-ndjson")])
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._send_lines, call, every)
-            await call.wait_disconnect()
+            tasks.start_soon(call.cancel_on_disconnect, tasks.cancel_scope)
+            await self.closed.wait()
             tasks.cancel_scope.cancel()
+        await call.finish()
 
     async def _send_lines(self, call: Call, every: float) -> None:
         while True:
--- a/packages/standins/src/briarthread_standins/fake_network.py
+++ b/packages/standins/src/briarthread_standins/fake_network.py
@@ -37,7 +37,7 @@
     app: Any
     takes_late: bool = True
     frozen: bool = False
-    calls: dict[anyio.CancelScope, str] = field(default_factory=dict)
+    calls: set[anyio.CancelScope] = field(default_factory=set)
 
 
 class FakeNetwork:
@@ -76,13 +76,6 @@
             for scope in list(node.calls):
                 scope.cancel()
 
-    def serving_callers(self, node: Node) -> bool:
-        """Tell whether a node has a request or an attempt in flight."""
-        return any(
-            path.startswith(("/v1/services/", "/agent/v1/attempts"))
-            for path in node.calls.values()
-        )
-
     def freeze(self, address: str, frozen: bool) -> None:
         """Hold back, or let go, all that goes to or from an address."""
         node = self.nodes.get(address)
@@ -140,13 +133,13 @@
 
     async def _serve(self, node: Node, exchange: "Exchange") -> None:
         with anyio.CancelScope() as scope:
-            node.calls[scope] = exchange.request.path
+            node.calls.add(scope)
             try:
                 await node.app(exchange.scope, exchange.receive, exchange.send)
             except AnswerAborted as error:
                 logger.debug("network: {}", error)
             finally:
-                node.calls.pop(scope, None)
+                node.calls.discard(scope)
         exchange.sender.close()
 
     def _note_change(self) -> None:
--- a/packages/standins/src/briarthread_standins/world.py
+++ b/packages/standins/src/briarthread_standins/world.py
@@ -285,7 +285,7 @@
         """Wait for the calls in flight, as the HTTP server does at a stop."""
         node = self.network.nodes[address]
         with anyio.move_on_after(DRAIN_TIMEOUT):
-            while self.network.serving_callers(node):
+            while node.calls:
                 await anyio.sleep(0.05)
 
     def _next_address(self) -> str:
--- a/tests/world/test_leaving.py
+++ b/tests/world/test_leaving.py
@@ -3,7 +3,7 @@
 import anyio
 from builders import in_world
 
-from briarthread_standins.world import Answer, World
+from briarthread_standins.world import DRAIN_NOTICE, Answer, World
 
 ENTRY = "entry-palermo-0"
 PATIENCE = 3.0
@@ -119,3 +119,12 @@
             assert not state.usable(world.clock.now())
 
     in_world(scenario)
+
+
+def test_stopped_agent_does_not_wait_for_the_streams_of_its_load() -> None:
+    async def scenario(world: World) -> None:
+        start = world.clock.now()
+        await world.stop("cards-palermo-0")
+        assert world.clock.now() - start < 2 * DRAIN_NOTICE
+
+    in_world(scenario)
