--- a/packages/measure/src/briarthread_measure/reference_pages.py
+++ b/packages/measure/src/briarthread_measure/reference_pages.py
@@ -12,6 +12,7 @@
 
 from briarthread_agent.settings import AGENT_SECTIONS
 from briarthread_common.conf.section_spec import SectionSpec
+from briarthread_common.core.error_answer import ERROR_ANSWERS
 from briarthread_common.text.section_specs import TEXT_SPECS
 from briarthread_entry.settings import ENTRY_SECTIONS
 
@@ -50,9 +51,31 @@
     return "\n".join(blocks)
 
 
+def error_page() -> str:
+    """Return the page of the error kinds."""
+    lines = [
+        "# Errors\n",
+        NOTE,
+        "| kind | status | outcome | Retry-After | title |",
+        "| --- | --- | --- | --- | --- |",
+    ]
+    for kind, row in ERROR_ANSWERS.items():
+        pause = "none" if row.retry_after is None else f"{row.retry_after:g} s or more"
+        lines.append(
+            f"| `{kind}` | {row.status} | {row.outcome} | {pause} | {row.title} |"
+        )
+    lines.append("")
+    lines.append(
+        "The outcome is the usual one; a request with a key gets `unknown` unless "
+        "the\nholder of its key has proved otherwise.\n"
+    )
+    return "\n".join(lines)
+
+
 def reference_pages() -> dict[str, str]:
     """Return each page by its file name."""
     return {
+        "errors.md": error_page(),
         "settings.md": page(
             "Settings of the processes",
             {
