--- a/packages/common/src/briarthread_common/http/call.py
+++ b/packages/common/src/briarthread_common/http/call.py
@@ -48,13 +48,15 @@
 
     @property
     def headers(self) -> dict[str, str]:
-        """Return the headers by lower-case name; raise for a doubled one."""
+        """Return the headers by lower-case name; raise for ambiguous ones."""
         found: dict[str, str] = {}
         for raw_name, raw_value in self.scope["headers"]:
             name = raw_name.decode("latin-1")
             if name in found:
                 raise RequestError(ErrorKind.BAD_REQUEST, f"header {name} given twice")
             found[name] = raw_value.decode("latin-1")
+        if "content-length" in found and "transfer-encoding" in found:
+            raise RequestError(ErrorKind.BAD_REQUEST, "body has two lengths")
         return found
 
     async def read_body(self, limit: int) -> bytes:
--- a/tests/common/test_call.py
+++ b/tests/common/test_call.py
@@ -1,7 +1,9 @@
 """The answer of a call is sent whole."""
 
 import anyio
+import pytest
 
+from briarthread_common.core.exceptions import RequestError
 from briarthread_common.http.call import Call
 from briarthread_standins.virtual_time import run_virtual
 
@@ -24,3 +26,19 @@
 
     assert run_virtual(scenario).finished
     assert sent[-1]["body"] == b"whole"
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        [(b"idempotency-key", b"a"), (b"idempotency-key", b"b")],
+        [(b"content-length", b"3"), (b"transfer-encoding", b"chunked")],
+    ],
+)
+def test_headers_that_two_readers_could_read_differently_are_refused(
+    headers: list[tuple[bytes, bytes]],
+) -> None:
+    scope = {"method": "POST", "path": "/", "headers": headers}
+    call = Call(scope, anyio.sleep_forever, anyio.sleep)
+    with pytest.raises(RequestError, match="bad-request"):
+        _ = call.headers
