--- a/packages/agent/src/briarthread_agent/agent.py
+++ b/packages/agent/src/briarthread_agent/agent.py
@@ -17,6 +17,7 @@
 from briarthread_agent.holding.share_keeper import MEMORY_PATH, ShareKeeper
 from briarthread_agent.limits.fair_queue import FairQueue
 from briarthread_agent.maps.engine_client import EngineClient
+from briarthread_agent.maps.group_peers import GroupPeers
 from briarthread_agent.maps.map_keeper import MapKeeper
 from briarthread_agent.reports.load_reporter import LoadReporter
 from briarthread_agent.settings import AgentSettings
@@ -111,8 +112,7 @@
             self.incarnation,
             EngineClient(channel, settings.target, epoch),
             self.text,
-            self.directory,
-            channel,
+            GroupPeers(settings.name, self.directory, channel),
             self.events,
         )
         self.app = App(self._routes())
--- a/packages/agent/src/briarthread_agent/attempts/attempt_handler.py
+++ b/packages/agent/src/briarthread_agent/attempts/attempt_handler.py
@@ -5,7 +5,6 @@
 
 from briarthread_agent.attempts.record import Record
 from briarthread_agent.attempts.runner import Runner
-from briarthread_agent.attempts.target_client import STREAM_TYPE
 from briarthread_agent.reports.load_reporter import LoadReporter
 from briarthread_common.core.error_answer import ERROR_ANSWERS
 from briarthread_common.core.error_kind import ErrorKind
@@ -13,7 +12,9 @@
 from briarthread_common.core.metrics import Metrics
 from briarthread_common.http.app import AnswerAborted
 from briarthread_common.http.call import Call
+from briarthread_common.http.passed_headers import PASSED_ON, STREAM_TYPE
 from briarthread_common.messages.attempt import (
+    ANSWERED,
     ATTEMPT_HEADER,
     LOAD_HEADER,
     RESULT_HEADER,
@@ -22,8 +23,6 @@
 from briarthread_common.messages.revoke import RevokeAnswer, RevokeRequest
 from briarthread_common.text.text_view import TextView
 
-ANSWERED = "answered"
-PASSED_ON = frozenset({"content-type", "accept", "accept-language"})
 REVOKE_BYTES = 4096
 
 
--- a/packages/agent/src/briarthread_agent/attempts/target_client.py
+++ b/packages/agent/src/briarthread_agent/attempts/target_client.py
@@ -9,11 +9,9 @@
 )
 from briarthread_common.core.outcome import Outcome
 from briarthread_common.http.channel import Channel, ChannelRequest
+from briarthread_common.http.passed_headers import PASSED_BACK
 from briarthread_common.messages.attempt import Attempt
 
-PASSED_BACK = frozenset({"content-type", "cache-control", "content-language"})
-STREAM_TYPE = "text/event-stream"
-
 
 class TargetClient:
     """Run an attempt on the target and collect its answer."""
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/maps/group_peers.py
@@ -0,0 +1,55 @@
+"""Questions to the other agents of a group."""
+
+from typing import TypeVar
+
+from briarthread_common.http.call_many import call_many
+from briarthread_common.http.channel import Channel
+from briarthread_common.messages.map_messages import (
+    STANDING_PATH,
+    VERDICT_PATH,
+    Standing,
+    Verdict,
+    VerdictAnswer,
+    VerdictRequest,
+)
+from briarthread_common.spread.directory import Directory
+from briarthread_common.text.group import Group
+
+T = TypeVar("T")
+ASK_TIMEOUT = 1.0
+
+
+class GroupPeers:
+    """Ask all other agents of a group the same question."""
+
+    def __init__(self, name: str, directory: Directory, channel: Channel) -> None:
+        self.name = name
+        self.directory = directory
+        self.channel = channel
+
+    async def verdicts(self, group: Group, version: int) -> list[Verdict]:
+        """Return each other agent's verdict on a version."""
+        message = VerdictRequest(group.name, version)
+        answers = await self._ask(group, VERDICT_PATH, message, VerdictAnswer)
+        return [answer.verdict if answer else Verdict.UNKNOWN for answer in answers]
+
+    async def standings(self, group: Group) -> list[Standing] | None:
+        """Return the standing of all others, ``None`` if one is silent."""
+        answers = await self._ask(group, STANDING_PATH, None, Standing)
+        return None if None in answers else answers
+
+    async def _ask(
+        self, group: Group, path: str, message: object, answer_type: type[T]
+    ) -> list[T | None]:
+        """Return the answer of each other agent, ``None`` for a silent one."""
+        rows = self.directory.all()
+        others = [name for name in group.targets if name != self.name]
+        addresses = [rows[name].address if name in rows else "" for name in others]
+        answers = await call_many(
+            self.channel,
+            path,
+            {address: message for address in addresses if address},
+            answer_type,
+            ASK_TIMEOUT,
+        )
+        return [answers.get(address) for address in addresses]
--- a/packages/agent/src/briarthread_agent/maps/map_keeper.py
+++ b/packages/agent/src/briarthread_agent/maps/map_keeper.py
@@ -1,18 +1,16 @@
 """The agent's part in keeping a group on one expert map."""
 
 from enum import StrEnum
-from typing import TypeVar
 
 import anyio
 
 from briarthread_agent.maps.engine_client import ORDER_TIMEOUT, EngineClient
+from briarthread_agent.maps.group_peers import GroupPeers
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.core.exceptions import ChannelError, RequestError
 from briarthread_common.http.app import Route
 from briarthread_common.http.call import Call
-from briarthread_common.http.call_many import call_many
-from briarthread_common.http.channel import Channel
 from briarthread_common.http.channel_calls import MAX_MESSAGE_BYTES
 from briarthread_common.messages.engine_order import EngineState, OrderKind
 from briarthread_common.messages.expert_map import FIRST_MAP, NO_MAP, ExpertMap
@@ -32,15 +30,12 @@
     VerdictRequest,
 )
 from briarthread_common.messages.map_report import REPORT_PATH
-from briarthread_common.spread.directory import Directory
 from briarthread_common.text.group import Group
 from briarthread_common.text.text_view import TextView
 
-T = TypeVar("T")
 WATCH_INTERVAL = 0.05
 """Seconds between looks at the engine while something is undecided."""
 IDLE_INTERVAL = 0.5
-ASK_TIMEOUT = 1.0
 HOLD_GRACE = 0.2
 """Seconds for which a held engine waits for the planner's confirmation."""
 
@@ -71,16 +66,14 @@
         incarnation: str,
         engine: EngineClient,
         text: TextView,
-        directory: Directory,
-        channel: Channel,
+        peers: GroupPeers,
         events: EventLog,
     ) -> None:
         self.name = name
         self.incarnation = incarnation
         self.engine = engine
         self.text = text
-        self.directory = directory
-        self.channel = channel
+        self.peers = peers
         self.events = events
         self.pending = NO_MAP
         self.stage = Stage.REFUSED
@@ -168,7 +161,7 @@
             if self.pending != version or self.stage is Stage.CONFIRMED:
                 return
             self._refuse(version)
-        verdicts = await self._ask_all(version)
+        verdicts = await self.peers.verdicts(self.group(), version)
         if Verdict.CONFIRMED in verdicts:
             await self._decide(version, OrderKind.SWITCH, "another had confirmed it")
         elif all(verdict is Verdict.REFUSED for verdict in verdicts):
@@ -204,7 +197,7 @@
         What is pending is settled first. What is decided for a later step
         is loaded as such, or this rank would be ahead of the others.
         """
-        standings = await self._standings()
+        standings = await self.peers.standings(self.group())
         if standings is None:
             return
         pending = {row.pending for row in standings if row.pending}
@@ -225,33 +218,7 @@
         """Promise to refuse a version, and make the others say what they know."""
         async with self.deciding:
             self._refuse(version)
-        await self._ask_all(version)
-
-    async def _ask_all(self, version: int) -> list[Verdict]:
-        message = VerdictRequest(self.group().name, version)
-        answers = await self._call_others(VERDICT_PATH, message, VerdictAnswer)
-        return [answer.verdict if answer else Verdict.UNKNOWN for answer in answers]
-
-    async def _standings(self) -> list[Standing] | None:
-        """Return the standing of all others, ``None`` if one is silent."""
-        answers = await self._call_others(STANDING_PATH, None, Standing)
-        return None if None in answers else answers
-
-    async def _call_others(
-        self, path: str, message: object, answer_type: type[T]
-    ) -> list[T | None]:
-        """Return the answer of each other agent, ``None`` for a silent one."""
-        rows = self.directory.all()
-        others = [name for name in self.group().targets if name != self.name]
-        addresses = [rows[name].address if name in rows else "" for name in others]
-        answers = await call_many(
-            self.channel,
-            path,
-            {address: message for address in addresses if address},
-            answer_type,
-            ASK_TIMEOUT,
-        )
-        return [answers.get(address) for address in addresses]
+        await self.peers.verdicts(self.group(), version)
 
     async def _handle_stage(self, call: Call) -> None:
         message = await call.read_json(StageMap, MAX_MESSAGE_BYTES)
--- /dev/null
+++ b/packages/common/src/briarthread_common/http/passed_headers.py
@@ -0,0 +1,10 @@
+"""The headers that travel with a request and with its answer."""
+
+PASSED_ON = frozenset({"content-type", "accept", "accept-language"})
+"""Headers of a caller that reach the target."""
+
+PASSED_BACK = frozenset({"content-type", "cache-control", "content-language"})
+"""Headers of a target that reach the caller."""
+
+STREAM_TYPE = "text/event-stream"
+"""Answers of this type are passed on as they come."""
--- a/packages/common/src/briarthread_common/messages/attempt.py
+++ b/packages/common/src/briarthread_common/messages/attempt.py
@@ -7,6 +7,8 @@
 ATTEMPT_HEADER = "briarthread-attempt"
 RESULT_HEADER = "briarthread-result"
 LOAD_HEADER = "briarthread-load"
+ANSWERED = "answered"
+"""The result of an attempt that has an answer; others name an error kind."""
 NO_SHARE = -1
 
 
--- a/packages/entry/src/briarthread_entry/serving/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/serving/attempt_sender.py
@@ -12,12 +12,13 @@
     NotWrittenError,
     RequestError,
 )
-from briarthread_common.core.outcome import Outcome
 from briarthread_common.http.app import AnswerAborted
 from briarthread_common.http.call import Call
 from briarthread_common.http.channel import Channel, ChannelRequest, ChannelResponse
 from briarthread_common.http.channel_calls import call_json, read_bounded
+from briarthread_common.http.passed_headers import PASSED_BACK, STREAM_TYPE
 from briarthread_common.messages.attempt import (
+    ANSWERED,
     ATTEMPT_HEADER,
     LOAD_HEADER,
     RESULT_HEADER,
@@ -34,20 +35,22 @@
 from briarthread_entry.serving.attempt_outcome import (
     Answered,
     AttemptOutcome,
-    Failed,
     Lost,
     NotRun,
 )
 from briarthread_entry.serving.caller_request import CallerRequest
+from briarthread_entry.serving.read_outcome import (
+    lost,
+    read_refusal,
+    revoked,
+    too_late,
+)
 
-ANSWERED = "answered"
 REVOKE_TIMEOUT = 0.5
 ANSWER_MARGIN = 0.03
 """Seconds before the deadline at which the final answer is prepared."""
 MAX_JOINS = 3
 """How often a broken connection to a running attempt is made anew."""
-PASSED_BACK = frozenset({"content-type", "cache-control", "content-language"})
-STREAM_TYPE = "text/event-stream"
 
 
 @dataclass(slots=True)
@@ -79,7 +82,7 @@
         call: Call,
     ) -> AttemptOutcome:
         """Return how the attempt ended; the caller's deadline bounds it."""
-        outcome: AttemptOutcome = _lost("no answer")
+        outcome: AttemptOutcome = lost("no answer")
         for _ in range(MAX_JOINS):
             outcome = await self._send_once(request, attempt, target, call)
             if not isinstance(outcome, Lost):
@@ -90,7 +93,7 @@
                 return outcome
             verdict = await self._revoke(attempt, target)
             if verdict is RevokeState.REVOKED:
-                return _revoked()
+                return revoked()
             if verdict is None:
                 return outcome
         return outcome
@@ -122,12 +125,12 @@
         if not progress.head.is_set():
             verdict = await self._revoke(attempt, target)
             if verdict is RevokeState.REVOKED:
-                return _revoked()
+                return revoked()
             if verdict is None:
-                return _lost("the agent is silent")
+                return lost("the agent is silent")
         with anyio.move_on_after(self._left(attempt)):
             await progress.done.wait()
-        return progress.outcome or _too_late()
+        return progress.outcome or too_late()
 
     async def _exchange(
         self,
@@ -144,7 +147,7 @@
         except NotWrittenError as error:
             progress.outcome = NotRun(RequestError(ErrorKind.NO_TARGET, str(error)))
         except BrokenCallError as error:
-            progress.outcome = _lost(str(error))
+            progress.outcome = lost(str(error))
         progress.head.set()
         progress.done.set()
 
@@ -169,7 +172,7 @@
             self._take_load(target, response)
             result = response.headers.get(RESULT_HEADER, "")
             if result != ANSWERED:
-                return _read_refusal(result, response)
+                return read_refusal(result, response)
             await self._pass_back(request, response, call)
         return Answered()
 
@@ -218,40 +221,3 @@
 
     def _left(self, attempt: Attempt) -> float:
         return max(attempt.deadline + ANSWER_MARGIN - self.clock.now(), 0.0)
-
-
-def _read_refusal(result: str, response: ChannelResponse) -> AttemptOutcome:
-    try:
-        kind = ErrorKind(result)
-    except ValueError:
-        return _lost(f"the agent answered {response.status} without a result")
-    retry_after = response.headers.get("retry-after")
-    outcome = response.headers.get("briarthread-outcome")
-    error = RequestError(
-        kind,
-        "the agent refused",
-        outcome=Outcome.NOT_RUN if outcome == Outcome.NOT_RUN else Outcome.UNKNOWN,
-        retry_after=float(retry_after) if retry_after else None,
-    )
-    if error.outcome is Outcome.NOT_RUN:
-        return NotRun(error)
-    return Failed(error)
-
-
-def _revoked() -> NotRun:
-    return NotRun(RequestError(ErrorKind.REVOKED, "silent agent; attempt revoked"))
-
-
-def _too_late() -> Lost:
-    """Return the outcome of an attempt whose agent is alive but too slow."""
-    return Lost(
-        RequestError(
-            ErrorKind.DEADLINE_PASSED,
-            "no answer before the deadline",
-            outcome=Outcome.UNKNOWN,
-        )
-    )
-
-
-def _lost(detail: str) -> Lost:
-    return Lost(RequestError(ErrorKind.OUTCOME_UNKNOWN, detail))
--- a/packages/entry/src/briarthread_entry/serving/read_request.py
+++ b/packages/entry/src/briarthread_entry/serving/read_request.py
@@ -7,6 +7,7 @@
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.exceptions import RequestError
 from briarthread_common.http.call import Call
+from briarthread_common.http.passed_headers import PASSED_ON
 from briarthread_common.text.account import Account
 from briarthread_common.text.service import Service
 from briarthread_common.text.services_text import ServicesText
@@ -18,7 +19,6 @@
 KEY_HEADER = "idempotency-key"
 MAX_KEY_LENGTH = 200
 KEY_PATTERN = re.compile(r"[\x21-\x7e]+")
-PASSED_ON = frozenset({"content-type", "accept", "accept-language"})
 SAFE_METHODS = frozenset({"GET", "HEAD"})
 NO_DIGEST = "0" * 64
 
