--- a/packages/agent/src/briarthread_agent/agent.py
+++ b/packages/agent/src/briarthread_agent/agent.py
@@ -18,6 +18,7 @@
 from briarthread_agent.limits.fair_queue import FairQueue
 from briarthread_agent.maps.engine_client import EngineClient
 from briarthread_agent.maps.group_peers import GroupPeers
+from briarthread_agent.maps.map_handlers import MapHandlers
 from briarthread_agent.maps.map_keeper import MapKeeper
 from briarthread_agent.reports.load_reporter import LoadReporter
 from briarthread_agent.settings import AgentSettings
@@ -162,7 +163,7 @@
             Route("GET", HELLO_PATH, self._handle_hello),
             Route("POST", MEMORY_PATH, self._handle_memory),
             Route("POST", EXCHANGE_PATH, self.spreader.handle_exchange),
-            *self.maps.routes(),
+            *MapHandlers(self.maps).routes(),
             *pages.routes(),
         ]
 
--- a/packages/agent/src/briarthread_agent/maps/map_keeper.py
+++ b/packages/agent/src/briarthread_agent/maps/map_keeper.py
@@ -6,30 +6,13 @@
 
 from briarthread_agent.maps.engine_client import ORDER_TIMEOUT, EngineClient
 from briarthread_agent.maps.group_peers import GroupPeers
-from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.event_log import EventLog
-from briarthread_common.core.exceptions import ChannelError, RequestError
-from briarthread_common.http.app import Route
-from briarthread_common.http.call import Call
-from briarthread_common.http.channel_calls import MAX_MESSAGE_BYTES
+from briarthread_common.core.exceptions import ChannelError
 from briarthread_common.messages.engine_order import EngineState, OrderKind
-from briarthread_common.messages.expert_map import FIRST_MAP, NO_MAP, ExpertMap
+from briarthread_common.messages.expert_map import FIRST_MAP, NO_MAP
 from briarthread_common.messages.map_messages import (
-    ANNOUNCE_PATH,
-    CONFIRM_PATH,
-    STAGE_PATH,
-    STANDING_PATH,
-    VERDICT_PATH,
-    AnnounceMap,
-    ConfirmMap,
-    MapAnswer,
-    StageMap,
-    Standing,
     Verdict,
-    VerdictAnswer,
-    VerdictRequest,
 )
-from briarthread_common.messages.map_report import REPORT_PATH
 from briarthread_common.text.group import Group
 from briarthread_common.text.text_view import TextView
 
@@ -81,17 +64,6 @@
         self.ready = anyio.Event()
         self.deciding = anyio.Lock()
 
-    def routes(self) -> list[Route]:
-        """Return the routes that planners and other agents call."""
-        return [
-            Route("POST", STAGE_PATH, self._handle_stage),
-            Route("POST", ANNOUNCE_PATH, self._handle_announce),
-            Route("POST", CONFIRM_PATH, self._handle_confirm),
-            Route("POST", VERDICT_PATH, self._handle_verdict),
-            Route("GET", STANDING_PATH, self._handle_standing),
-            Route("GET", REPORT_PATH, self._handle_report),
-        ]
-
     def group(self) -> Group | None:
         """Return the group that this agent's target belongs to."""
         return self.text.current().group_of(self.name)
@@ -148,9 +120,10 @@
         """Take up a hold that the last agent of this slot has set."""
         if self.pending != state.hold_for:
             self.pending = state.hold_for
-            self._refuse(state.hold_for)
+            self.refuse(state.hold_for)
 
-    def _refuse(self, version: int) -> None:
+    def refuse(self, version: int) -> None:
+        """Promise never to accept the confirmation of a version."""
         self.refused.add(version)
         if version == self.pending:
             self.stage = Stage.REFUSED
@@ -160,7 +133,7 @@
         async with self.deciding:
             if self.pending != version or self.stage is Stage.CONFIRMED:
                 return
-            self._refuse(version)
+            self.refuse(version)
         verdicts = await self.peers.verdicts(self.group(), version)
         if Verdict.CONFIRMED in verdicts:
             await self._decide(version, OrderKind.SWITCH, "another had confirmed it")
@@ -168,7 +141,7 @@
             await self._decide(version, OrderKind.RESUME, "nobody had confirmed it")
 
     async def _decide(self, version: int, kind: OrderKind, reason: str) -> None:
-        if not await self._holds_for(version):
+        if not await self.holds_for(version):
             return
         await self.engine.order(kind, version)
         if kind is OrderKind.SWITCH:
@@ -177,7 +150,7 @@
             self.pending = NO_MAP
         self.events.add(f"map-{kind}", f"map/{version}", reason)
 
-    async def _holds_for(self, version: int) -> bool:
+    async def holds_for(self, version: int) -> bool:
         """
         Tell whether the engine holds for a version, or is to switch to it.
 
@@ -217,128 +190,5 @@
     async def _settle_for_join(self, version: int) -> None:
         """Promise to refuse a version, and make the others say what they know."""
         async with self.deciding:
-            self._refuse(version)
+            self.refuse(version)
         await self.peers.verdicts(self.group(), version)
-
-    async def _handle_stage(self, call: Call) -> None:
-        message = await call.read_json(StageMap, MAX_MESSAGE_BYTES)
-        answer = await self._order(
-            message.fence,
-            OrderKind.STAGE,
-            message.expert_map.version,
-            expert_map=message.expert_map,
-        )
-        await call.reply_json(answer)
-
-    async def _handle_announce(self, call: Call) -> None:
-        message = await call.read_json(AnnounceMap, MAX_MESSAGE_BYTES)
-        async with self.deciding:
-            self._check_incarnation(message.incarnation)
-            if self.pending or message.version in self.refused:
-                await call.reply_json(MapAnswer(False, 0, "another is pending"))
-                return
-            self._check_fence(message.fence)
-            self.pending = message.version
-            self.stage = Stage.ANNOUNCED
-            answer = await self._order(
-                message.fence, OrderKind.HOLD, message.version, message.step
-            )
-            if not answer.accepted:
-                self._refuse(message.version)
-        await call.reply_json(answer)
-
-    async def _handle_confirm(self, call: Call) -> None:
-        message = await call.read_json(ConfirmMap, MAX_MESSAGE_BYTES)
-        async with self.deciding:
-            self._check_incarnation(message.incarnation)
-            if self.pending != message.version or self.stage is Stage.REFUSED:
-                await call.reply_json(MapAnswer(False, 0, "refused before"))
-                return
-            if await self._holds_for(message.version):
-                self.stage = Stage.CONFIRMED
-                answer = await self._order(
-                    message.fence, OrderKind.SWITCH, message.version
-                )
-            else:
-                self._refuse(message.version)
-                answer = MapAnswer(False, 0, "engine does not hold for it")
-        await call.reply_json(answer)
-
-    async def _handle_verdict(self, call: Call) -> None:
-        """
-        Say what is known of a version, promising to refuse an open one.
-
-        What this agent has told its engine counts, also if it was another
-        incarnation that told it; so the engine is asked first.
-        """
-        message = await call.read_json(VerdictRequest, MAX_MESSAGE_BYTES)
-        async with self.deciding:
-            verdict = await self._verdict(message.version)
-        await call.reply_json(VerdictAnswer(verdict))
-
-    async def _verdict(self, version: int) -> Verdict:
-        if not self.ready.is_set():
-            return Verdict.UNKNOWN
-        try:
-            state = await self.engine.state()
-        except ChannelError:
-            return Verdict.UNKNOWN
-        if version in (state.version, state.scheduled):
-            return Verdict.CONFIRMED
-        if self.pending == version and self.stage is Stage.CONFIRMED:
-            return Verdict.UNKNOWN
-        self._refuse(version)
-        return Verdict.REFUSED
-
-    async def _handle_standing(self, call: Call) -> None:
-        if not self.ready.is_set():
-            raise RequestError(ErrorKind.NOT_READY, "engine is being taken over")
-        try:
-            state = await self.engine.state()
-        except ChannelError as error:
-            raise RequestError(ErrorKind.NOT_READY, str(error)) from error
-        decided = bool(state.scheduled)
-        standing = Standing(
-            self.incarnation,
-            state.step,
-            state.version,
-            scheduled=state.scheduled,
-            switch_step=state.hold_step if decided else 0,
-            pending=NO_MAP if decided else state.hold_for,
-        )
-        await call.reply_json(standing)
-
-    async def _handle_report(self, call: Call) -> None:
-        try:
-            report = await self.engine.report()
-        except ChannelError as error:
-            raise RequestError(ErrorKind.NOT_READY, str(error)) from error
-        await call.reply_json(report)
-
-    async def _order(
-        self,
-        fence: int,
-        kind: OrderKind,
-        version: int,
-        step: int = 0,
-        expert_map: ExpertMap | None = None,
-    ) -> MapAnswer:
-        try:
-            self._check_fence(fence)
-            state = await self.engine.order(kind, version, step, expert_map=expert_map)
-        except (ChannelError, RequestError) as error:
-            return MapAnswer(False, 0, str(error))
-        return MapAnswer(True, state.step)
-
-    def _check_incarnation(self, incarnation: str) -> None:
-        """Refuse what was meant for the last agent of this slot."""
-        if incarnation != self.incarnation:
-            raise RequestError(ErrorKind.WRONG_INCARNATION, "for another incarnation")
-
-    def _check_fence(self, fence: int) -> None:
-        """Refuse a planner whose lease another one has taken since."""
-        if not self.ready.is_set():
-            raise RequestError(ErrorKind.NOT_READY, "engine is being taken over")
-        if fence < self.engine.highest_fence:
-            raise RequestError(ErrorKind.VERSION_CONFLICT, "old fencing number")
-        self.engine.highest_fence = fence
