Poll both heads of the platform in one call

Cause: with a planning duty an entry that polls came to 3.2 KB/s by reckoning, above the budget of 3. Change: the heads of text and shares are read in one call.

--- a/packages/common/src/briarthread_common/platform/feed_store.py
+++ b/packages/common/src/briarthread_common/platform/feed_store.py
@@ -40,7 +40,10 @@
     async def read_since(self, number: int) -> FeedPatch | None:
         """Return one patch from a version to the newest, ``None`` if none."""
         head = await self._read_one(self.head_key())
-        newest = int(head.value) if head else 0
+        return await self.read_between(number, head_version(head))
+
+    async def read_between(self, number: int, newest: int) -> FeedPatch | None:
+        """Return one patch between two versions, ``None`` if none is newer."""
         if newest <= number:
             return None
         if number != WHOLE and newest - number <= MAX_PATCHES:
@@ -64,8 +67,8 @@
         the head is no longer at ``base``.
         """
         head = await self._read_one(self.head_key())
-        if (int(head.value) if head else 0) != base:
-            raise ConflictError(f"{self.feed} is at {head.value if head else 0}")
+        if head_version(head) != base:
+            raise ConflictError(f"{self.feed} is at {head_version(head)}")
         patch = FeedPatch(self.feed, base, base + 1, changes)
         writes = [
             RowWrite(self.head_key(), str(patch.number)),
@@ -108,6 +111,11 @@
         return (await self.platform.read([key])).get(key)
 
 
+def head_version(head: Row | None) -> int:
+    """Return the version that a head row states, 0 where there is none."""
+    return int(head.value) if head else 0
+
+
 def _encode(patch: FeedPatch) -> str:
     return msgspec.json.encode(patch).decode()
 
--- a/packages/common/src/briarthread_common/spread/spreader.py
+++ b/packages/common/src/briarthread_common/spread/spreader.py
@@ -19,7 +19,7 @@
 from briarthread_common.http.channel_calls import MAX_MESSAGE_BYTES, call_json
 from briarthread_common.messages.exchange import Exchange
 from briarthread_common.messages.instance import Instance
-from briarthread_common.platform.feed_store import FeedStore
+from briarthread_common.platform.feed_store import FeedStore, head_version
 from briarthread_common.platform.platform_client import PlatformClient
 from briarthread_common.spread.directory import Directory
 from briarthread_common.utils.hashing import rendezvous_order
@@ -106,8 +106,14 @@
         changes = await self.platform.instances_since(self.feeds.instances.number)
         if changes is not None:
             self._install(changes)
-        for feed in (self.feeds.text, self.feeds.shares):
-            patch = await FeedStore(self.platform, feed.name).read_since(feed.number)
+        stores = {
+            FeedStore(self.platform, feed.name): feed
+            for feed in (self.feeds.text, self.feeds.shares)
+        }
+        heads = await self.platform.read([store.head_key() for store in stores])
+        for store, feed in stores.items():
+            newest = head_version(heads.get(store.head_key()))
+            patch = await store.read_between(feed.number, newest)
             if patch is not None:
                 self._install(patch)
 
