--- a/packages/agent/src/briarthread_agent/holding/share_keeper.py
+++ b/packages/agent/src/briarthread_agent/holding/share_keeper.py
@@ -4,7 +4,6 @@
 from dataclasses import replace
 
 import anyio
-import msgspec
 from loguru import logger
 
 from briarthread_agent.attempts.ledger import Ledger
@@ -16,17 +15,17 @@
 )
 from briarthread_agent.holding.kept_answer import HandOver
 from briarthread_agent.holding.share_guard import ShareGuard
+from briarthread_agent.holding.share_writer import ShareWriter
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.core.exceptions import (
     ChannelError,
     ConflictError,
     PlatformError,
 )
-from briarthread_common.feeds.feed_set import FeedName, FeedSet
+from briarthread_common.feeds.feed_set import FeedSet
 from briarthread_common.http.channel import Channel
 from briarthread_common.http.channel_calls import call_json
 from briarthread_common.messages.instance import Instance
-from briarthread_common.platform.feed_store import FeedStore
 from briarthread_common.platform.platform_client import PlatformClient
 from briarthread_common.shares.share_row import ShareRow, share_name
 from briarthread_common.spread.directory import Directory
@@ -66,13 +65,12 @@
         self.guard = guard
         self.me = guard.me
         self.ledger = ledger
-        self.feeds = feeds
         self.directory = directory
         self.spreader = spreader
         self.channel = channel
         self.events = events
         self.rng = rng
-        self.store = FeedStore(platform, FeedName.SHARES)
+        self.writer = ShareWriter(feeds.shares, platform, spreader)
         self.refused_since: dict[str, float] = {}
 
     async def run(self) -> None:
@@ -93,7 +91,7 @@
             return
         claims = await self._claims()
         if claims:
-            await self._write(claims)
+            await self.writer.write(claims)
 
     async def hand_over_all(self) -> None:
         """Give every held share to its next holder, memory first."""
@@ -119,7 +117,7 @@
             hello = await ask_hello(self.channel, successor.address)
             await self._send_memory(shares, successor)
             given = [self._given_to(row, successor, hello.incarnation) for row in rows]
-            await self._write(given)
+            await self.writer.write(given)
             await self.spreader.exchange_with(successor.address)
             self.events.add("handed-over", successor.name, f"shares {shares}")
         except (ConflictError, PlatformError, ChannelError) as error:
@@ -189,28 +187,6 @@
             case ProbeResult.SILENT:
                 return not listed
 
-    async def _write(self, rows: list[ShareRow]) -> None:
-        feed = self.feeds.shares
-        base = feed.number
-        changes: dict[str, str | None] = {}
-        for row in rows:
-            versioned = replace(row, version=base + 1)
-            name = share_name(row.service, row.data_centre, row.share)
-            changes[name] = msgspec.json.encode(versioned).decode()
-        try:
-            patch = await self.store.append(base, changes, {**feed.items, **changes})
-        except (ConflictError, PlatformError):
-            await self._settle(changes)
-            return
-        feed.install(patch)
-
-    async def _settle(self, changes: dict[str, str | None]) -> None:
-        """Read back what a write without an answer did; raise if nothing."""
-        await self.spreader.poll_platform()
-        items = self.feeds.shares.items
-        if any(items.get(name) != raw for name, raw in changes.items()):
-            raise ConflictError("shares were changed by another")
-
     async def _confirm(self) -> None:
         """Read the rows anew after a freeze, from the platform or a peer."""
         try:
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/holding/share_writer.py
@@ -0,0 +1,51 @@
+"""Writing of share rows by compare-and-set."""
+
+from dataclasses import replace
+
+import msgspec
+
+from briarthread_common.core.exceptions import ConflictError, PlatformError
+from briarthread_common.feeds.feed import Feed
+from briarthread_common.feeds.feed_set import FeedName
+from briarthread_common.platform.feed_store import FeedStore
+from briarthread_common.platform.platform_client import PlatformClient
+from briarthread_common.shares.share_row import ShareRow, share_name
+from briarthread_common.spread.spreader import Spreader
+
+
+class ShareWriter:
+    """Write rows after the version that this process knows, or not at all."""
+
+    def __init__(
+        self, feed: Feed, platform: PlatformClient, spreader: Spreader
+    ) -> None:
+        self.feed = feed
+        self.spreader = spreader
+        self.store = FeedStore(platform, FeedName.SHARES)
+
+    async def write(self, rows: list[ShareRow]) -> None:
+        """
+        Write rows under the next version and install them here.
+
+        Raise ConflictError when another process was faster, PlatformError
+        when it cannot be found out what became of the write.
+        """
+        base = self.feed.number
+        changes: dict[str, str | None] = {}
+        for row in rows:
+            versioned = replace(row, version=base + 1)
+            name = share_name(row.service, row.data_centre, row.share)
+            changes[name] = msgspec.json.encode(versioned).decode()
+        whole = {**self.feed.items, **changes}
+        try:
+            patch = await self.store.append(base, changes, whole)
+        except (ConflictError, PlatformError):
+            await self._settle(changes)
+            return
+        self.feed.install(patch)
+
+    async def _settle(self, changes: dict[str, str | None]) -> None:
+        """Read back what a write without answer did; raise if nothing."""
+        await self.spreader.poll_platform()
+        if any(self.feed.items.get(name) != raw for name, raw in changes.items()):
+            raise ConflictError("shares were changed by another")
--- a/packages/common/src/briarthread_common/spread/spreader.py
+++ b/packages/common/src/briarthread_common/spread/spreader.py
@@ -22,14 +22,13 @@
 from briarthread_common.platform.feed_store import FeedStore, head_version
 from briarthread_common.platform.platform_client import PlatformClient
 from briarthread_common.spread.directory import Directory
+from briarthread_common.spread.tree import told_by
 from briarthread_common.utils.hashing import rendezvous_order
 
 EXCHANGE_PATH = "/peer/v1/exchange"
 EXCHANGE_TIMEOUT = 1.5
 POLLERS = 2
 """How many entries of a data centre poll the platform."""
-FANOUT = 3
-"""How many processes each one tells at once when a feed has moved."""
 START_PEERS = 8
 """How many peers a starting process asks for the highest versions."""
 
@@ -50,8 +49,8 @@
     Keep the feeds of one process at the highest versions to be had.
 
     Two entries of each data centre poll the platform. Whoever installs a
-    higher version tells ``FANOUT`` processes of its data centre along a tree
-    that every process computes alike; a periodic exchange with a random
+    higher version tells those below it in its data centre's tree, which every
+    process computes alike; a periodic exchange with a random
     peer mends what the tree missed, and one now and then with another data
     centre carries versions past a platform that only some can reach.
     """
@@ -235,21 +234,8 @@
         return set(self.directory.all())
 
     def _children(self) -> list[str]:
-        """
-        Return the processes that this one tells.
-
-        The pollers' place in the tree does not matter: whoever installs a
-        version tells its own children and the root, so that the whole tree
-        hears of it wherever it came in.
-        """
-        tree = self.peers()
-        names = [row.name for row in tree]
-        if self.options.name not in names:
-            return [row.address for row in tree[:FANOUT]]
-        place = names.index(self.options.name)
-        below = tree[place * FANOUT + 1 : place * FANOUT + 1 + FANOUT]
-        root = tree[:1] if place else []
-        return [row.address for row in [*root, *below]]
+        """Return the addresses of the processes that this one tells."""
+        return [row.address for row in told_by(self.options.name, self.peers())]
 
     def _random_peer(self) -> str | None:
         rows = self.directory.all().values()
--- a/packages/entry/src/briarthread_entry/placement/improve_map.py
+++ b/packages/entry/src/briarthread_entry/placement/improve_map.py
@@ -76,68 +76,66 @@
 
 
 def _best_swap(layer: Layer, counts: list[float], slots: int) -> Swap | None:
-    loads = rank_loads(layer, counts)
-    replicas = Counter(expert for rank in layer for expert in rank)
-    order = sorted(range(len(layer)), key=lambda r: (loads[r], r))
+    view = _LayerView(layer, counts)
+    order = sorted(range(len(layer)), key=lambda r: (view.loads[r], r))
     hot = order[-1]
-    swaps = [
-        swap
-        for cold in order[:COLD_RANKS]
-        for swap in _swaps(layer, counts, loads, replicas, hot, cold)
-    ]
+    swaps = [swap for cold in order[:COLD_RANKS] for swap in view.exchanges(hot, cold)]
     swaps.extend(
         swap
         for cold in order[:-1]
         if len(layer[cold]) < slots
-        for swap in _copies(layer, counts, loads, replicas, hot, cold)
+        for swap in view.copies(hot, cold)
     )
     return max(swaps, key=lambda swap: swap.gain / swap.loads, default=None)
 
 
-def _swaps(
-    layer: Layer,
-    counts: list[float],
-    loads: list[float],
-    replicas: Counter[int],
-    hot: int,
-    cold: int,
-) -> list[Swap]:
-    swaps = []
-    for out in layer[hot]:
-        if out in layer[cold]:
-            continue
-        part = counts[out] / replicas[out]
-        for back in layer[cold]:
-            if back in layer[hot]:
-                continue
-            other = counts[back] / replicas[back]
-            after = max(loads[hot] - part + other, loads[cold] + part - other)
-            swaps.append(Swap(out, cold, back, loads[hot] - after, copy=False))
-            if replicas[back] > 1:
-                thinner = counts[out] / (replicas[out] + 1)
-                after = max(loads[hot] - part + thinner, loads[cold] + thinner - other)
-                swaps.append(Swap(out, cold, back, loads[hot] - after, copy=True))
-    return swaps
-
-
-def _copies(
-    layer: Layer,
-    counts: list[float],
-    loads: list[float],
-    replicas: Counter[int],
-    hot: int,
-    cold: int,
-) -> list[Swap]:
-    """Return the copies of hot experts into a free slot of a cold rank."""
-    copies = []
-    for out in layer[hot]:
-        if out in layer[cold]:
-            continue
-        part = counts[out] / replicas[out]
-        thinner = counts[out] / (replicas[out] + 1)
-        after = max(loads[hot] - part + thinner, loads[cold] + thinner)
-        copies.append(Swap(out, cold, NO_EXPERT, loads[hot] - after, copy=True))
-    return copies
+class _LayerView:
+    """A layer with its loads, and what could take load off its hot rank."""
+
+    def __init__(self, layer: Layer, counts: list[float]) -> None:
+        self.layer = layer
+        self.counts = counts
+        self.loads = rank_loads(layer, counts)
+        self.replicas = Counter(expert for rank in layer for expert in rank)
+
+    def exchanges(self, hot: int, cold: int) -> list[Swap]:
+        """Return what takes the place of an expert on the cold rank."""
+        return [
+            swap
+            for out in self._movable(hot, cold)
+            for back in self._movable(cold, hot)
+            for swap in self._exchange(hot, cold, out, back)
+        ]
+
+    def copies(self, hot: int, cold: int) -> list[Swap]:
+        """Return the copies into a free slot of the cold rank."""
+        return [
+            self._copy(hot, cold, out, NO_EXPERT) for out in self._movable(hot, cold)
+        ]
+
+    def _movable(self, source: int, other: int) -> list[int]:
+        held = self.layer[other]
+        return [expert for expert in self.layer[source] if expert not in held]
+
+    def _exchange(self, hot: int, cold: int, out: int, back: int) -> list[Swap]:
+        part, other = self._part(out), self._part(back)
+        after = max(self.loads[hot] - part + other, self.loads[cold] + part - other)
+        swaps = [Swap(out, cold, back, self.loads[hot] - after, copy=False)]
+        if self.replicas[back] > 1:
+            swaps.append(self._copy(hot, cold, out, back))
+        return swaps
+
+    def _copy(self, hot: int, cold: int, out: int, back: int) -> Swap:
+        thinner = self.counts[out] / (self.replicas[out] + 1)
+        freed = self._part(back) if back != NO_EXPERT else 0.0
+        after = max(
+            self.loads[hot] - self._part(out) + thinner,
+            self.loads[cold] + thinner - freed,
+        )
+        return Swap(out, cold, back, self.loads[hot] - after, copy=True)
+
+    def _part(self, expert: int) -> float:
+        return self.counts[expert] / self.replicas[expert]
 
 
 def _carry_out(layer: Layer, counts: list[float], swap: Swap) -> None:
--- a/packages/standins/src/briarthread_standins/world.py
+++ b/packages/standins/src/briarthread_standins/world.py
@@ -220,16 +220,7 @@
     async def _run_entry(
         self, instance: Instance, channel: object, rng: random.Random
     ) -> None:
-        settings = EntrySettings(
-            name=instance.name,
-            data_centre=instance.data_centre,
-            listen=instance.address,
-            platform_addresses=(PLATFORM_ADDRESS,),
-            platform_timeout=2.0,
-            spread=self._spread_options(instance),
-            drain_notice=DRAIN_NOTICE,
-            drain_timeout=DRAIN_TIMEOUT,
-        )
+        settings = EntrySettings(**self._shared_settings(instance))
         async with anyio.create_task_group() as tasks:
             entry = Entry(settings, channel, self.clock, rng)
             self._join(instance, entry, entry.app, tasks.cancel_scope)
@@ -240,16 +231,9 @@
         self, instance: Instance, channel: object, rng: random.Random
     ) -> None:
         settings = AgentSettings(
-            name=instance.name,
-            data_centre=instance.data_centre,
             service=instance.service,
-            listen=instance.address,
             target=f"target-{instance.name}",
-            platform_addresses=(PLATFORM_ADDRESS,),
-            platform_timeout=2.0,
-            spread=self._spread_options(instance),
-            drain_notice=DRAIN_NOTICE,
-            drain_timeout=DRAIN_TIMEOUT,
+            **self._shared_settings(instance),
         )
         async with anyio.create_task_group() as tasks:
             agent = Agent(settings, channel, self.clock, tasks, rng)
@@ -267,6 +251,18 @@
         self.network.listen(instance.address, instance.data_centre, app)
         self.members[instance.name] = Member(instance, part, scope)
 
+    def _shared_settings(self, instance: Instance) -> dict[str, object]:
+        return {
+            "name": instance.name,
+            "data_centre": instance.data_centre,
+            "listen": instance.address,
+            "platform_addresses": (PLATFORM_ADDRESS,),
+            "platform_timeout": 2.0,
+            "spread": self._spread_options(instance),
+            "drain_notice": DRAIN_NOTICE,
+            "drain_timeout": DRAIN_TIMEOUT,
+        }
+
     def _spread_options(self, instance: Instance) -> SpreadOptions:
         seeds = [
             row.address for row in self.instances.values() if row.name != instance.name
