--- a/packages/measure/src/briarthread_measure/control_run.py
+++ b/packages/measure/src/briarthread_measure/control_run.py
@@ -7,7 +7,7 @@
 Options:
   --seconds=N  How long each run is watched [default: 20].
 
-PART is workers, texts, exchanges or full; all of them by default.
+PART is workers, texts, exchanges, agents or full; all of them by default.
 
 Each run starts the platform stand-in, a farm of agents and one entry that
 knows 490 entries, 1,300 workers, 4,200 accounts, 31 services and their
@@ -28,6 +28,8 @@
 
 from briarthread_common.platform.table_messages import RowWrite, Transaction
 from briarthread_common.utils.hashing import rendezvous_order
+from briarthread_entry.routing.target_table import MAX_WATCHED
+from briarthread_entry.routing.watcher import report_interval
 from briarthread_measure.full_size import (
     ACCOUNTS,
     AGENTS,
@@ -271,6 +273,56 @@
     slope("exchanges", "an exchange", rates, costs)
 
 
+def run_agents(seconds: float) -> None:
+    """Measure an agent at full size by the number of entries that watch it."""
+    counts = [0, 8, 16, 32, 64]
+    costs = [run_agent(count, seconds) for count in counts]
+    for count, cost in zip(counts, costs, strict=True):
+        show(f"agent, {count} entries watch", cost)
+    slope("watchers", "a watcher", [float(n) for n in counts], costs)
+
+
+def run_agent(watchers: int, seconds: float) -> Cost:
+    """Start an agent at the address of the entry and watch it for a while."""
+    load = Load()
+    with tempfile.TemporaryDirectory() as folder:
+        handles = [start("platform_app", PLATFORM)]
+        wait_until(get_counts, "platform")
+        fill_platform(load)
+        handles.append(start_farm(load))
+        try:
+            agent = start_agent(Path(folder))
+            handles.append(agent)
+            wait_until(entry_is_ready, "agent")
+            handles.append(start_watchers(watchers))
+            time.sleep(SETTLE_SECONDS)
+            return watch(agent.pid, load, seconds)
+        finally:
+            for handle in reversed(handles):
+                handle.kill()
+                handle.wait()
+
+
+def start_agent(folder: Path) -> subprocess.Popen:
+    """Start the agent under test."""
+    settings = folder / "agent.ini"
+    settings.write_text(
+        f"[instance]\nname = worker-0\ndata_centre = dc-0\nservice = model-0\n"
+        f"listen = {ENTRY}\n[platform]\naddresses = {PLATFORM}\n"
+        f"[target]\naddress = 127.0.0.1:9\n[peers]\nseeds = 127.0.0.1:{FARM_PORT}\n"
+        "[logs]\nlevel = ERROR\n",
+        encoding="utf-8",
+    )
+    return subprocess.Popen([*program("briarthread-agent"), str(settings)])
+
+
+def start_watchers(count: int) -> subprocess.Popen:
+    """Start the streams of the entries that watch the agent."""
+    command = [sys.executable, "-m", "briarthread_measure.load_watchers"]
+    every = str(report_interval(MAX_WATCHED))
+    return subprocess.Popen([*command, ENTRY, str(count), every])
+
+
 def run_full(seconds: float) -> None:
     """Measure all of it at full size."""
     show("full size, not on poll duty", run(Load(text_changes=0.066), seconds))
@@ -287,6 +339,7 @@
         "workers": run_workers,
         "texts": run_texts,
         "exchanges": run_exchanges,
+        "agents": run_agents,
         "full": run_full,
     }
     for name, run_part in parts.items():
--- a/tests/processes/run_bad_input.py
+++ b/tests/processes/run_bad_input.py
@@ -16,6 +16,7 @@
 
 from docopt import docopt
 
+from briarthread_measure.process_usage import read_usage
 from briarthread_standins.deployment import Deployment, wait_until
 
 TEXT = Path(__file__).parents[2] / "examples" / "caruso.ini"
@@ -27,6 +28,10 @@
     'POST /peer/v1/exchange HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n{"a":'
 )
 READ_SECONDS = 3.0
+SLOW_READERS = 12
+SLOW_SECONDS = 4.0
+MAX_GROWTH = 20_000_000
+OK = 200
 MANY_TOKENS = b'{"tokens": 100000}'
 
 CASES: dict[str, tuple[str, tuple[int, ...]]] = {
@@ -57,13 +62,14 @@
 }
 
 
-def send(address: str, raw: str) -> int:
+def send(address: str, raw: str, half_close: bool = True) -> int:
     """Send raw bytes and return the status of the answer, 0 for none."""
     host, _, port = address.rpartition(":")
     with socket.create_connection((host, int(port)), READ_SECONDS) as connection:
         try:
             connection.sendall(raw.encode("latin-1"))
-            connection.shutdown(socket.SHUT_WR)
+            if half_close:
+                connection.shutdown(socket.SHUT_WR)
         except OSError:
             pass
         try:
@@ -104,6 +110,34 @@
     return good
 
 
+def read_slowly(deployment: Deployment) -> bool:
+    """Do not read a long stream; the entry must stay small and go on serving."""
+    entry = deployment.processes["entry-palermo-0"]
+    host, _, port = entry.address.rpartition(":")
+    head = (
+        f"POST /v1/services/assistant/x HTTP/1.1\r\nHost: x\r\n{AUTH}"
+        f"Content-Length: {len(MANY_TOKENS)}\r\n\r\n"
+    )
+    before = read_usage(entry.handle.pid).rss
+    connections = []
+    for _ in range(SLOW_READERS):
+        connection = socket.create_connection((host, int(port)), READ_SECONDS)
+        connection.sendall(head.encode() + MANY_TOKENS)
+        connections.append(connection)
+    time.sleep(SLOW_SECONDS)
+    status = send(entry.address, f"{HEAD}Content-Length: 0\r\n\r\n", half_close=False)
+    grown = read_usage(entry.handle.pid).rss - before
+    for connection in connections:
+        connection.close()
+    good = status == OK and grown < MAX_GROWTH
+    print(
+        f"{'ok' if good else 'FAILED'}: {SLOW_READERS} slow readers: other request "
+        f"{status}, entry grew by {grown / 1e6:.1f} MB",
+        flush=True,
+    )
+    return good
+
+
 def cancelled(deployment: Deployment) -> int:
     """Return how many requests the engines have taken out of their batches."""
     return sum(
@@ -125,6 +159,7 @@
             checks: list[Callable[[], bool]] = [
                 *(lambda name=name: run_case(deployment, name) for name in CASES),
                 lambda: hang_up(deployment),
+                lambda: read_slowly(deployment),
             ]
             results = [check() for check in checks]
         finally:
