--- a/packages/measure/src/briarthread_measure/full_size.py
+++ b/packages/measure/src/briarthread_measure/full_size.py
@@ -27,7 +27,7 @@
 
 def service_name(number: int) -> str:
     """Return the name of a service."""
-    return f"model-{number % SERVICES}"
+    return f"model-{number}"
 
 
 def text_sections(accounts: int, services: int = SERVICES) -> dict[str, str]:
@@ -71,7 +71,7 @@
             data_centre_name(n),
             addresses[n % len(addresses)],
             InstanceRole.TARGET,
-            service_name(n // DATA_CENTRES),
+            service_name(n // DATA_CENTRES % SERVICES),
         )
         items[name] = msgspec.json.encode(row).decode()
     return items
--- a/packages/measure/src/briarthread_measure/memory_probe.py
+++ b/packages/measure/src/briarthread_measure/memory_probe.py
@@ -47,6 +47,14 @@
     return feeds, view.current()
 
 
+def hold_services(count: int) -> object:
+    """Hold a text with so many services."""
+    feeds = FeedSet()
+    feeds.text.install(whole("text", text_sections(0, count)))
+    view = TextView(feeds.text)
+    return feeds, view.current()
+
+
 def hold_instances(count: int) -> object:
     """Hold an instance list, raw and typed."""
     feeds = FeedSet()
@@ -113,6 +121,7 @@
 
 PROBES: dict[str, Callable[[int], object]] = {
     "accounts": hold_accounts,
+    "services": hold_services,
     "instances": hold_instances,
     "shares": hold_shares,
     "keys": hold_keys,
--- a/packages/measure/src/briarthread_measure/memory_slopes.py
+++ b/packages/measure/src/briarthread_measure/memory_slopes.py
@@ -8,6 +8,7 @@
 SIZES = {
     "accounts": (1000, 2000, 4000, 6000, 8000),
     "instances": (1000, 2000, 4000, 6000, 8000),
+    "services": (50, 100, 200, 400),
     "shares": (768, 1536, 2976, 5952),
     "keys": (2000, 4000, 8000, 16000),
     "buckets": (2000, 3000, 4000, 4096),
--- a/tests/world/test_whole_answers.py
+++ b/tests/world/test_whole_answers.py
@@ -1,8 +1,11 @@
 """A caller receives a whole answer, or is told that it gets none."""
 
 import anyio
+import pytest
 from builders import in_world
 
+from briarthread_common.http.app import AnswerAborted, App, Route
+from briarthread_common.http.call import Call
 from briarthread_standins.world import World
 
 TIMEOUT = 0.5
@@ -63,3 +66,28 @@
         assert answers[0].outcome == "unknown"
 
     in_world(scenario, data_centres=("palermo",), targets=2)
+
+
+@pytest.mark.parametrize("chunks", [[b"x" * 6_000_000], [b"part", None]])
+def test_answer_too_large_or_cut_short_is_never_passed_on(
+    chunks: list[bytes | None],
+) -> None:
+    async def answer_badly(call: Call) -> None:
+        await call.read_body(1000)
+        await call.start(200, [("content-type", "application/json")])
+        for chunk in chunks:
+            if chunk is None:
+                raise AnswerAborted("cut")
+            await call.send_chunk(chunk)
+        await call.finish()
+
+    async def scenario(world: World) -> None:
+        name = "diary-palermo-0"
+        bad = App([Route("*", "/", answer_badly)])
+        world.network.listen(f"target-{name}", f"slot-{name}", bad)
+        answer = await world.call("entry-palermo-0", "diary/x", "salon-0", body=b"x")
+        assert answer.status == 502
+        assert answer.outcome == "unknown"
+        assert b"part" not in answer.body
+
+    in_world(scenario, data_centres=("palermo",), targets=1)
