--- a/packages/agent/src/briarthread_agent/holding/gap_watch.py
+++ b/packages/agent/src/briarthread_agent/holding/gap_watch.py
@@ -21,21 +21,16 @@
         self.clock = clock
         self.last_tick = clock.now()
         self.suspect = False
-        self.noticed = anyio.Event()
 
     def check(self) -> bool:
         """Tell whether there is a gap that was not yet cleared."""
-        now = self.clock.now()
-        if now - self.last_tick > GAP_BOUND:
+        if self.clock.now() - self.last_tick > GAP_BOUND:
             self.suspect = True
-            self.noticed.set()
-        self.last_tick = now if self.suspect else self.last_tick
         return self.suspect
 
     def clear(self) -> None:
         """Note that the shares were confirmed."""
         self.suspect = False
-        self.noticed = anyio.Event()
         self.last_tick = self.clock.now()
 
     async def run(self) -> None:
--- a/packages/common/src/briarthread_common/core/error_answer.py
+++ b/packages/common/src/briarthread_common/core/error_answer.py
@@ -31,7 +31,6 @@
     ErrorKind.UNKNOWN_SERVICE: ErrorAnswer(404, _NOT_RUN, None, "Unknown service"),
     ErrorKind.NOT_FOUND: ErrorAnswer(404, _NOT_RUN, None, "No such page"),
     ErrorKind.BODY_TOO_LARGE: ErrorAnswer(413, _NOT_RUN, None, "Body too large"),
-    ErrorKind.BODY_TRUNCATED: ErrorAnswer(400, _NOT_RUN, None, "Body cut short"),
     ErrorKind.KEY_REUSED: ErrorAnswer(
         422, _NOT_RUN, None, "Idempotency key reused for another request"
     ),
@@ -59,7 +58,5 @@
     ErrorKind.DEADLINE_PASSED: ErrorAnswer(504, _NOT_RUN, 1, "Deadline passed"),
     ErrorKind.REVOKED: ErrorAnswer(503, _NOT_RUN, 1, "Attempt revoked"),
     ErrorKind.VERSION_CONFLICT: ErrorAnswer(409, _NOT_RUN, None, "Version conflict"),
-    ErrorKind.TEXT_INVALID: ErrorAnswer(422, _NOT_RUN, None, "Text has faults"),
-    ErrorKind.PLATFORM_DOWN: ErrorAnswer(503, _UNKNOWN, 5, "Platform unreachable"),
     ErrorKind.INTERNAL: ErrorAnswer(500, _UNKNOWN, 1, "Internal error"),
 }
