--- a/packages/agent/src/briarthread_agent/agent.py
+++ b/packages/agent/src/briarthread_agent/agent.py
@@ -37,6 +37,7 @@
 from briarthread_common.shares.share_view import ShareView
 from briarthread_common.spread.directory import Directory
 from briarthread_common.spread.spreader import EXCHANGE_PATH, Spreader
+from briarthread_common.spread.table_source import TableSource
 from briarthread_common.text.text_view import TextView
 from briarthread_common.utils.clock import Clock
 from briarthread_common.utils.hashing import random_id
@@ -77,7 +78,12 @@
             channel, settings.platform_addresses, settings.platform_timeout
         )
         self.spreader = Spreader(
-            settings.spread, self.feeds, self.directory, platform, channel, rng
+            settings.spread,
+            self.feeds,
+            self.directory,
+            TableSource(platform),
+            channel,
+            rng,
         )
         self.gap = GapWatch(clock)
         self.guard = ShareGuard(
--- a/packages/agent/src/briarthread_agent/main.py
+++ b/packages/agent/src/briarthread_agent/main.py
@@ -48,7 +48,7 @@
             settings, channel, Clock.from_system(), tasks, random.SystemRandom()
         )
         agent.start()
-        server = HttpServer(agent.app, listener, settings.drain_timeout)
+        server = HttpServer(agent.app, [listener], settings.drain_timeout)
         logger.info("agent: {} listens on {}", settings.name, settings.listen)
         await server.run(agent.drain)
         tasks.cancel_scope.cancel()
--- a/packages/common/src/briarthread_common/core/error_answer.py
+++ b/packages/common/src/briarthread_common/core/error_answer.py
@@ -31,6 +31,7 @@
     ErrorKind.UNKNOWN_SERVICE: ErrorAnswer(404, _NOT_RUN, None, "Unknown service"),
     ErrorKind.NOT_FOUND: ErrorAnswer(404, _NOT_RUN, None, "No such page"),
     ErrorKind.BODY_TOO_LARGE: ErrorAnswer(413, _NOT_RUN, None, "Body too large"),
+    ErrorKind.BODY_TOO_SLOW: ErrorAnswer(408, _NOT_RUN, 1, "Body too slow"),
     ErrorKind.KEY_REUSED: ErrorAnswer(
         422, _NOT_RUN, None, "Idempotency key reused for another request"
     ),
@@ -43,6 +44,7 @@
         503, _NOT_RUN, 1, "Deadline cannot be met"
     ),
     ErrorKind.NO_TARGET: ErrorAnswer(503, _NOT_RUN, 2, "No target"),
+    ErrorKind.GROUP_BROKEN: ErrorAnswer(503, _NOT_RUN, 1, "Group not serving"),
     ErrorKind.DEPENDENCY_DOWN: ErrorAnswer(503, _NOT_RUN, 2, "Dependency down"),
     ErrorKind.DRAINING: ErrorAnswer(503, _NOT_RUN, 1, "Instance is stopping"),
     ErrorKind.NOT_READY: ErrorAnswer(503, _NOT_RUN, 1, "Instance is starting"),
--- a/packages/common/src/briarthread_common/core/exceptions.py
+++ b/packages/common/src/briarthread_common/core/exceptions.py
@@ -64,6 +64,14 @@
     """The platform did not answer, or not with what its interface states."""
 
 
+class DecodeError(BriarthreadError):
+    """A row of the platform is not what its interface states."""
+
+
+class HistoryGoneError(BriarthreadError):
+    """The platform no longer has the changes after the version asked for."""
+
+
 class ConflictError(BriarthreadError):
     """A transaction's check did not hold; nothing of it took effect."""
 
--- /dev/null
+++ b/packages/common/src/briarthread_common/direct/__init__.py
@@ -0,0 +1,1 @@
+"""Routes to targets that have no agent before them."""
--- /dev/null
+++ b/packages/common/src/briarthread_common/direct/caller_limits.py
@@ -0,0 +1,13 @@
+"""What callers may send and how long they may be idle."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bound a caller's request in bytes and its pauses in seconds."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
--- /dev/null
+++ b/packages/common/src/briarthread_common/direct/direct_service.py
@@ -0,0 +1,18 @@
+"""A service whose targets are called directly."""
+
+from dataclasses import dataclass
+
+from briarthread_common.direct.engine_figures import EngineFigures
+
+
+@dataclass(frozen=True, slots=True)
+class DirectService:
+    """
+    Describe a service; ``engine`` is there for model engines only.
+
+    A target takes ``max_connections`` from all callers together.
+    """
+
+    name: str
+    max_connections: int
+    engine: EngineFigures | None = None
--- /dev/null
+++ b/packages/common/src/briarthread_common/direct/header_names.py
@@ -0,0 +1,27 @@
+"""The header names that callers and direct targets use."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class HeaderNames:
+    """
+    Name each header by what it says; all names are lower case.
+
+    ``time_left`` is in milliseconds. ``size`` holds the tokens of the prompt
+    and the most of the answer. ``not_run`` on an answer says that the target
+    did not run the request; ``signature`` is there on every answer that a
+    target made. ``load`` tells running, waiting and slots.
+    """
+
+    request_id: str
+    time_left: str
+    account_key: str
+    account_name: str
+    expected_target: str
+    signature: str
+    not_run: str
+    faulty_target: str
+    load: str
+    size: str
+    resume_from: str
--- a/packages/common/src/briarthread_common/feeds/feed_set.py
+++ b/packages/common/src/briarthread_common/feeds/feed_set.py
@@ -1,33 +1,70 @@
-"""The three feeds of a process."""
+"""The feeds of a process."""
 
+from collections.abc import Sequence
 from enum import StrEnum
 
 from briarthread_common.feeds.feed import Feed
 
 
 class FeedName(StrEnum):
-    """Name the feeds that every process keeps."""
+    """Name every feed that processes exchange."""
 
     TEXT = "text"
     INSTANCES = "instances"
     SHARES = "shares"
+    ROUTES = "routes"
+    TARGETS = "targets"
+
+
+AGENT_FEEDS = (FeedName.TEXT, FeedName.INSTANCES, FeedName.SHARES)
+"""What a process keeps where agents stand before the targets."""
+DIRECT_FEEDS = (FeedName.ROUTES, FeedName.TARGETS, FeedName.INSTANCES)
+"""What an entry keeps that sends to targets directly."""
 
 
 class FeedSet:
-    """Hold one feed of each name."""
+    """
+    Hold one feed of each of some names.
+
+    >>> FeedSet(DIRECT_FEEDS).versions()
+    {'routes': 0, 'targets': 0, 'instances': 0}
+    """
+
+    def __init__(self, names: Sequence[FeedName] = AGENT_FEEDS) -> None:
+        self.feeds: dict[str, Feed] = {name.value: Feed(name.value) for name in names}
+
+    @property
+    def text(self) -> Feed:
+        """Return the feed of the services text."""
+        return self.feeds[FeedName.TEXT]
+
+    @property
+    def instances(self) -> Feed:
+        """Return the feed of the instances."""
+        return self.feeds[FeedName.INSTANCES]
+
+    @property
+    def shares(self) -> Feed:
+        """Return the feed of the shares of keys."""
+        return self.feeds[FeedName.SHARES]
+
+    @property
+    def routes(self) -> Feed:
+        """Return the feed of the routes of direct targets."""
+        return self.feeds[FeedName.ROUTES]
 
-    def __init__(self) -> None:
-        self.text = Feed(FeedName.TEXT)
-        self.instances = Feed(FeedName.INSTANCES)
-        self.shares = Feed(FeedName.SHARES)
+    @property
+    def targets(self) -> Feed:
+        """Return the feed of the direct targets."""
+        return self.feeds[FeedName.TARGETS]
 
     def all(self) -> tuple[Feed, ...]:
         """Return the feeds in a fixed order."""
-        return (self.text, self.instances, self.shares)
+        return tuple(self.feeds.values())
 
     def by_name(self, name: str) -> Feed | None:
         """Return the feed of a name, or ``None`` for one not known here."""
-        return next((feed for feed in self.all() if feed.name == name), None)
+        return self.feeds.get(name)
 
     def versions(self) -> dict[str, int]:
         """Return the version of each feed by its name."""
--- a/packages/common/src/briarthread_common/http/call.py
+++ b/packages/common/src/briarthread_common/http/call.py
@@ -27,8 +27,9 @@
     Wrap one ASGI call: its head, its body and the answer to it.
 
     ``started`` says that the answer's head was sent, ``finished`` that its
-    end was. Header names are lower case; a header given twice is refused, because
-    two readers could each take another one of the two.
+    end was. With ``closes`` the connection takes no call after this one. Header
+    names are lower case; a header given twice is refused, because two readers
+    could each take another one of the two.
     """
 
     def __init__(
@@ -45,6 +46,25 @@
         self.query: str = scope.get("query_string", b"").decode("latin-1")
         self.started = False
         self.finished = False
+        self.closes = False
+
+    @property
+    def raw_path(self) -> str:
+        """Return the path as the caller escaped it."""
+        return self.scope["raw_path"].decode("latin-1")
+
+    @property
+    def raw_target(self) -> str:
+        """Return path and query as the caller wrote them."""
+        return f"{self.raw_path}?{self.query}" if self.query else self.raw_path
+
+    @property
+    def header_fields(self) -> list[tuple[str, str]]:
+        """Return all headers in order, names in lower case."""
+        return [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in self.scope["headers"]
+        ]
 
     @property
     def headers(self) -> dict[str, str]:
@@ -121,6 +141,8 @@
         """Send the head of an answer whose body follows in chunks."""
         self.started = True
         encoded = [(name.encode(), value.encode("latin-1")) for name, value in headers]
+        if self.closes:
+            encoded.append((b"connection", b"close"))
         await self.send(
             {"type": "http.response.start", "status": status, "headers": encoded}
         )
--- a/packages/common/src/briarthread_common/http/channel.py
+++ b/packages/common/src/briarthread_common/http/channel.py
@@ -8,13 +8,20 @@
 
 @dataclass(frozen=True, slots=True)
 class ChannelRequest:
-    """Describe a call: ``address`` is IP:PORT, header names lower case."""
+    """
+    Describe a call: ``address`` is IP:PORT, header names lower case.
+
+    A ``host`` among the headers replaces the address there. A body of
+    ``None`` sends none at all. ``fresh`` asks for a connection that carried
+    no call before, whose state therefore cannot be doubted.
+    """
 
     method: str
     address: str
     path: str
     headers: tuple[tuple[str, str], ...] = ()
-    body: bytes = b""
+    body: bytes | None = b""
+    fresh: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,12 +29,15 @@
     """
     Hold the head of an answer and its body to come.
 
-    Iterating ``body`` raises BrokenCallError when it ends short.
+    ``headers`` has the last value of each name, ``fields`` all of them in
+    order; names are lower case. Iterating ``body`` raises BrokenCallError when
+    it ends short.
     """
 
     status: int
     headers: Mapping[str, str]
     body: AsyncIterator[bytes]
+    fields: tuple[tuple[str, str], ...] = ()
 
 
 class Channel(Protocol):
--- a/packages/common/src/briarthread_common/http/http_channel.py
+++ b/packages/common/src/briarthread_common/http/http_channel.py
@@ -11,12 +11,7 @@
     NotWrittenError,
 )
 from briarthread_common.http.channel import ChannelRequest, ChannelResponse
-
-CONNECT_TIMEOUT = 1.0
-KEEPALIVE_SECONDS = 30.0
-MAX_CONNECTIONS = 1000
-MAX_IDLE = 20
-_EXTENSIONS = {"timeout": {"connect": CONNECT_TIMEOUT}}
+from briarthread_common.http.channel_options import ChannelOptions
 
 
 class HttpChannel:
@@ -27,25 +22,26 @@
     addresses would cost each call time in proportion to the peers.
     """
 
-    def __init__(self) -> None:
-        self.pools: dict[str, httpcore.AsyncConnectionPool] = {}
+    def __init__(self, options: ChannelOptions | None = None) -> None:
+        self.options = options or ChannelOptions()
+        self.pools: dict[tuple[str, bool], httpcore.AsyncConnectionPool] = {}
+        self.extensions = {"timeout": {"connect": self.options.connect_timeout}}
 
     @asynccontextmanager
     async def stream(self, request: ChannelRequest) -> AsyncIterator[ChannelResponse]:
         """Send a call over a kept connection; see Channel."""
-        opened = self._pool(request.address).stream(
+        opened = self._pool(request.address, request.fresh).stream(
             request.method,
-            f"http://{request.address}{request.path}",
-            headers=[("host", request.address), *request.headers],
+            _url(request),
+            headers=_headers(request),
             content=request.body,
-            extensions=_EXTENSIONS,
+            extensions=self.extensions,
         )
         try:
             async with opened as response:
+                fields = _decode_headers(response.headers)
                 yield ChannelResponse(
-                    response.status,
-                    _decode_headers(response.headers),
-                    _body(response),
+                    response.status, dict(fields), _body(response), fields
                 )
         except httpcore.ConnectError as error:
             raise ConnectionRefused(f"{request.address}: {error}") from error
@@ -64,22 +60,38 @@
             await pool.aclose()
         self.pools.clear()
 
-    def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
-        pool = self.pools.get(address)
+    def _pool(self, address: str, fresh: bool) -> httpcore.AsyncConnectionPool:
+        pool = self.pools.get((address, fresh))
         if pool is None:
             pool = httpcore.AsyncConnectionPool(
-                max_connections=MAX_CONNECTIONS,
-                max_keepalive_connections=MAX_IDLE,
-                keepalive_expiry=KEEPALIVE_SECONDS,
+                max_connections=self.options.max_connections,
+                max_keepalive_connections=0 if fresh else self.options.max_idle,
+                keepalive_expiry=self.options.keepalive_seconds,
+                socket_options=self.options.socket_options(),
             )
-            self.pools[address] = pool
+            self.pools[address, fresh] = pool
         return pool
 
 
-def _decode_headers(raw: list[tuple[bytes, bytes]]) -> dict[str, str]:
-    return {
-        name.decode("latin-1").lower(): value.decode("latin-1") for name, value in raw
-    }
+def _url(request: ChannelRequest) -> httpcore.URL:
+    """Return the URL with the path as it stands, whatever it is escaped like."""
+    host, _, port = request.address.rpartition(":")
+    return httpcore.URL(
+        scheme="http", host=host, port=int(port), target=request.path.encode("latin-1")
+    )
+
+
+def _headers(request: ChannelRequest) -> list[tuple[bytes, bytes]]:
+    named = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in request.headers]
+    if any(name == b"host" for name, _ in named):
+        return named
+    return [(b"host", request.address.encode()), *named]
+
+
+def _decode_headers(raw: list[tuple[bytes, bytes]]) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name.decode("latin-1").lower(), value.decode("latin-1")) for name, value in raw
+    )
 
 
 async def _body(response: httpcore.Response) -> AsyncIterator[bytes]:
--- a/packages/common/src/briarthread_common/http/problem.py
+++ b/packages/common/src/briarthread_common/http/problem.py
@@ -24,17 +24,19 @@
     )
 
 
-def problem_headers(error: RequestError) -> list[tuple[str, str]]:
+def problem_headers(error: RequestError, exact: bool = False) -> list[tuple[str, str]]:
     """
     Return the headers of a failed request.
 
-    ``Retry-After`` is in whole seconds and never rounds down to nothing.
+    ``Retry-After`` is in whole seconds and never rounds down to nothing, or,
+    for callers known to read fractions, ``exact`` to a millisecond.
     """
     headers = [
         ("content-type", PROBLEM_TYPE),
         ("briarthread-outcome", str(error.outcome)),
     ]
     if error.retry_after is not None:
-        seconds = max(1, math.ceil(error.retry_after))
-        headers.append(("retry-after", str(seconds)))
+        whole = max(1, math.ceil(error.retry_after))
+        value = f"{error.retry_after:.3f}" if exact else str(whole)
+        headers.append(("retry-after", value))
     return headers
--- a/packages/common/src/briarthread_common/http/server.py
+++ b/packages/common/src/briarthread_common/http/server.py
@@ -3,11 +3,12 @@
 import contextlib
 import signal
 import socket
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from typing import Any
 
 import anyio
 import uvicorn
+from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from briarthread_common.core.exceptions import ListenError
 
@@ -25,6 +26,19 @@
         yield
 
 
+class _PatientProtocol(H11Protocol):
+    """A connection that takes its idle time from the settings at each pause."""
+
+    @property
+    def timeout_keep_alive(self) -> float:
+        """Return the seconds that the connection may be idle."""
+        return self.config.timeout_keep_alive
+
+    @timeout_keep_alive.setter
+    def timeout_keep_alive(self, seconds: float) -> None:
+        pass
+
+
 class HttpServer:
     """
     Serve an application and stop it gracefully.
@@ -34,11 +48,13 @@
     listener closes and the requests in flight are awaited.
     """
 
-    def __init__(self, app: Any, listener: socket.socket, drain_timeout: float) -> None:
-        self.listener = listener
-        config = uvicorn.Config(
+    def __init__(
+        self, app: Any, listeners: Sequence[socket.socket], drain_timeout: float
+    ) -> None:
+        self.listeners = list(listeners)
+        self.config = uvicorn.Config(
             app,
-            http="h11",
+            http=_PatientProtocol,
             lifespan="off",
             log_config=None,
             access_log=False,
@@ -49,15 +65,20 @@
             timeout_graceful_shutdown=int(drain_timeout) + 1,
             h11_max_incomplete_event_size=MAX_HEADER_BYTES,
         )
-        self.server = _QuietServer(config)
+        self.server = _QuietServer(self.config)
 
     async def run(self, on_drain: Callable[[], Awaitable[None]]) -> None:
         """Serve until a signal asks to stop and all requests are done."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._wait_signal, on_drain)
-            await self.server.serve([self.listener])
+            await self.server.serve(self.listeners)
             tasks.cancel_scope.cancel()
-        self.listener.close()
+        for listener in self.listeners:
+            listener.close()
+
+    def set_idle_timeout(self, seconds: float) -> None:
+        """Keep idle connections open for this long from now on."""
+        self.config.timeout_keep_alive = seconds
 
     async def _wait_signal(self, on_drain: Callable[[], Awaitable[None]]) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/packages/common/src/briarthread_common/messages/exchange.py
+++ b/packages/common/src/briarthread_common/messages/exchange.py
@@ -11,8 +11,10 @@
     Carry the versions of a process's feeds, and patches for the other side.
 
     The asker sends its versions; the answer holds the versions of the other
-    side and a patch for each feed in which the asker lags.
+    side and a patch for each feed in which the asker lags. ``source_age`` is
+    how many seconds ago the sender last heard from the platform.
     """
 
     versions: dict[str, int]
     patches: list[FeedPatch] = field(default_factory=list)
+    source_age: float = 0.0
--- /dev/null
+++ b/packages/common/src/briarthread_common/spread/following_spreader.py
@@ -0,0 +1,162 @@
+"""A spreader whose platform holds calls open until there is something new."""
+
+import random
+
+import anyio
+from loguru import logger
+
+from briarthread_common.core.exceptions import (
+    ChannelError,
+    HistoryGoneError,
+    PlatformError,
+)
+from briarthread_common.feeds.feed import Feed
+from briarthread_common.feeds.feed_patch import FeedPatch
+from briarthread_common.feeds.feed_set import FeedSet
+from briarthread_common.http.channel import Channel
+from briarthread_common.spread.directory import Directory
+from briarthread_common.spread.feed_source import FollowedSource
+from briarthread_common.spread.source_health import SourceHealth
+from briarthread_common.spread.spreader import Spreader, SpreadOptions
+
+FOLLOW_SECONDS = 4.0
+"""Longest wait in one call. A silent platform is noticed after it at the
+latest, and what is written once it is back must be in force in seconds."""
+FOLLOW_PAUSE = 0.25
+"""Seconds between two calls for one feed, so that a rush of changes makes few
+calls; a change waits no longer than this, far under the two seconds it has."""
+RETRY_SECONDS = 0.4
+"""Mean pause after a failed call: soon enough to hear of a change in time once
+the platform is back, seldom enough not to press it while it is not."""
+WATCH_SECONDS = 0.8
+"""How often one that does not follow asks one that does."""
+TRUSTED_AGE = 2.0
+"""Seconds after which a follower's last word from the platform is too old."""
+STAND_IN_SECONDS = 3.0
+"""How long one follows itself after its followers failed it."""
+
+
+class FollowingSpreader(Spreader):
+    """
+    Follow the platform's feeds, or follow those who do.
+
+    A few entries of each data centre hold calls open at the platform and
+    tell the others at once. One that does not follow asks a follower now and
+    then; when that one is silent, or has not heard from the platform itself,
+    it follows on its own for a while. One that the platform turns away hears
+    from peers of every data centre.
+    """
+
+    def __init__(
+        self,
+        options: SpreadOptions,
+        feeds: FeedSet,
+        directory: Directory,
+        source: FollowedSource,
+        channel: Channel,
+        rng: random.Random,
+    ) -> None:
+        super().__init__(options, feeds, directory, source, channel, rng)
+        self.followed = source
+        self.health = SourceHealth()
+        self.standing_in_until = 0.0
+
+    def source_age(self) -> float:
+        """Return the seconds since the platform was last heard from."""
+        return self.health.age(anyio.current_time())
+
+    async def _poll_loop(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            for feed in self.feeds.all():
+                tasks.start_soon(self._follow_loop, feed)
+
+    async def _exchange_loop(self) -> None:
+        while True:
+            await anyio.sleep(WATCH_SECONDS * self.rng.uniform(0.8, 1.2))
+            if not self._on_poll_duty():
+                await self._watch_follower()
+            elif self.source_age() > TRUSTED_AGE:
+                await self._ask_any_peer()
+
+    async def _follow_loop(self, feed: Feed) -> None:
+        cursor = 0
+        while True:
+            if not self._on_poll_duty():
+                await anyio.sleep(FOLLOW_PAUSE)
+                cursor = 0
+                continue
+            cursor = max(cursor, feed.number)
+            try:
+                patch = await self._next_patch(feed, cursor)
+            except PlatformError as error:
+                self._note_down(feed, error)
+                await anyio.sleep(RETRY_SECONDS * self.rng.uniform(0.5, 1.5))
+                continue
+            self._note_up()
+            self._take(feed, patch)
+            cursor = max(cursor, patch.number)
+            await anyio.sleep(FOLLOW_PAUSE)
+
+    async def _next_patch(self, feed: Feed, cursor: int) -> FeedPatch:
+        if cursor == 0:
+            return await self.followed.read_whole(feed.name)
+        wait = FOLLOW_SECONDS if self.health.up else 0.0
+        try:
+            return await self.followed.follow(feed.name, cursor, wait)
+        except HistoryGoneError as error:
+            logger.info("spread: {}: {}; reading all anew", feed.name, error)
+            return await self.followed.read_whole(feed.name)
+
+    def _take(self, feed: Feed, patch: FeedPatch) -> None:
+        """
+        Install a patch, which may start above the feed's own version.
+
+        Calls that ended without news moved the cursor and not the feed, so
+        what lies between the two is known to be nothing.
+        """
+        if not patch.changes and patch.base:
+            return
+        base = min(patch.base, feed.number)
+        self.install_all([FeedPatch(feed.name, base, patch.number, patch.changes)])
+
+    async def _watch_follower(self) -> None:
+        address = self._some_follower()
+        if address is None:
+            return
+        try:
+            heard = await self.exchange_with(address)
+        except ChannelError as error:
+            self._stand_in(f"{address}: {error}")
+            return
+        if heard.source_age > TRUSTED_AGE:
+            self._stand_in(f"{address} heard nothing for {heard.source_age:.1f} s")
+
+    async def _ask_any_peer(self) -> None:
+        address = self._random_peer()
+        if address is not None:
+            await self._exchange_quietly(address)
+
+    def _some_follower(self) -> str | None:
+        known = self.directory.all()
+        return self.rng.choice(
+            [known[name].address for name in self._duty() if name in known] or [None]
+        )
+
+    def _stand_in(self, reason: str) -> None:
+        if not self._on_poll_duty():
+            logger.info("spread: following the platform itself: {}", reason)
+        self.standing_in_until = anyio.current_time() + STAND_IN_SECONDS
+
+    def _on_poll_duty(self) -> bool:
+        standing_in = anyio.current_time() < self.standing_in_until
+        return standing_in or super()._on_poll_duty()
+
+    def _note_down(self, feed: Feed, error: PlatformError) -> None:
+        if self.health.note_failure(anyio.current_time()):
+            logger.warning("spread: platform lost at {}: {}", feed.name, error)
+        self.platform_up = False
+
+    def _note_up(self) -> None:
+        if self.health.note_success(anyio.current_time()):
+            logger.info("spread: platform answers again")
+        self.platform_up = True
--- a/packages/common/src/briarthread_common/spread/spreader.py
+++ b/packages/common/src/briarthread_common/spread/spreader.py
@@ -19,9 +19,8 @@
 from briarthread_common.http.channel_calls import MAX_MESSAGE_BYTES, call_json
 from briarthread_common.messages.exchange import Exchange
 from briarthread_common.messages.instance import Instance
-from briarthread_common.platform.feed_store import FeedStore, head_version
-from briarthread_common.platform.platform_client import PlatformClient
 from briarthread_common.spread.directory import Directory
+from briarthread_common.spread.feed_source import FeedSource
 from briarthread_common.spread.tree import told_by
 from briarthread_common.utils.hashing import rendezvous_order
 
@@ -29,6 +28,8 @@
 EXCHANGE_TIMEOUT = 1.5
 POLLERS = 2
 """How many entries of a data centre poll the platform."""
+LOGGED_FEEDS = frozenset({FeedName.TEXT, FeedName.ROUTES})
+"""Feeds whose every version is worth a line in the log."""
 START_PEERS = 8
 """How many peers a starting process asks for the highest versions."""
 
@@ -60,14 +61,14 @@
         options: SpreadOptions,
         feeds: FeedSet,
         directory: Directory,
-        platform: PlatformClient,
+        source: FeedSource,
         channel: Channel,
         rng: random.Random,
     ) -> None:
         self.options = options
         self.feeds = feeds
         self.directory = directory
-        self.platform = platform
+        self.source = source
         self.channel = channel
         self.rng = rng
         self.platform_up = False
@@ -97,28 +98,20 @@
     async def handle_exchange(self, call: Call) -> None:
         """Answer a peer: install its patches, give it what it lacks."""
         heard = await call.read_json(Exchange, MAX_MESSAGE_BYTES)
-        self._install_all(heard.patches)
+        self.install_all(heard.patches)
         await call.reply_json(self._message_for(heard.versions))
 
     async def poll_platform(self) -> None:
         """Read what is new from the platform; raise PlatformError if down."""
-        changes = await self.platform.instances_since(self.feeds.instances.number)
-        if changes is not None:
-            self._install(changes)
-        stores = {
-            FeedStore(self.platform, feed.name): feed
-            for feed in (self.feeds.text, self.feeds.shares)
-        }
-        heads = await self.platform.read([store.head_key() for store in stores])
-        for store, feed in stores.items():
-            newest = head_version(heads.get(store.head_key()))
-            patch = await store.read_between(feed.number, newest)
-            if patch is not None:
-                self._install(patch)
+        self.install_all(await self.source.poll(self.feeds))
 
-    async def exchange_with(self, address: str) -> None:
+    async def exchange_with(self, address: str) -> Exchange:
         """Exchange with one peer; raise ChannelError when it is silent."""
-        await self._send_and_mend(address, Exchange(self.feeds.versions()))
+        return await self._send_and_mend(address, self._message([]))
+
+    def source_age(self) -> float:
+        """Return the seconds since the platform was heard from, if it matters."""
+        return 0.0
 
     def peers(self) -> list[Instance]:
         """Return the instances of this data centre in the order of the tree."""
@@ -154,7 +147,7 @@
                 await self._tell(patch)
 
     async def _tell(self, patch: FeedPatch) -> None:
-        message = Exchange(self.feeds.versions(), [patch])
+        message = self._message([patch])
         async with anyio.create_task_group() as tasks:
             for address in self._children():
                 tasks.start_soon(self._tell_one, address, message)
@@ -180,12 +173,13 @@
         except ChannelError as error:
             logger.debug("spread: {}", error)
 
-    async def _send_and_mend(self, address: str, message: Exchange) -> None:
+    async def _send_and_mend(self, address: str, message: Exchange) -> Exchange:
         theirs = await self._send(address, message)
-        self._install_all(theirs.patches)
+        self.install_all(theirs.patches)
         missing = self._message_for(theirs.versions)
         if missing.patches:
             await self._send(address, missing)
+        return theirs
 
     async def _send(self, address: str, message: Exchange) -> Exchange:
         return await call_json(
@@ -200,9 +194,13 @@
 
     def _message_for(self, versions: dict[str, int]) -> Exchange:
         patches = [feed.since(versions.get(feed.name, 0)) for feed in self.feeds.all()]
-        return Exchange(self.feeds.versions(), [p for p in patches if p is not None])
+        return self._message([patch for patch in patches if patch is not None])
+
+    def _message(self, patches: list[FeedPatch]) -> Exchange:
+        return Exchange(self.feeds.versions(), patches, self.source_age())
 
-    def _install_all(self, patches: list[FeedPatch]) -> None:
+    def install_all(self, patches: list[FeedPatch]) -> None:
+        """Install patches, whichever of them lead to a higher version."""
         for patch in patches:
             self._install(patch)
 
@@ -211,8 +209,8 @@
         if feed is None:
             return
         try:
-            if feed.install(patch) and feed.name == FeedName.TEXT:
-                logger.info("spread: text {} is in force", feed.number)
+            if feed.install(patch) and feed.name in LOGGED_FEEDS:
+                logger.info("spread: {} {} is in force", feed.name, feed.number)
         except FeedGapError as error:
             logger.debug("spread: {}", error)
 
@@ -223,13 +221,16 @@
         The first entries of the data centre do. Without a list, or where no
         entry is listed, everyone does.
         """
-        names = [row.name for row in self.directory.entries(self.options.data_centre)]
-        if not names:
+        duty = self._duty()
+        if not duty:
             return True
-        order = rendezvous_order("poll", names)
-        duty = order[:POLLERS]
         return self.options.name in duty or self.options.name not in self._known()
 
+    def _duty(self) -> list[str]:
+        """Return the names of the entries here that are to poll."""
+        names = [row.name for row in self.directory.entries(self.options.data_centre)]
+        return rendezvous_order("poll", names)[:POLLERS]
+
     def _known(self) -> set[str]:
         return set(self.directory.all())
 
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/commands/direct.py
@@ -0,0 +1,109 @@
+"""``briarthread direct``."""
+
+import importlib
+import random
+import signal
+from pathlib import Path
+
+import anyio
+from loguru import logger
+
+from briarthread_common.core.exceptions import ChecksFailed
+from briarthread_common.core.exit_code import ExitCode
+from briarthread_common.core.logs import set_up_logs
+from briarthread_common.http.channel_options import ChannelOptions
+from briarthread_common.http.http_channel import HttpChannel
+from briarthread_common.http.port_app import PortApp
+from briarthread_common.http.server import HttpServer, open_listener
+from briarthread_common.utils.clock import Clock
+from briarthread_entry.commands.base import Arguments, Command
+from briarthread_entry.direct.direct_entry import DirectEntry
+from briarthread_entry.direct.settings import DirectSettings, load_direct_settings
+
+TARGETS = ChannelOptions(
+    connect_timeout=0.5, keepalive_seconds=4.0, max_idle=12, silence_seconds=1.2
+)
+"""A target in reach takes a connection in milliseconds, also after one lost
+packet of a busy link; 4 s are under any idle timeout that targets state."""
+PEERS = ChannelOptions(connect_timeout=0.4, silence_seconds=1.0)
+STORE = ChannelOptions(connect_timeout=0.8, silence_seconds=1.0, max_idle=4)
+"""The store and peers answer in milliseconds when they answer at all."""
+
+
+class DirectCommand(Command):
+    """Run an entry before direct targets."""
+
+    usage = """
+Run an entry that routes callers' requests by host and path to targets that
+have no agent before them, as a platform lists them.
+
+Usage:
+  briarthread direct SETTINGS
+
+SETTINGS is an INI file; docs/reference/settings.md lists its options. It
+exits with 0 after a graceful stop by SIGTERM or SIGINT, and with 2 when the
+settings have faults. SIGHUP reads the settings anew.
+"""
+
+    async def run(self, arguments: Arguments) -> ExitCode:
+        """Serve until a signal stops the entry."""
+        path = Path(str(arguments["SETTINGS"]))
+        settings = load_direct_settings(path)
+        set_up_logs(settings.log_level, settings.log_json)
+        entry = self._build(settings)
+        callers, ready, peers = (
+            open_listener(address)
+            for address in (
+                settings.callers_listen,
+                settings.ready_listen,
+                settings.listen,
+            )
+        )
+        app = PortApp({callers.getsockname()[1]: entry.app}, entry.peer_app)
+        server = HttpServer(app, [callers, ready, peers], settings.drain_timeout)
+        async with anyio.create_task_group() as tasks:
+            entry.start(tasks)
+            tasks.start_soon(_reload_on_signal, path, entry)
+            tasks.start_soon(_follow_limits, entry, server)
+            logger.info("entry: {} serves {}", settings.name, settings.callers_listen)
+            await server.run(entry.drain)
+            tasks.cancel_scope.cancel()
+        logger.info("entry: stopped")
+        return ExitCode.DONE
+
+    def _build(self, settings: DirectSettings) -> DirectEntry:
+        adapter = importlib.import_module(settings.adapter).ADAPTER
+        return DirectEntry(
+            settings,
+            adapter,
+            HttpChannel(TARGETS),
+            HttpChannel(PEERS),
+            HttpChannel(STORE),
+            Clock.from_system(),
+            random.SystemRandom(),
+        )
+
+
+async def _reload_on_signal(path: Path, entry: DirectEntry) -> None:
+    """Read the settings anew at SIGHUP; faults leave the old ones in force."""
+    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            try:
+                settings = load_direct_settings(path)
+            except ChecksFailed as error:
+                logger.error("entry: settings kept, the file has faults: {}", error)
+                continue
+            set_up_logs(settings.log_level, settings.log_json)
+            entry.budget.allowance = settings.allowance
+            logger.info("entry: settings read anew")
+
+
+async def _follow_limits(entry: DirectEntry, server: HttpServer) -> None:
+    """Keep callers' idle connections for as long as the configuration says."""
+    number = 0
+    while True:
+        await entry.feeds.routes.wait_beyond(number)
+        number = entry.feeds.routes.number
+        routes = entry.routes.current()
+        if routes is not None:
+            server.set_idle_timeout(routes.limits.idle_timeout)
--- a/packages/entry/src/briarthread_entry/commands/serve.py
+++ b/packages/entry/src/briarthread_entry/commands/serve.py
@@ -37,7 +37,7 @@
             settings, self.channel, Clock.from_system(), random.SystemRandom()
         )
         listener = open_listener(settings.listen)
-        server = HttpServer(entry.app, listener, settings.drain_timeout)
+        server = HttpServer(entry.app, [listener], settings.drain_timeout)
         async with anyio.create_task_group() as tasks:
             entry.start(tasks)
             logger.info("entry: {} listens on {}", settings.name, settings.listen)
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/__init__.py
@@ -0,0 +1,1 @@
+"""Serving of requests by targets that have no agent before them."""
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/answer_relay.py
@@ -0,0 +1,49 @@
+"""What a caller has got of its answer so far."""
+
+from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.core.exceptions import RequestError
+from briarthread_common.http.call import Call
+from briarthread_entry.direct.event_reader import StreamEvent
+
+Fields = tuple[tuple[str, str], ...]
+
+
+class AnswerRelay:
+    """
+    Pass an answer on to the caller, each event of a stream exactly once.
+
+    The head goes out with the first event, so that a stream that broke
+    before it can still be refused or started elsewhere. A later run may go
+    on in the same answer; events that the caller has are left out then, and
+    one that skips some is an error.
+    """
+
+    def __init__(self, call: Call, resumes_after: int | None) -> None:
+        self.call = call
+        self.last_id = resumes_after
+        self.events = 0
+
+    async def pass_event(
+        self, status: int, headers: Fields, event: StreamEvent
+    ) -> None:
+        """Send an event on unless the caller has it."""
+        if event.id is not None and self.last_id is not None:
+            if event.id <= self.last_id:
+                return
+            if event.id > self.last_id + 1:
+                raise RequestError(
+                    ErrorKind.TARGET_FAILED,
+                    f"event {event.id} came after event {self.last_id}",
+                )
+        if not self.call.started:
+            await self.call.start(status, headers)
+        await self.call.send_chunk(event.raw)
+        self.events += 1
+        if event.id is not None:
+            self.last_id = event.id
+
+    async def finish(self, status: int, headers: Fields) -> None:
+        """End the answer as complete."""
+        if not self.call.started:
+            await self.call.start(status, headers)
+        await self.call.finish()
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/attempt_outcome.py
@@ -0,0 +1,45 @@
+"""How one attempt at a direct target ended."""
+
+from dataclasses import dataclass
+
+from briarthread_common.core.exceptions import RequestError
+
+
+@dataclass(frozen=True, slots=True)
+class TargetAnswer:
+    """The target's whole answer; ``headers`` go on to the caller."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class StreamPassedOn:
+    """The caller has the whole stream."""
+
+
+@dataclass(frozen=True, slots=True)
+class ProvedNotRun:
+    """
+    The target did not run the attempt and never will.
+
+    ``written`` says whether the attempt was sent at all; ``replaced`` that
+    another target answers at the address now; ``faulty`` names the rank of
+    its group that the target says is at fault.
+    """
+
+    error: RequestError
+    written: bool = True
+    replaced: bool = False
+    faulty: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class MayHaveRun:
+    """The attempt may have run, and its answer is lost or spoilt."""
+
+    error: RequestError
+
+
+DirectOutcome = TargetAnswer | StreamPassedOn | ProvedNotRun | MayHaveRun
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -0,0 +1,124 @@
+"""Sending of one attempt to a direct target."""
+
+import anyio
+
+from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.core.exceptions import (
+    BrokenCallError,
+    ChannelError,
+    NotWrittenError,
+    RequestError,
+)
+from briarthread_common.direct.call_kind import CallKind
+from briarthread_common.direct.header_names import HeaderNames
+from briarthread_common.http.channel import Channel, ChannelRequest, ChannelResponse
+from briarthread_common.http.channel_calls import read_bounded
+from briarthread_entry.direct.answer_relay import AnswerRelay, Fields
+from briarthread_entry.direct.attempt_outcome import (
+    DirectOutcome,
+    MayHaveRun,
+    ProvedNotRun,
+    StreamPassedOn,
+    TargetAnswer,
+)
+from briarthread_entry.direct.direct_request import DirectRequest
+from briarthread_entry.direct.event_reader import EventReader
+from briarthread_entry.direct.target_state import DirectTargetState
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Largest answer of a plain service that is held until it is whole."""
+DROPPED_BACK = frozenset(
+    {"connection", "keep-alive", "transfer-encoding", "content-length", "trailer"}
+)
+"""Headers of an answer that concern the connection to the target only."""
+REPLACED = 421
+STREAM_STATUS = 200
+
+
+class AttemptSender:
+    """Send attempts and tell what is certain about each."""
+
+    def __init__(self, channel: Channel, names: HeaderNames) -> None:
+        self.channel = channel
+        self.names = names
+
+    async def send(
+        self, request: DirectRequest, state: DirectTargetState, relay: AnswerRelay
+    ) -> DirectOutcome:
+        """Send one attempt; the events of a stream go on as they come."""
+        call = self._call(request, state, relay)
+        try:
+            async with self.channel.stream(call) as response:
+                return await self._read(request, response, relay)
+        except NotWrittenError as error:
+            return ProvedNotRun(_failed(ErrorKind.NO_TARGET, error), written=False)
+        except ChannelError as error:
+            return MayHaveRun(_failed(ErrorKind.TARGET_FAILED, error))
+
+    async def _read(
+        self, request: DirectRequest, response: ChannelResponse, relay: AnswerRelay
+    ) -> DirectOutcome:
+        names = self.names
+        headers = response.headers
+        if headers.get(names.request_id) not in (None, request.id):
+            raise BrokenCallError("the answer is to another request")
+        if names.not_run in headers or response.status == REPLACED:
+            await read_bounded(response.body, MAX_ANSWER_BYTES)
+            return ProvedNotRun(
+                RequestError(
+                    ErrorKind.OVERLOADED, f"the target refused: {response.status}"
+                ),
+                replaced=response.status == REPLACED,
+                faulty=headers.get(names.faulty_target, ""),
+            )
+        self._check_answer(response)
+        passed_on = tuple(f for f in response.fields if f[0] not in DROPPED_BACK)
+        if request.route.kind is CallKind.STREAM and response.status == STREAM_STATUS:
+            await self._pass_stream(response, passed_on, relay)
+            return StreamPassedOn()
+        body = await read_bounded(response.body, MAX_ANSWER_BYTES)
+        return TargetAnswer(response.status, passed_on, body)
+
+    def _check_answer(self, response: ChannelResponse) -> None:
+        """Raise BrokenCallError for a success that is not the target's own."""
+        if response.status >= 300:
+            return
+        if self.names.signature not in response.headers:
+            raise BrokenCallError("a success without the target's signature")
+        if response.headers.get("content-encoding", "identity") != "identity":
+            raise BrokenCallError("an encoding that nobody asked for")
+
+    async def _pass_stream(
+        self, response: ChannelResponse, headers: Fields, relay: AnswerRelay
+    ) -> None:
+        reader = EventReader()
+        async for chunk in response.body:
+            for event in reader.feed(chunk):
+                await relay.pass_event(response.status, headers, event)
+        if reader.rest:
+            raise BrokenCallError("the stream ended within an event")
+        await relay.finish(response.status, headers)
+
+    def _call(
+        self, request: DirectRequest, state: DirectTargetState, relay: AnswerRelay
+    ) -> ChannelRequest:
+        names = self.names
+        left = max(request.deadline - anyio.current_time(), 0.0)
+        headers = [*request.headers, (names.time_left, str(int(left * 1000)))]
+        headers.append((names.expected_target, state.target.name))
+        if request.account:
+            headers.append((names.account_name, request.account))
+        if relay.last_id is not None:
+            headers.append((names.resume_from, str(relay.last_id)))
+        return ChannelRequest(
+            request.method,
+            state.target.address,
+            request.path,
+            tuple(headers),
+            request.body,
+            fresh=not request.route.repeatable,
+        )
+
+
+def _failed(kind: ErrorKind, error: Exception) -> RequestError:
+    return RequestError(kind, str(error) or type(error).__name__)
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -0,0 +1,158 @@
+"""The entry before direct targets, put together."""
+
+import random
+
+import anyio
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from briarthread_common.core.event_log import EventLog
+from briarthread_common.core.exceptions import PlatformError
+from briarthread_common.core.metrics import Metrics
+from briarthread_common.direct.platform_adapter import PlatformAdapter
+from briarthread_common.feeds.feed_set import DIRECT_FEEDS, FeedSet
+from briarthread_common.http.app import App, Route
+from briarthread_common.http.channel import Channel
+from briarthread_common.http.status_pages import StatusPages
+from briarthread_common.messages.instance import Instance, InstanceRole
+from briarthread_common.spread.directory import Directory
+from briarthread_common.spread.following_spreader import FollowingSpreader
+from briarthread_common.spread.spreader import EXCHANGE_PATH
+from briarthread_common.utils.clock import Clock
+from briarthread_entry.direct.attempt_sender import AttemptSender
+from briarthread_entry.direct.read_request import RequestReader
+from briarthread_entry.direct.request_handler import RequestHandler
+from briarthread_entry.direct.request_runner import RequestRunner
+from briarthread_entry.direct.route_view import RouteView
+from briarthread_entry.direct.settings import DirectSettings
+from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
+from briarthread_entry.direct.target_book import TargetBook
+
+LIST_RETRY_SECONDS = 1.0
+"""Pause before the entry tries again to enter itself in the list."""
+
+
+class DirectEntry:
+    """
+    Hold the parts of one entry that sends to targets directly.
+
+    ``app`` answers callers, ``peer_app`` other entries and operators. The
+    three channels keep connections to callers' targets, to peers and to the
+    platform apart, since each wants other timeouts.
+    """
+
+    def __init__(
+        self,
+        settings: DirectSettings,
+        adapter: PlatformAdapter,
+        target_channel: Channel,
+        peer_channel: Channel,
+        store_channel: Channel,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.metrics = Metrics()
+        self.events = EventLog(clock, "entry")
+        self.draining = False
+        self.feeds = FeedSet(DIRECT_FEEDS)
+        self.directory = Directory(self.feeds.instances)
+        self.store = adapter.open_store(store_channel, settings.store)
+        self.spreader = FollowingSpreader(
+            settings.spread, self.feeds, self.directory, self.store, peer_channel, rng
+        )
+        self.routes = RouteView(self.feeds.routes, adapter)
+        self.book = TargetBook(
+            self.feeds.targets, adapter, lambda: self.spreader.health.well_since
+        )
+        self.budget = SharedRetryBudget(settings.allowance, self._entries)
+        self.runner = RequestRunner(
+            settings.data_centre,
+            self.book,
+            AttemptSender(target_channel, adapter.headers),
+            self.budget,
+            lambda name: 0,
+            self.metrics,
+            self.events,
+            rng,
+        )
+        self.handler = RequestHandler(
+            self.routes,
+            RequestReader(adapter.headers, rng),
+            self.runner,
+            self.metrics,
+            self.events,
+            lambda: self.draining,
+        )
+        self.pages = StatusPages(self.metrics, self.events, self.ready, self._status)
+        self.app = App([Route("*", "/", self.handler.handle)])
+        self.peer_app = App(
+            [
+                Route("POST", EXCHANGE_PATH, self.spreader.handle_exchange),
+                *self.pages.routes(),
+            ]
+        )
+
+    def start(self, tasks: TaskGroup) -> None:
+        """Start the background tasks in a task group."""
+        tasks.start_soon(self.spreader.run)
+        tasks.start_soon(self._list_itself)
+
+    async def drain(self) -> None:
+        """Say that the entry leaves, and go on serving until it is heard."""
+        logger.info("entry: stopping")
+        self.draining = True
+        await anyio.sleep(self.settings.drain_notice)
+
+    def ready(self) -> str:
+        """Return why the entry is not ready, or nothing."""
+        if self.draining:
+            return "draining"
+        if self.routes.current() is None:
+            return "no configuration yet"
+        if not self.feeds.targets.items:
+            return "no targets known yet"
+        return ""
+
+    async def _list_itself(self) -> None:
+        """Enter this instance in the list, unless it is there already."""
+        await self.spreader.started.wait()
+        row = Instance(
+            self.settings.name,
+            self.settings.data_centre,
+            self.settings.listen,
+            InstanceRole.ENTRY,
+        )
+        while self.directory.all().get(self.settings.name) != row:
+            try:
+                await self.store.list_instance(row)
+                logger.info("entry: entered in the list of instances")
+                return
+            except PlatformError as error:
+                logger.warning("entry: not entered in the list yet: {}", error)
+            await anyio.sleep(LIST_RETRY_SECONDS)
+
+    def _entries(self) -> int:
+        return sum(
+            row.role is InstanceRole.ENTRY for row in self.directory.all().values()
+        )
+
+    def _status(self) -> dict[str, object]:
+        now = anyio.current_time()
+        self.book.refresh(now)
+        return {
+            "name": self.settings.name,
+            "role": "direct entry",
+            "versions": self.feeds.versions(),
+            "platform": "up" if self.spreader.platform_up else "down",
+            "targets": {
+                name: {
+                    "service": state.target.service,
+                    "leaving": state.target.leaving,
+                    "running": state.running,
+                    "ejected_seconds": max(state.ejected_until - now, 0.0),
+                }
+                for name, state in self.book.states.items()
+            },
+            "ready": self.ready() or "yes",
+        }
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/direct_request.py
@@ -0,0 +1,32 @@
+"""A caller's request to a direct target."""
+
+from dataclasses import dataclass
+
+from briarthread_common.direct.direct_service import DirectService
+from briarthread_common.direct.host_route import HostRoute
+
+
+@dataclass(frozen=True, slots=True)
+class DirectRequest:
+    """
+    Hold a request as read; ``headers`` are those that go on to the target.
+
+    ``path`` is the path with its query, as the caller wrote it. ``arrived``
+    and ``deadline`` are seconds of the runtime's clock; the deadline is the
+    earlier of the caller's and the route's.
+    """
+
+    id: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes | None
+    route: HostRoute
+    service: DirectService
+    account: str
+    priority: int
+    arrived: float
+    deadline: float
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    resumes_after: int | None = None
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/event_reader.py
@@ -0,0 +1,53 @@
+"""Splitting of a stream into whole events."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+EVENT_END = b"\n\n"
+MAX_EVENT_BYTES = 1024 * 1024
+"""Largest event that is held while its end is awaited."""
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEvent:
+    """One event as its bytes, with its id, ``None`` for one without."""
+
+    raw: bytes
+    id: int | None
+
+
+class EventReader:
+    r"""
+    Collect chunks and give each event once its end is there.
+
+    >>> reader = EventReader()
+    >>> [event.id for event in reader.feed(b"id: 1\ndata: a\n\nid: 2\nda")]
+    [1]
+    >>> reader.rest
+    b'id: 2\nda'
+    """
+
+    def __init__(self) -> None:
+        self.rest = b""
+
+    def feed(self, chunk: bytes) -> list[StreamEvent]:
+        """Return the events that a chunk completes."""
+        *whole, self.rest = (self.rest + chunk).split(EVENT_END)
+        return [StreamEvent(raw + EVENT_END, event_id(raw)) for raw in whole]
+
+
+async def read_events(body: AsyncIterator[bytes]) -> AsyncIterator[StreamEvent]:
+    """Give the events of a body; a part without an end is not given."""
+    reader = EventReader()
+    async for chunk in body:
+        for event in reader.feed(chunk):
+            yield event
+
+
+def event_id(raw: bytes) -> int | None:
+    """Return the number in an event's id line."""
+    for line in raw.split(b"\n"):
+        if line.startswith(b"id:"):
+            value = line[3:].strip()
+            return int(value) if value.isdigit() else None
+    return None
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/request_handler.py
@@ -0,0 +1,101 @@
+"""A caller's request to a direct target, from arrival to answer."""
+
+from collections.abc import Callable
+
+import anyio
+
+from briarthread_common.core.error_answer import ERROR_ANSWERS
+from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.core.event_log import EventLog
+from briarthread_common.core.exceptions import RequestError
+from briarthread_common.core.metrics import Metrics
+from briarthread_common.http.app import AnswerAborted
+from briarthread_common.http.call import Call
+from briarthread_common.http.problem import problem_body, problem_headers
+from briarthread_entry.direct.direct_request import DirectRequest
+from briarthread_entry.direct.read_request import RequestReader
+from briarthread_entry.direct.request_runner import RequestRunner
+from briarthread_entry.direct.route_view import RouteView
+
+HONOURED_SHARE = 1 / 3
+"""Part of the time left within which callers come back when they are told."""
+
+
+class RequestHandler:
+    """Read a request, run it and give the caller its final answer at once."""
+
+    def __init__(
+        self,
+        routes: RouteView,
+        reader: RequestReader,
+        runner: RequestRunner,
+        metrics: Metrics,
+        events: EventLog,
+        stopping: Callable[[], bool],
+    ) -> None:
+        self.routes = routes
+        self.reader = reader
+        self.runner = runner
+        self.metrics = metrics
+        self.events = events
+        self.stopping = stopping
+
+    async def handle(self, call: Call) -> None:
+        """Serve one call."""
+        call.closes = self.stopping()
+        arrived = anyio.current_time()
+        try:
+            request = await self._read(call, arrived)
+        except RequestError as error:
+            self.metrics.refusals.labels(str(error.kind)).inc()
+            self.events.add("request-refused", call.path, error.detail)
+            await self._answer_error(call, error, arrived)
+            return
+        self.metrics.requests.labels(request.service.name).inc()
+        await self._serve(request, call)
+        self.metrics.seconds.observe(anyio.current_time() - arrived)
+
+    async def _read(self, call: Call, arrived: float) -> DirectRequest:
+        routes = self.routes.current()
+        if routes is None:
+            raise RequestError(ErrorKind.NOT_READY, "no configuration yet")
+        return await self.reader.read(call, routes, arrived)
+
+    async def _serve(self, request: DirectRequest, call: Call) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call.cancel_on_disconnect, tasks.cancel_scope)
+            try:
+                await self.runner.run(request, call)
+            except RequestError as error:
+                self._note(request, error)
+                await self._answer_error(call, error, request.deadline)
+            tasks.cancel_scope.cancel()
+
+    def _note(self, request: DirectRequest, error: RequestError) -> None:
+        self.metrics.refusals.labels(str(error.kind)).inc()
+        left = request.deadline - anyio.current_time()
+        self.events.add(
+            "request-failed",
+            f"{request.account}/{request.service.name}",
+            f"{error.kind}: {error.detail} ({error.outcome}, {left:.2f} s left)",
+            request.id,
+        )
+
+    async def _answer_error(
+        self, call: Call, error: RequestError, deadline: float
+    ) -> None:
+        if call.started:
+            raise AnswerAborted(str(error)) from error
+        status = ERROR_ANSWERS[error.kind].status
+        headers = problem_headers(error, exact=True)
+        await call.reply(status, problem_body(error), headers)
+
+
+def within_honoured(retry_after: float, left: float) -> float:
+    """
+    Return the pause, at most what callers honour of the time they have left.
+
+    >>> within_honoured(2.0, 3.0)
+    1.0
+    """
+    return min(retry_after, max(left, 0.0) * HONOURED_SHARE)
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -0,0 +1,216 @@
+"""The attempts of one request at direct targets."""
+
+import random
+
+import anyio
+
+from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.core.event_log import EventLog
+from briarthread_common.core.exceptions import RequestError
+from briarthread_common.core.metrics import Metrics
+from briarthread_common.core.outcome import Outcome
+from briarthread_common.http.app import AnswerAborted
+from briarthread_common.http.call import Call
+from briarthread_entry.direct.answer_relay import AnswerRelay
+from briarthread_entry.direct.attempt_outcome import (
+    DirectOutcome,
+    MayHaveRun,
+    ProvedNotRun,
+    StreamPassedOn,
+    TargetAnswer,
+)
+from briarthread_entry.direct.attempt_sender import AttemptSender
+from briarthread_entry.direct.choose_target import (
+    Elsewhere,
+    choose_plain,
+    choose_rank,
+)
+from briarthread_entry.direct.direct_request import DirectRequest
+from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
+from briarthread_entry.direct.target_book import TargetBook
+from briarthread_entry.direct.target_state import DirectTargetState
+
+UNWRITTEN_TRIES = 3
+"""Targets tried in a row that did not even take the connection."""
+SERVER_ERROR = 500
+
+
+class RequestRunner:
+    """
+    Send a request to as many targets as are proved safe and worth it.
+
+    A request that may run once goes to another target only when the last one
+    is proved not to have run it. Any other may, within the route's attempts
+    and the retry budget.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        book: TargetBook,
+        sender: AttemptSender,
+        budget: SharedRetryBudget,
+        elsewhere: Elsewhere,
+        metrics: Metrics,
+        events: EventLog,
+        rng: random.Random,
+    ) -> None:
+        self.data_centre = data_centre
+        self.book = book
+        self.sender = sender
+        self.budget = budget
+        self.elsewhere = elsewhere
+        self.metrics = metrics
+        self.events = events
+        self.rng = rng
+
+    async def run(self, request: DirectRequest, call: Call) -> None:
+        """Answer the caller, or raise the RequestError that it gets."""
+        relay = AnswerRelay(call, request.resumes_after)
+        failures: list[DirectOutcome] = []
+        try:
+            with anyio.fail_after(request.deadline - anyio.current_time()):
+                await self._run_attempts(request, call, relay, failures)
+        except TimeoutError as error:
+            raise RequestError(
+                ErrorKind.OUTCOME_UNKNOWN, "no answer within the route's time"
+            ) from error
+
+    async def _run_attempts(
+        self,
+        request: DirectRequest,
+        call: Call,
+        relay: AnswerRelay,
+        failures: list[DirectOutcome],
+    ) -> None:
+        tried: set[str] = set()
+        sent = 0
+        self.budget.note_request(request.service.name, anyio.current_time())
+        while True:
+            state = self._choose(request, tried)
+            if state is None:
+                raise self._final(failures, "no target is listed")
+            tried.add(state.target.name)
+            outcome = await self._attempt(request, state, relay)
+            match outcome:
+                case StreamPassedOn():
+                    return
+                case TargetAnswer(status=status) if status < SERVER_ERROR:
+                    await _reply(call, outcome)
+                    return
+                case ProvedNotRun(written=False):
+                    pass
+                case _:
+                    sent += 1
+            failures.append(outcome)
+            if not self._may_repeat(request, failures, sent):
+                await self._give_up(call, failures)
+                return
+
+    def _choose(
+        self, request: DirectRequest, tried: set[str]
+    ) -> DirectTargetState | None:
+        now = anyio.current_time()
+        states = self.book.of_service(request.service.name, now)
+        fresh = [state for state in states if state.target.name not in tried]
+        if request.service.engine is not None:
+            return choose_rank(fresh, self.elsewhere, now, self.rng)
+        return choose_plain(fresh, self.elsewhere, self.data_centre, now, self.rng)
+
+    async def _attempt(
+        self, request: DirectRequest, state: DirectTargetState, relay: AnswerRelay
+    ) -> DirectOutcome:
+        started = anyio.current_time()
+        state.running += 1
+        state.prompt_tokens += request.prompt_tokens
+        try:
+            outcome = await self.sender.send(request, state, relay)
+        finally:
+            state.running -= 1
+            state.prompt_tokens -= request.prompt_tokens
+        self._note(request, state, outcome, anyio.current_time() - started)
+        return outcome
+
+    def _note(
+        self,
+        request: DirectRequest,
+        state: DirectTargetState,
+        outcome: DirectOutcome,
+        seconds: float,
+    ) -> None:
+        name = state.target.name
+        now = anyio.current_time()
+        match outcome:
+            case StreamPassedOn():
+                state.note_success(seconds)
+                return
+            case TargetAnswer(status=status) if status < SERVER_ERROR:
+                state.note_success(seconds)
+                return
+            case TargetAnswer(status=status):
+                reason = f"the target answered {status}"
+                ejected = state.note_failure(now)
+            case ProvedNotRun(replaced=True, error=error):
+                state.replaced = True
+                reason, ejected = error.detail, False
+            case ProvedNotRun(written=False, error=error) | MayHaveRun(error=error):
+                reason = error.detail
+                ejected = state.note_failure(now)
+            case ProvedNotRun(error=error, faulty=faulty):
+                reason = f"{error.detail} {faulty}"
+                ejected = False
+        self.events.add("attempt-failed", name, reason, request.id)
+        if ejected:
+            self.events.add("target-ejected", name, reason)
+
+    def _may_repeat(
+        self, request: DirectRequest, failures: list[DirectOutcome], sent: int
+    ) -> bool:
+        outcome = failures[-1]
+        if sent >= request.route.max_attempts or len(failures) >= UNWRITTEN_TRIES:
+            return False
+        if isinstance(outcome, ProvedNotRun) and not outcome.written:
+            return True
+        if not isinstance(outcome, ProvedNotRun) and not request.route.repeatable:
+            return False
+        if not self.budget.spend(request.service.name, anyio.current_time()):
+            self.metrics.refusals.labels(str(ErrorKind.RETRY_BUDGET)).inc()
+            return False
+        self.metrics.retries.labels(_reason(outcome)).inc()
+        return True
+
+    async def _give_up(self, call: Call, failures: list[DirectOutcome]) -> None:
+        last = failures[-1]
+        if isinstance(last, TargetAnswer) and not call.started:
+            await _reply(call, last)
+            return
+        raise self._final(failures, "")
+
+    def _final(self, failures: list[DirectOutcome], reason: str) -> RequestError:
+        """Return the last failure, as not run only if no attempt may have run."""
+        if not failures:
+            return RequestError(ErrorKind.NO_TARGET, reason)
+        certain = all(isinstance(failure, ProvedNotRun) for failure in failures)
+        last = failures[-1]
+        if isinstance(last, ProvedNotRun) and certain:
+            return last.error
+        detail = (
+            last.error.detail if isinstance(last, ProvedNotRun | MayHaveRun) else ""
+        )
+        return RequestError(
+            ErrorKind.TARGET_FAILED, detail or reason, outcome=Outcome.UNKNOWN
+        )
+
+
+async def _reply(call: Call, answer: TargetAnswer) -> None:
+    if call.started:
+        raise AnswerAborted("a stream cannot go on with a whole answer")
+    await call.reply(answer.status, answer.body, answer.headers)
+
+
+def _reason(outcome: DirectOutcome) -> str:
+    match outcome:
+        case ProvedNotRun(error=error) | MayHaveRun(error=error):
+            return str(error.kind)
+        case _:
+            return str(ErrorKind.TARGET_FAILED)
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/route_view.py
@@ -0,0 +1,46 @@
+"""The configuration in force in one process."""
+
+from loguru import logger
+
+from briarthread_common.core.exceptions import DecodeError
+from briarthread_common.direct.platform_adapter import PlatformAdapter
+from briarthread_common.direct.route_map import RouteMap
+from briarthread_common.feeds.feed import Feed
+
+
+class RouteView:
+    """
+    Give the typed configuration of a feed, decoded once a version.
+
+    One that cannot be decoded leaves the last good one in force, and so does
+    one with a lower version than was in force before.
+    """
+
+    def __init__(self, feed: Feed, adapter: PlatformAdapter) -> None:
+        self.feed = feed
+        self.adapter = adapter
+        self.number = 0
+        self.routes: RouteMap | None = None
+
+    def current(self) -> RouteMap | None:
+        """Return the newest configuration, ``None`` before the first."""
+        if self.number != self.feed.number:
+            self.number = self.feed.number
+            self._decode()
+        return self.routes
+
+    def _decode(self) -> None:
+        try:
+            found = self.adapter.decode_routes(self.feed.items)
+        except DecodeError as error:
+            logger.error("routes: {} kept in force: {}", self._version(), error)
+            return
+        if found is None or found.version < self._version():
+            logger.warning("routes: {} kept in force", self._version())
+            return
+        if found.version > self._version():
+            logger.info("routes: version {} is in force", found.version)
+        self.routes = found
+
+    def _version(self) -> int:
+        return self.routes.version if self.routes else 0
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/settings.py
@@ -0,0 +1,94 @@
+"""The settings of an entry before direct targets, with their defaults."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from briarthread_common.conf.option import Option
+from briarthread_common.conf.option_kind import OptionKind
+from briarthread_common.conf.read_settings import read_settings
+from briarthread_common.conf.section_spec import SectionSpec
+from briarthread_common.conf.shared_sections import LOGS, PEERS, instance_section
+from briarthread_common.spread.spreader import SpreadOptions
+from briarthread_entry.direct.shared_retry_budget import RetryAllowance
+
+CALLERS = SectionSpec(
+    "callers",
+    "Where callers and the platform's own probes come in.",
+    (
+        Option("listen", OptionKind.ADDRESS, None, "Address for callers."),
+        Option(
+            "ready_listen", OptionKind.ADDRESS, None, "Address for readiness probes."
+        ),
+    ),
+)
+DIRECT = SectionSpec(
+    "direct",
+    "The platform that lists routes and targets.",
+    (
+        Option("adapter", OptionKind.TEXT, None, "Module that translates for it."),
+        Option("address", OptionKind.ADDRESS, None, "Address of its store."),
+        Option(
+            "retry_ratio",
+            OptionKind.NUMBER,
+            "0.2",
+            "Repeats allowed for each request of a service.",
+            minimum=0,
+        ),
+        Option(
+            "retry_slack",
+            OptionKind.NUMBER,
+            "20",
+            "Repeats allowed besides, all entries together.",
+            minimum=0,
+        ),
+        Option(
+            "retry_window",
+            OptionKind.SECONDS,
+            "10",
+            "Time over which repeats are counted, s.",
+        ),
+    ),
+)
+DIRECT_SECTIONS = (instance_section(), CALLERS, DIRECT, PEERS, LOGS)
+
+
+@dataclass(frozen=True, slots=True)
+class DirectSettings:
+    """Hold the settings; times are in seconds, addresses are IP:PORT."""
+
+    name: str
+    data_centre: str
+    listen: str
+    callers_listen: str
+    ready_listen: str
+    drain_notice: float
+    drain_timeout: float
+    adapter: str
+    store: str
+    allowance: RetryAllowance
+    spread: SpreadOptions
+    log_level: str
+    log_json: bool
+
+
+def load_direct_settings(path: Path) -> DirectSettings:
+    """Return the settings of a file or raise ChecksFailed with all faults."""
+    values = read_settings(path, DIRECT_SECTIONS)
+    instance, direct = values["instance"], values["direct"]
+    return DirectSettings(
+        **instance,
+        callers_listen=values["callers"]["listen"],
+        ready_listen=values["callers"]["ready_listen"],
+        adapter=direct["adapter"],
+        store=direct["address"],
+        allowance=RetryAllowance(
+            direct["retry_ratio"], direct["retry_slack"], direct["retry_window"]
+        ),
+        spread=SpreadOptions(
+            name=instance["name"],
+            data_centre=instance["data_centre"],
+            **values["peers"],
+        ),
+        log_level=values["logs"]["level"],
+        log_json=values["logs"]["json"],
+    )
--- a/packages/entry/src/briarthread_entry/entry.py
+++ b/packages/entry/src/briarthread_entry/entry.py
@@ -16,6 +16,7 @@
 from briarthread_common.shares.share_view import ShareView
 from briarthread_common.spread.directory import Directory
 from briarthread_common.spread.spreader import EXCHANGE_PATH, Spreader
+from briarthread_common.spread.table_source import TableSource
 from briarthread_common.text.text_view import TextView
 from briarthread_common.utils.clock import Clock
 from briarthread_entry.limits.account_limiter import AccountLimiter
@@ -51,7 +52,12 @@
             channel, settings.platform_addresses, settings.platform_timeout
         )
         self.spreader = Spreader(
-            settings.spread, self.feeds, self.directory, self.platform, channel, rng
+            settings.spread,
+            self.feeds,
+            self.directory,
+            TableSource(self.platform),
+            channel,
+            rng,
         )
         self.table = TargetTable(settings.name, settings.data_centre, self.directory)
         self.watcher = Watcher(
--- a/packages/entry/src/briarthread_entry/main.py
+++ b/packages/entry/src/briarthread_entry/main.py
@@ -15,6 +15,7 @@
 from briarthread_entry.commands.apply import ApplyCommand
 from briarthread_entry.commands.base import Command
 from briarthread_entry.commands.check import CheckCommand
+from briarthread_entry.commands.direct import DirectCommand
 from briarthread_entry.commands.explain import ExplainCommand
 from briarthread_entry.commands.serve import ServeCommand
 from briarthread_entry.commands.show import ShowCommand
@@ -32,6 +33,7 @@
 
 Commands:
   serve    Run an entry.
+  direct   Run an entry before targets that have no agent.
   check    Check a services text or a settings file.
   apply    Put a services text in force.
   show     Print the services text.
@@ -43,6 +45,7 @@
 
 COMMANDS: dict[str, type[Command]] = {
     "serve": ServeCommand,
+    "direct": DirectCommand,
     "check": CheckCommand,
     "apply": ApplyCommand,
     "show": ShowCommand,
--- a/packages/measure/src/briarthread_measure/agent_farm.py
+++ b/packages/measure/src/briarthread_measure/agent_farm.py
@@ -70,7 +70,7 @@
             agent = FarmAgent(rng)
             listen = f"127.0.0.1:{first_port + number}"
             tasks.start_soon(agent.change_load, changes)
-            server = HttpServer(agent.app, open_listener(listen), 1)
+            server = HttpServer(agent.app, [open_listener(listen)], 1)
             tasks.start_soon(server.run, _no_drain)
 
 
--- a/packages/measure/src/briarthread_measure/reference_pages.py
+++ b/packages/measure/src/briarthread_measure/reference_pages.py
@@ -14,6 +14,7 @@
 from briarthread_common.conf.section_spec import SectionSpec
 from briarthread_common.core.error_answer import ERROR_ANSWERS
 from briarthread_common.text.section_specs import TEXT_SPECS
+from briarthread_entry.direct.settings import DIRECT_SECTIONS
 from briarthread_entry.settings import ENTRY_SECTIONS
 
 NOTE = (
@@ -80,6 +81,7 @@
             "Settings of the processes",
             {
                 "`briarthread serve`": ENTRY_SECTIONS,
+                "`briarthread direct`": DIRECT_SECTIONS,
                 "`briarthread-agent`": AGENT_SECTIONS,
             },
             CLOCKS,
--- a/packages/standins/src/briarthread_standins/run_standin.py
+++ b/packages/standins/src/briarthread_standins/run_standin.py
@@ -14,13 +14,13 @@
 
 def run_standin(app: Any, listen: str) -> None:
     """Serve a stand-in's application until a signal stops it."""
-    anyio.run(HttpServer(app, open_listener(listen), 1).run, _no_drain)
+    anyio.run(HttpServer(app, [open_listener(listen)], 1).run, _no_drain)
 
 
 async def serve_all(apps: dict[str, Any]) -> None:
     """Serve several applications by their IP:PORT until a signal comes."""
     servers = [
-        HttpServer(app, open_listener(listen), 1) for listen, app in apps.items()
+        HttpServer(app, [open_listener(listen)], 1) for listen, app in apps.items()
     ]
     async with anyio.create_task_group() as tasks:
         for server in servers:
--- a/setup.sh
+++ b/setup.sh
@@ -9,5 +9,5 @@
     --constraint constraints.txt \
     --editable packages/common --editable packages/entry \
     --editable packages/agent --editable packages/standins \
-    --editable packages/measure \
+    --editable packages/measure --editable platform \
     pytest pytest-bdd hypothesis ruff
