Plan experts' maps beside the ranks and change them at one pass

Ruled out: planning in an entry (it stalls streams); arming without a held pass (a planner that dies between two arms leaves ranks with two maps); going back (late orders could undo it), so every change only goes forward. Change: an agent beside each rank reads its counts, free there; one of them, by a seat in the store, plans sets of experts each by itself against what a load costs, and has the change made by hold, arm, go; whoever finds a pass held finishes it. Agents reload at SIGHUP; fewer calls to the store while it is away; agents do not follow it.

--- a/packages/agent/src/briarthread_agent/main.py
+++ b/packages/agent/src/briarthread_agent/main.py
@@ -9,6 +9,8 @@
 from loguru import logger
 
 from briarthread_agent.agent import Agent
+from briarthread_agent.ranks.direct_agent import serve_direct
+from briarthread_agent.ranks.settings import load_direct_agent_settings
 from briarthread_agent.settings import AgentSettings, load_agent_settings
 from briarthread_common.core.exceptions import ChecksFailed, ListenError
 from briarthread_common.core.exit_code import ExitCode
@@ -20,15 +22,18 @@
 VERSION = "briarthread-agent 0.1.0"
 
 USAGE = """
-Stand before one target: run each attempt at most once, in fair order.
+Stand before one target: run each attempt at most once, in fair order. Or stand
+beside one that entries call directly, and change the map of its group.
 
 Usage:
   briarthread-agent SETTINGS
+  briarthread-agent --direct SETTINGS
   briarthread-agent --check SETTINGS
   briarthread-agent (-h | --help)
   briarthread-agent --version
 
 Options:
+  --direct   Stand beside a target that entries call directly.
   --check    Check the settings file and exit.
   -h --help  Show this text.
   --version  Show the version.
@@ -58,8 +63,12 @@
 def main() -> None:
     """Run the binary and exit."""
     arguments = docopt(USAGE, version=VERSION)
+    path = Path(arguments["SETTINGS"])
+    direct = arguments["--direct"]
     try:
-        settings = load_agent_settings(Path(arguments["SETTINGS"]))
+        settings = (
+            load_direct_agent_settings(path) if direct else load_agent_settings(path)
+        )
     except ChecksFailed as error:
         print(error, file=sys.stderr)
         sys.exit(ExitCode.FAULTS)
@@ -68,7 +77,10 @@
         sys.exit(ExitCode.DONE)
     set_up_logs(settings.log_level, settings.log_json)
     try:
-        anyio.run(serve, settings)
+        if direct:
+            anyio.run(serve_direct, settings, path)
+        else:
+            anyio.run(serve, settings)
     except ListenError as error:
         print(f"{error}; is it in use or not this machine's?", file=sys.stderr)
         sys.exit(ExitCode.FAILED)
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/ranks/__init__.py
@@ -0,0 +1,1 @@
+"""Maps of a group whose ranks take orders from their own agents only."""
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/ranks/group_view.py
@@ -0,0 +1,88 @@
+"""What the ranks of a group said at one time."""
+
+from dataclasses import dataclass
+
+from briarthread_common.direct.rank_state import RankState
+from briarthread_common.messages.rank_messages import RankAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One rank's answer, and the address of the agent that gave it."""
+
+    address: str
+    answer: RankAnswer
+
+    @property
+    def state(self) -> RankState:
+        """Return the rank's state, which every member of a view has."""
+        if self.answer.state is None:
+            raise ValueError(f"{self.address} gave no state")
+        return self.answer.state
+
+
+@dataclass(frozen=True, slots=True)
+class GroupView:
+    """
+    Hold the answers of all ranks of a group in the order of the ranks.
+
+    ``fault`` says why the group cannot be changed now, or is empty.
+    """
+
+    members: tuple[Member, ...]
+    fault: str = ""
+
+    @property
+    def epoch(self) -> int:
+        """Return how often the group was formed."""
+        return self.members[0].state.epoch
+
+    @property
+    def step(self) -> int:
+        """Return the last pass that any rank has begun."""
+        return max(member.state.step for member in self.members)
+
+    @property
+    def unsettled(self) -> bool:
+        """Tell whether a change was begun and not brought to its end."""
+        return any(
+            member.state.armed is not None or member.state.held is not None
+            for member in self.members
+        )
+
+    def newest_version(self) -> int:
+        """Return the highest version that any rank names."""
+        return max(
+            max(member.state.map_version, member.state.prepared or 0)
+            for member in self.members
+        )
+
+
+def build_view(group: str, answers: dict[str, RankAnswer]) -> GroupView:
+    """Return the view of a group from its agents' answers by address."""
+    members = tuple(
+        sorted(
+            (
+                Member(address, answer)
+                for address, answer in answers.items()
+                if answer.state is not None and answer.state.group == group
+            ),
+            key=lambda member: member.state.rank,
+        )
+    )
+    return GroupView(members, _fault(members, answers))
+
+
+def _fault(members: tuple[Member, ...], answers: dict[str, RankAnswer]) -> str:
+    if not all(answer.accepted for answer in answers.values()):
+        return "a newer planner was heard"
+    if not members:
+        return "no rank answered"
+    size = members[0].state.size
+    if [member.state.rank for member in members] != list(range(size)):
+        return f"{len(members)} of {size} ranks answered"
+    if len({member.state.epoch for member in members}) > 1:
+        return "the group is forming"
+    if not all(member.state.serving for member in members):
+        return "the group is broken"
+    return ""
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/ranks/map_mover.py
@@ -0,0 +1,153 @@
+"""
+The change of a group's map, from staging to the pass at which it is in force.
+
+Every rank must work from the same map in every pass, so all must switch at the
+same pass or none. The order of steps makes that hold whoever dies or freezes,
+and whatever order stays unanswered and is carried out late:
+
+1. every rank loads what it lacks, and says so;
+2. one rank, the planner's own, holds the pass at which the map is to change,
+   and says so; the group cannot begin that pass before it is told to go;
+3. every rank is armed for that pass, and says so;
+4. the holding rank is told to go.
+
+A pass that has begun takes no more arms, so a late copy of one fails. Whoever
+finds a pass held or a rank armed brings the change to its end by the same
+steps, see MapFinisher: nobody ever goes back, and so nobody can disagree.
+When all goes well the pass is let go before the group reaches it.
+"""
+
+import math
+
+import anyio
+
+from briarthread_agent.ranks.group_view import GroupView, Member
+from briarthread_agent.ranks.rank_keeper import RankKeeper
+from briarthread_agent.ranks.rank_peers import RankPeers
+from briarthread_common.core.event_log import EventLog
+from briarthread_common.direct.rank_client import Layers
+from briarthread_common.direct.rank_state import ArmedMap
+from briarthread_common.messages.rank_messages import (
+    ARM_PATH,
+    STAGE_PATH,
+    ArmRequest,
+    GoRequest,
+    OrderAnswer,
+    RankQuery,
+    StageRequest,
+)
+
+STAGE_SECONDS = 3.0
+"""Longest wait for all ranks to load: three experts a set take under one."""
+LOOK_SECONDS = 0.08
+"""Pause between two looks at the ranks while they load."""
+AHEAD_SECONDS = 0.3
+"""How far ahead the pass of the change lies: holding it and arming every rank
+takes some ten calls of a few milliseconds, and one may have to be made anew."""
+LEAST_AHEAD = 4
+"""The same as a number of passes, for a group that is fast or idle."""
+RETRY_SECONDS = 0.05
+SETTLE_SECONDS = 8.0
+"""Time after which the mover leaves an unfinished change to the finisher."""
+
+
+class MapMover:
+    """Carry out one change of the group's map."""
+
+    def __init__(self, keeper: RankKeeper, peers: RankPeers, events: EventLog) -> None:
+        self.keeper = keeper
+        self.peers = peers
+        self.events = events
+
+    async def place(
+        self,
+        view: GroupView,
+        fence: int,
+        version: int,
+        layers: Layers,
+        pass_seconds: float,
+    ) -> bool:
+        """Bring a map in force; tell whether it is."""
+        group = view.members[0].state.group
+        if not await self._stage(view, fence, version, layers):
+            self.events.add("map-not-staged", group, f"version {version}")
+            return False
+        current = await self.peers.view(group, RankQuery(fence))
+        if current.fault or current.epoch != view.epoch or current.unsettled:
+            self.events.add("map-dropped", group, current.fault or "it has changed")
+            return False
+        ahead = max(LEAST_AHEAD, math.ceil(AHEAD_SECONDS / max(pass_seconds, 0.001)))
+        step = current.step + ahead
+        if not await self._hold(view.epoch, fence, step):
+            self.events.add("map-dropped", group, f"pass {step} could not be held")
+            return False
+        armed = await self._arm_all(current, fence, ArmedMap(version, step))
+        if armed:
+            await self._go(view.epoch, step)
+            self.events.add("map-moves", group, f"version {version} from pass {step}")
+        else:
+            self.events.add("map-unsettled", group, f"version {version}, pass {step}")
+        return armed
+
+    async def _stage(
+        self, view: GroupView, fence: int, version: int, layers: Layers
+    ) -> bool:
+        request = StageRequest(fence, view.epoch, version, layers)
+        addresses = [member.address for member in view.members]
+        answers = await self.peers.call(
+            STAGE_PATH, dict.fromkeys(addresses, request), OrderAnswer
+        )
+        if not all(answer.taken for answer in answers.values()):
+            return False
+        group = view.members[0].state.group
+        with anyio.move_on_after(STAGE_SECONDS):
+            while True:
+                current = await self.peers.view(group, RankQuery(fence))
+                if not current.fault and current.epoch != view.epoch:
+                    return False
+                if not current.fault and all(
+                    member.state.prepared == version for member in current.members
+                ):
+                    return True
+                await anyio.sleep(LOOK_SECONDS)
+        return False
+
+    async def _hold(self, epoch: int, fence: int, step: int) -> bool:
+        """Hold a pass at this agent's own rank, unless a newer planner was heard."""
+        if self.keeper.fence > fence:
+            return False
+        await self.keeper.engine.hold(epoch, step)
+        state = await self.keeper.own_state()
+        return state is not None and state.held == step and state.epoch == epoch
+
+    async def _arm_all(self, view: GroupView, fence: int, armed: ArmedMap) -> bool:
+        missing = {member.address for member in view.members}
+        request = ArmRequest(fence, view.epoch, armed.version, armed.step)
+        with anyio.move_on_after(SETTLE_SECONDS):
+            while missing:
+                answers = await self.peers.call(
+                    ARM_PATH, dict.fromkeys(missing, request), OrderAnswer
+                )
+                if _formed_anew(answers, view.epoch):
+                    return False
+                missing -= {name for name, answer in answers.items() if answer.taken}
+                if missing:
+                    await anyio.sleep(RETRY_SECONDS)
+        return not missing
+
+    async def _go(self, epoch: int, step: int) -> None:
+        with anyio.move_on_after(SETTLE_SECONDS):
+            while not (await self.keeper.go(GoRequest(epoch, step))).taken:
+                await anyio.sleep(RETRY_SECONDS)
+
+
+def _formed_anew(answers: dict[str, OrderAnswer], epoch: int) -> bool:
+    return any(
+        answer.state is not None and answer.state.epoch != epoch
+        for answer in answers.values()
+    )
+
+
+def all_armed(members: tuple[Member, ...], armed: ArmedMap) -> bool:
+    """Tell whether every rank is armed alike."""
+    return all(member.state.armed == armed for member in members)
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/ranks/planner_seat.py
@@ -0,0 +1,66 @@
+"""Which agent plans the maps of a group."""
+
+import anyio
+from loguru import logger
+
+from briarthread_agent.ranks.rank_keeper import RankKeeper
+from briarthread_common.core.exceptions import PlatformError
+from briarthread_common.direct.platform_adapter import PlatformStore
+from briarthread_common.messages.rank_messages import NO_FENCE
+from briarthread_common.utils.hashing import rendezvous_order
+
+SILENCE_SECONDS = 3.0
+"""Silence of a planner after which the next agent in order takes its place; a
+planner asks several times a second."""
+STAGGER_SECONDS = 1.0
+"""Additional silence for each place further back in the order."""
+LOOK_SECONDS = 0.5
+
+
+class PlannerSeat:
+    """
+    Hold the duty of planning, or wait until its holder falls silent.
+
+    The seat is one row of the platform's store, taken by compare-and-set. It
+    has no expiry: its holder keeps it while the platform is away, and whoever
+    takes it over has a higher fencing number, which every agent checks.
+    """
+
+    def __init__(self, name: str, store: PlatformStore, keeper: RankKeeper) -> None:
+        self.name = name
+        self.store = store
+        self.keeper = keeper
+        self.fence = NO_FENCE
+        self.started = anyio.current_time()
+
+    def held(self) -> bool:
+        """Tell whether this agent plans and no newer planner was heard."""
+        return self.fence != NO_FENCE and self.keeper.fence <= self.fence
+
+    async def wait(self, group: str, names: list[str]) -> int:
+        """Return the fencing number once the seat is this agent's."""
+        while not self.held():
+            if self._silence() > self._patience(group, names):
+                await self._take(group)
+            if not self.held():
+                await anyio.sleep(LOOK_SECONDS)
+        return self.fence
+
+    async def _take(self, group: str) -> None:
+        try:
+            fence = await self.store.take_seat(f"maps/{group}", self.name)
+        except PlatformError as error:
+            logger.debug("planner: seat not taken: {}", error)
+            return
+        if fence is not None and fence > self.keeper.fence:
+            self.fence = fence
+            logger.info("planner: plans {} as number {}", group, fence)
+
+    def _silence(self) -> float:
+        return anyio.current_time() - max(self.keeper.planner_heard, self.started)
+
+    def _patience(self, group: str, names: list[str]) -> float:
+        order = rendezvous_order(f"maps/{group}", names)
+        place = order.index(self.name) if self.name in order else len(order)
+        first = 0.0 if self.keeper.fence == NO_FENCE else SILENCE_SECONDS
+        return first + STAGGER_SECONDS * (place + 1)
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
@@ -0,0 +1,119 @@
+"""The agent's side of every change of its rank's map."""
+
+import anyio
+from loguru import logger
+
+from briarthread_common.core.exceptions import RankError
+from briarthread_common.direct.rank_client import RankClient
+from briarthread_common.direct.rank_state import ArmedMap, RankState
+from briarthread_common.http.app import Route
+from briarthread_common.http.call import Call
+from briarthread_common.messages.rank_messages import (
+    ARM_PATH,
+    GO_PATH,
+    NO_FENCE,
+    QUERY_PATH,
+    STAGE_PATH,
+    ArmRequest,
+    GoRequest,
+    OrderAnswer,
+    RankAnswer,
+    RankQuery,
+    StageRequest,
+)
+
+MAX_BODY = 4 * 1024 * 1024
+"""Largest message from a planner; a map of 63 ranks takes some 20 KB."""
+NEVER = float("-inf")
+
+
+class RankKeeper:
+    """
+    Order one rank's engine for whoever plans its group.
+
+    An engine takes orders from anyone and does not check who gives them, so
+    the agent does: it obeys no planner with a lower fencing number than the
+    highest that has asked it. What the rank says of itself, not the answer to
+    an order, tells whether the order was carried out.
+    """
+
+    def __init__(self, engine: RankClient) -> None:
+        self.engine = engine
+        self.fence = NO_FENCE
+        self.planner_heard = NEVER
+
+    def routes(self) -> list[Route]:
+        """Return the routes of the planner's calls."""
+        return [
+            Route("POST", QUERY_PATH, self._handle_query),
+            Route("POST", STAGE_PATH, self._handle_stage),
+            Route("POST", ARM_PATH, self._handle_arm),
+            Route("POST", GO_PATH, self._handle_go),
+        ]
+
+    async def query(self, asked: RankQuery) -> RankAnswer:
+        """Return the rank's state, and what else was asked for."""
+        if asked.fence != NO_FENCE:
+            if not self._obeys(asked.fence):
+                return RankAnswer(False)
+            self.planner_heard = anyio.current_time()
+        try:
+            state = await self.engine.state()
+            counts = await self.engine.counts() if asked.with_counts else []
+            experts = await self.engine.experts() if asked.with_experts else []
+        except RankError as error:
+            logger.debug("rank: {}", error)
+            return RankAnswer(True)
+        return RankAnswer(True, state, counts, experts)
+
+    async def stage(self, asked: StageRequest) -> OrderAnswer:
+        """Have the rank load what it lacks for a map."""
+        if not self._obeys(asked.fence):
+            return OrderAnswer(False)
+        taken = await self.engine.prepare(asked.epoch, asked.version, asked.layers)
+        return OrderAnswer(taken)
+
+    async def arm(self, asked: ArmRequest) -> OrderAnswer:
+        """Have the rank switch to a loaded map as a pass begins."""
+        if not self._obeys(asked.fence):
+            return OrderAnswer(False)
+        await self.engine.arm(asked.epoch, asked.version, asked.step)
+        state = await self.own_state()
+        armed = ArmedMap(asked.version, asked.step)
+        return OrderAnswer(state is not None and state.armed == armed, state)
+
+    async def go(self, asked: GoRequest) -> OrderAnswer:
+        """Let the group begin a pass that this rank holds."""
+        await self.engine.go(asked.epoch, asked.step)
+        state = await self.own_state()
+        return OrderAnswer(state is not None and state.held != asked.step, state)
+
+    async def own_state(self) -> RankState | None:
+        """Return the rank's state, ``None`` when it gives none."""
+        try:
+            return await self.engine.state()
+        except RankError as error:
+            logger.debug("rank: {}", error)
+            return None
+
+    def _obeys(self, fence: int) -> bool:
+        if fence < self.fence:
+            logger.info("rank: refused planner {}, {} is newer", fence, self.fence)
+            return False
+        self.fence = fence
+        return True
+
+    async def _handle_query(self, call: Call) -> None:
+        await call.reply_json(await self.query(await call.read_json(RankQuery, 1000)))
+
+    async def _handle_stage(self, call: Call) -> None:
+        asked = await call.read_json(StageRequest, MAX_BODY)
+        await call.reply_json(await self.stage(asked))
+
+    async def _handle_arm(self, call: Call) -> None:
+        asked = await call.read_json(ArmRequest, 1000)
+        await call.reply_json(await self.arm(asked))
+
+    async def _handle_go(self, call: Call) -> None:
+        asked = await call.read_json(GoRequest, 1000)
+        await call.reply_json(await self.go(asked))
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/ranks/rank_peers.py
@@ -0,0 +1,100 @@
+"""Calls to the agents of a group, and to engines whose agents are silent."""
+
+from collections.abc import Mapping
+from typing import TypeVar
+
+from briarthread_agent.ranks.group_view import GroupView, build_view
+from briarthread_common.core.exceptions import DecodeError, RankError
+from briarthread_common.direct.platform_adapter import PlatformAdapter
+from briarthread_common.direct.rank_client import RankClient
+from briarthread_common.feeds.feed import Feed
+from briarthread_common.http.call_many import call_many
+from briarthread_common.http.channel import Channel
+from briarthread_common.messages.instance import Instance, InstanceRole
+from briarthread_common.messages.rank_messages import (
+    QUERY_PATH,
+    RankAnswer,
+    RankQuery,
+)
+from briarthread_common.spread.directory import Directory
+
+T = TypeVar("T")
+CALL_SECONDS = 0.6
+"""Longest wait for an agent, which asks an engine on its own machine."""
+
+
+class RankPeers:
+    """Reach the agents of the ranks of one service."""
+
+    def __init__(
+        self,
+        service: str,
+        directory: Directory,
+        targets: Feed,
+        adapter: PlatformAdapter,
+        channel: Channel,
+    ) -> None:
+        self.service = service
+        self.directory = directory
+        self.targets = targets
+        self.adapter = adapter
+        self.channel = channel
+
+    def agents(self) -> dict[str, Instance]:
+        """Return the listed agents of the service by name."""
+        return {
+            name: row
+            for name, row in self.directory.all().items()
+            if row.role is InstanceRole.TARGET and row.service == self.service
+        }
+
+    async def call(
+        self, path: str, messages: Mapping[str, object], answer: type[T]
+    ) -> dict[str, T]:
+        """Send each address its message; return the answers that came."""
+        return await call_many(self.channel, path, messages, answer, CALL_SECONDS)
+
+    async def view(self, group: str, query: RankQuery) -> GroupView:
+        """Return what the ranks of a group say, through their agents."""
+        addresses = [row.address for row in self.agents().values()]
+        answers = await self.call(
+            QUERY_PATH, dict.fromkeys(addresses, query), RankAnswer
+        )
+        return build_view(group, answers)
+
+    async def view_with_engines(self, group: str) -> GroupView:
+        """
+        Return what the ranks of a group say, whether their agents live or not.
+
+        An engine asked from afar answers some hundred milliseconds late and
+        for a price; only ranks without an agent are asked that way.
+        """
+        addresses = [row.address for row in self.agents().values()]
+        answers = await self.call(
+            QUERY_PATH, dict.fromkeys(addresses, RankQuery()), RankAnswer
+        )
+        for address in addresses:
+            if address not in answers:
+                answers[address] = await self._ask_engine(address)
+        return build_view(group, answers)
+
+    def engine_beside(self, agent_address: str) -> RankClient | None:
+        """Return the engine on the machine of an agent."""
+        host = agent_address.rpartition(":")[0]
+        for name, raw in self.targets.items.items():
+            try:
+                target = self.adapter.decode_target(name, raw)
+            except DecodeError:
+                continue
+            if target.address.rpartition(":")[0] == host:
+                return self.adapter.open_rank(self.channel, target.address)
+        return None
+
+    async def _ask_engine(self, agent_address: str) -> RankAnswer:
+        engine = self.engine_beside(agent_address)
+        if engine is None:
+            return RankAnswer(True)
+        try:
+            return RankAnswer(True, await engine.state())
+        except RankError:
+            return RankAnswer(True)
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/ranks/rank_planner.py
@@ -0,0 +1,148 @@
+"""The planning of a group's map by the agent that has the seat."""
+
+import anyio
+
+from briarthread_agent.ranks.demand_watch import DemandWatch
+from briarthread_agent.ranks.group_view import GroupView
+from briarthread_agent.ranks.map_finisher import MapFinisher
+from briarthread_agent.ranks.map_mover import MapMover
+from briarthread_agent.ranks.planner_seat import PlannerSeat
+from briarthread_agent.ranks.rank_keeper import RankKeeper
+from briarthread_agent.ranks.rank_peers import RankPeers
+from briarthread_common.core.event_log import EventLog
+from briarthread_common.direct.direct_service import DirectService
+from briarthread_common.direct.rank_client import Layers
+from briarthread_common.direct.route_view import RouteView
+from briarthread_common.messages.rank_messages import RankQuery
+from briarthread_common.placement.quick_change import PassLength, best_set_change
+from briarthread_common.placement.rank_loads import rank_loads
+
+LOOK_SECONDS = 0.35
+"""Pause between two looks at a busy group: a few passes, in which some ten
+thousand choices of experts are counted."""
+IDLE_SECONDS = 1.0
+"""The same while the group makes no passes, or cannot be changed."""
+
+
+class RankPlanner:
+    """Read the ranks' counts, decide on changes and have them carried out."""
+
+    def __init__(
+        self,
+        service: str,
+        routes: RouteView,
+        keeper: RankKeeper,
+        peers: RankPeers,
+        seat: PlannerSeat,
+        events: EventLog,
+    ) -> None:
+        self.service = service
+        self.routes = routes
+        self.keeper = keeper
+        self.peers = peers
+        self.seat = seat
+        self.events = events
+        self.mover = MapMover(keeper, peers, events)
+        self.finisher = MapFinisher(keeper, peers, events)
+        self.watch: DemandWatch | None = None
+        self.layers: Layers = []
+        self.placed: tuple[int, int] | None = None
+        self.version = 0
+
+    async def run(self) -> None:
+        """Plan whenever the seat is this agent's, until cancelled."""
+        while True:
+            service = self._service()
+            state = await self.keeper.own_state()
+            if service is None or service.experts is None or state is None:
+                await anyio.sleep(IDLE_SECONDS)
+                continue
+            fence = await self.seat.wait(state.group, list(self.peers.agents()))
+            busy = await self._look(state.group, service, fence)
+            await anyio.sleep(LOOK_SECONDS if busy else IDLE_SECONDS)
+
+    async def _look(self, group: str, service: DirectService, fence: int) -> bool:
+        """Look at the group once; tell whether it is worth looking soon."""
+        view = await self.peers.view(group, RankQuery(fence, with_counts=True))
+        if view.fault:
+            return False
+        if view.unsettled:
+            await self.finisher.finish(group)
+            return True
+        if not await self._know_map(group, service, view, fence):
+            return False
+        passes = self.watch.observe(view, anyio.current_time())
+        if passes is None:
+            return False
+        layers, loads, saved = await self._improve(service, passes)
+        if loads:
+            self.events.add(
+                "map-planned",
+                group,
+                f"{loads} experts to load, saves {saved:.2f} s, "
+                f"{passes * 1000:.0f} ms a pass",
+            )
+            await self._place(view, fence, layers, passes)
+        return True
+
+    async def _place(
+        self, view: GroupView, fence: int, layers: Layers, passes: float
+    ) -> None:
+        self.version = max(self.version, view.newest_version()) + 1
+        placed = await self.mover.place(view, fence, self.version, layers, passes)
+        if placed:
+            self.layers = layers
+            self.placed = (view.epoch, self.version)
+        else:
+            self.placed = None
+
+    async def _know_map(
+        self, group: str, service: DirectService, view: GroupView, fence: int
+    ) -> bool:
+        """Tell whether the map in force is known, having asked if need be."""
+        versions = {member.state.map_version for member in view.members}
+        if len(versions) != 1:
+            return False
+        known = (view.epoch, versions.pop())
+        if self.placed == known:
+            return True
+        if self.placed is not None and self.placed[0] == view.epoch:
+            return False
+        asked = await self.peers.view(group, RankQuery(fence, with_experts=True))
+        if asked.fault or asked.epoch != view.epoch:
+            return False
+        figures = service.experts
+        self.layers = [
+            [member.answer.experts[number] for member in asked.members]
+            for number in range(figures.sets)
+        ]
+        if self.watch is None or self.watch.figures != figures:
+            self.watch = DemandWatch(figures)
+        self.placed = known
+        return True
+
+    async def _improve(
+        self, service: DirectService, passes: float
+    ) -> tuple[Layers, int, float]:
+        """Return better layers, the experts to load and the seconds saved."""
+        engine, figures = service.engine, service.experts
+        length = PassLength(passes, engine.stride * engine.step_seconds)
+        demand = self.watch.popularity.counts
+        slowest = [
+            max(rank_loads(layer, counts))
+            for layer, counts in zip(self.layers, demand, strict=True)
+        ]
+        better: Layers = []
+        loads, saved = 0, 0.0
+        for number, layer in enumerate(self.layers):
+            others = sum(slowest) - slowest[number]
+            change = best_set_change(layer, demand[number], others, figures, length)
+            better.append(change.layer)
+            loads += change.loads
+            saved += change.saved
+            await anyio.sleep(0)
+        return better, loads, saved
+
+    def _service(self) -> DirectService | None:
+        routes = self.routes.current()
+        return None if routes is None else routes.services.get(self.service)
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/ranks/settings.py
@@ -0,0 +1,50 @@
+"""The settings of an agent beside a direct target, with their defaults."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from briarthread_agent.settings import INSTANCE, TARGET
+from briarthread_common.conf.read_settings import read_settings
+from briarthread_common.conf.section_spec import SectionSpec
+from briarthread_common.conf.shared_sections import LOGS, PEERS, STORE_OPTIONS
+from briarthread_common.spread.spreader import SpreadOptions
+
+DIRECT = SectionSpec("direct", "The platform that lists the targets.", STORE_OPTIONS)
+DIRECT_AGENT_SECTIONS = (INSTANCE, TARGET, DIRECT, PEERS, LOGS)
+
+
+@dataclass(frozen=True, slots=True)
+class DirectAgentSettings:
+    """Hold the settings; times are in seconds, addresses are IP:PORT."""
+
+    name: str
+    data_centre: str
+    service: str
+    listen: str
+    drain_notice: float
+    drain_timeout: float
+    target: str
+    adapter: str
+    store: str
+    spread: SpreadOptions
+    log_level: str
+    log_json: bool
+
+
+def load_direct_agent_settings(path: Path) -> DirectAgentSettings:
+    """Return the settings of a file or raise ChecksFailed with all faults."""
+    values = read_settings(path, DIRECT_AGENT_SECTIONS)
+    instance = values["instance"]
+    return DirectAgentSettings(
+        **instance,
+        target=values["target"]["address"],
+        adapter=values["direct"]["adapter"],
+        store=values["direct"]["address"],
+        spread=SpreadOptions(
+            name=instance["name"],
+            data_centre=instance["data_centre"],
+            **values["peers"],
+        ),
+        log_level=values["logs"]["level"],
+        log_json=values["logs"]["json"],
+    )
--- a/packages/common/src/briarthread_common/conf/shared_sections.py
+++ b/packages/common/src/briarthread_common/conf/shared_sections.py
@@ -43,6 +43,12 @@
     ),
 )
 
+STORE_OPTIONS = (
+    Option("adapter", OptionKind.TEXT, None, "Module that translates for it."),
+    Option("address", OptionKind.ADDRESS, None, "Address of its store."),
+)
+"""What a process needs to reach a platform that lists direct targets."""
+
 LOGS = SectionSpec(
     "logs",
     "What is logged, to standard error.",
--- a/packages/common/src/briarthread_common/core/exceptions.py
+++ b/packages/common/src/briarthread_common/core/exceptions.py
@@ -68,6 +68,10 @@
     """A row of the platform is not what its interface states."""
 
 
+class RankError(BriarthreadError):
+    """A rank's engine gave no proper answer."""
+
+
 class HistoryGoneError(BriarthreadError):
     """The platform no longer has the changes after the version asked for."""
 
--- a/packages/common/src/briarthread_common/direct/direct_service.py
+++ b/packages/common/src/briarthread_common/direct/direct_service.py
@@ -3,12 +3,16 @@
 from dataclasses import dataclass
 
 from briarthread_common.direct.engine_figures import EngineFigures
+from briarthread_common.direct.expert_figures import ExpertFigures
 
 
 @dataclass(frozen=True, slots=True)
 class DirectService:
     """
-    Describe a service; ``engine`` is there for model engines only.
+    Describe a service.
+
+    ``engine`` is there for model engines only, and ``experts`` for those whose
+    ranks share experts.
 
     A target takes ``max_connections`` from all callers together.
     """
@@ -16,3 +20,4 @@
     name: str
     max_connections: int
     engine: EngineFigures | None = None
+    experts: ExpertFigures | None = None
--- a/packages/common/src/briarthread_common/direct/platform_adapter.py
+++ b/packages/common/src/briarthread_common/direct/platform_adapter.py
@@ -4,6 +4,7 @@
 
 from briarthread_common.direct.direct_target import DirectTarget
 from briarthread_common.direct.header_names import HeaderNames
+from briarthread_common.direct.rank_client import RankClient
 from briarthread_common.direct.route_map import RouteMap
 from briarthread_common.http.channel import Channel
 from briarthread_common.messages.instance import Instance
@@ -17,6 +18,15 @@
         """Enter an instance of ours in the list; raise PlatformError."""
         ...
 
+    async def take_seat(self, duty: str, holder: str) -> int | None:
+        """
+        Take a duty over from whoever has it; raise PlatformError.
+
+        Return a number that is higher than at every earlier taking, or
+        ``None`` when another one was faster.
+        """
+        ...
+
 
 class PlatformAdapter(Protocol):
     """
@@ -31,6 +41,10 @@
         """Return the store that answers at an address."""
         ...
 
+    def open_rank(self, channel: Channel, address: str) -> RankClient:
+        """Return the engine of the rank at an address."""
+        ...
+
     def decode_routes(self, items: dict[str, str]) -> RouteMap | None:
         """Return the configuration of a feed, ``None`` if there is none."""
         ...
--- /dev/null
+++ b/packages/common/src/briarthread_common/messages/rank_messages.py
@@ -0,0 +1,78 @@
+"""What a planner and the agents of a group say to each other."""
+
+from dataclasses import dataclass, field
+
+from briarthread_common.direct.rank_client import Layers
+from briarthread_common.direct.rank_state import RankState
+
+QUERY_PATH = "/peer/v1/rank/query"
+STAGE_PATH = "/peer/v1/rank/stage"
+ARM_PATH = "/peer/v1/rank/arm"
+GO_PATH = "/peer/v1/rank/go"
+NO_FENCE = 0
+"""The number of a question that is no planner's."""
+
+
+@dataclass(frozen=True, slots=True)
+class RankQuery:
+    """
+    Ask an agent for its rank's state.
+
+    A planner states its fencing number; from then on the agent obeys no
+    planner with a lower one.
+    """
+
+    fence: int = NO_FENCE
+    with_counts: bool = False
+    with_experts: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RankAnswer:
+    """
+    Give a rank's state; ``accepted`` is off for an outdated planner.
+
+    ``counts`` tells how often each expert was chosen since the rank started,
+    set by set; ``experts`` which it holds, by set.
+    """
+
+    accepted: bool
+    state: RankState | None = None
+    counts: list[int] = field(default_factory=list)
+    experts: list[list[int]] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class StageRequest:
+    """Have a rank load what it lacks for a map."""
+
+    fence: int
+    epoch: int
+    version: int
+    layers: Layers
+
+
+@dataclass(frozen=True, slots=True)
+class ArmRequest:
+    """Have a rank switch to a loaded map as a pass begins."""
+
+    fence: int
+    epoch: int
+    version: int
+    step: int
+
+
+@dataclass(frozen=True, slots=True)
+class GoRequest:
+    """Have a rank let the group begin a pass that it holds."""
+
+    epoch: int
+    step: int
+
+
+@dataclass(frozen=True, slots=True)
+class OrderAnswer:
+    """Tell whether the engine took an order, and the rank's state after it."""
+
+    taken: bool
+    state: RankState | None = None
--- a/packages/entry/src/briarthread_entry/placement/improve_map.py
+++ b/packages/common/src/briarthread_common/placement/improve_map.py
@@ -1,10 +1,11 @@
 """A better placement at a bounded cost."""
 
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from briarthread_common.messages.expert_map import ExpertMap
-from briarthread_entry.placement.rank_loads import Layer, rank_loads
+from briarthread_common.placement.rank_loads import Layer, rank_loads
 
 COLD_RANKS = 4
 """How many of the least loaded ranks are tried for each move."""
@@ -60,29 +61,63 @@
 
 
 def improve_layer(
-    layer: Layer, counts: list[float], slots: int, max_moves: int
+    layer: Layer,
+    counts: list[float],
+    slots: int,
+    max_moves: int,
 ) -> tuple[Layer, int]:
     """Return a better layer and the number of experts to load for it."""
+    better, used = layer, 0
+    for step in improve_steps(layer, counts, slots, max_moves):
+        better, used = step
+    return better, used
+
+
+def improve_steps(
+    layer: Layer,
+    counts: list[float],
+    slots: int,
+    max_moves: int,
+    rank_moves: int | None = None,
+) -> Iterator[tuple[Layer, int]]:
+    """
+    Give better layers one after the other, with the experts loaded so far.
+
+    ``rank_moves`` bounds what a single rank loads, where its engine does.
+    """
     better = [list(rank) for rank in layer]
+    left = [max_moves if rank_moves is None else rank_moves] * len(layer)
     used = 0
     floor = MIN_GAIN * sum(counts) / len(layer)
     while used < max_moves:
-        swap = _best_swap(better, counts, slots)
+        swap = _best_swap(better, counts, slots, left)
         if swap is None or swap.gain <= floor or used + swap.loads > max_moves:
-            break
-        _carry_out(better, counts, swap)
+            return
+        hot = _carry_out(better, counts, swap)
         used += swap.loads
-    return better, used
+        left[swap.cold_rank] -= 1
+        if not swap.copy:
+            left[hot] -= 1
+        yield [list(rank) for rank in better], used
 
 
-def _best_swap(layer: Layer, counts: list[float], slots: int) -> Swap | None:
+def _best_swap(
+    layer: Layer, counts: list[float], slots: int, left: list[int]
+) -> Swap | None:
+    """Return the best swap by ranks that may still load an expert."""
     view = _LayerView(layer, counts)
     order = sorted(range(len(layer)), key=lambda r: (view.loads[r], r))
     hot = order[-1]
-    swaps = [swap for cold in order[:COLD_RANKS] for swap in view.exchanges(hot, cold)]
+    cold_ranks = [rank for rank in order[:-1] if left[rank] > 0]
+    swaps = [
+        swap
+        for cold in cold_ranks[:COLD_RANKS]
+        for swap in view.exchanges(hot, cold)
+        if swap.copy or left[hot] > 0
+    ]
     swaps.extend(
         swap
-        for cold in order[:-1]
+        for cold in cold_ranks
         if len(layer[cold]) < slots
         for swap in view.copies(hot, cold)
     )
@@ -138,14 +173,16 @@
         return self.counts[expert] / self.replicas[expert]
 
 
-def _carry_out(layer: Layer, counts: list[float], swap: Swap) -> None:
+def _carry_out(layer: Layer, counts: list[float], swap: Swap) -> int:
+    """Change the layer by a swap; return the hot rank."""
     loads = rank_loads(layer, counts)
     hot = max(range(len(layer)), key=lambda r: (loads[r], r))
     cold = layer[swap.cold_rank]
     if swap.cold_expert == NO_EXPERT:
         cold.append(swap.hot_expert)
-        return
+        return hot
     cold[cold.index(swap.cold_expert)] = swap.hot_expert
     if not swap.copy:
         ranks = layer[hot]
         ranks[ranks.index(swap.hot_expert)] = swap.cold_expert
+    return hot
--- a/packages/entry/src/briarthread_entry/placement/move_rule.py
+++ b/packages/common/src/briarthread_common/placement/move_rule.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 
 from briarthread_common.messages.expert_map import ExpertMap
+from briarthread_common.placement.improve_map import improve_map
+from briarthread_common.placement.place_experts import place_experts
+from briarthread_common.placement.rank_loads import map_skew, moved_experts
 from briarthread_common.text.objective import Objective
-from briarthread_entry.placement.improve_map import improve_map
-from briarthread_entry.placement.place_experts import place_experts
-from briarthread_entry.placement.rank_loads import map_skew, moved_experts
 
 DRIFT_SECONDS = 1800.0
 """Time over which a saving is counted before popularity has drifted on."""
--- a/packages/entry/src/briarthread_entry/placement/place_experts.py
+++ b/packages/common/src/briarthread_common/placement/place_experts.py
@@ -3,7 +3,7 @@
 import heapq
 
 from briarthread_common.messages.expert_map import ExpertMap
-from briarthread_entry.placement.rank_loads import Layer
+from briarthread_common.placement.rank_loads import Layer
 
 
 def place_experts(
--- a/packages/entry/src/briarthread_entry/placement/popularity.py
+++ b/packages/common/src/briarthread_common/placement/popularity.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 HALF_LIFE = 600.0
-"""Seconds after which an observation counts half."""
+"""Seconds after which an observation counts half, where demand drifts slowly."""
 
 
 @dataclass(slots=True)
@@ -20,6 +20,7 @@
 
     layers: int
     experts: int
+    half_life: float = HALF_LIFE
     counts: list[list[float]] = field(init=False)
     updated: float = 0.0
 
@@ -28,7 +29,7 @@
 
     def add(self, now: float, counts: list[list[int]]) -> None:
         """Take in the tokens that went to each expert since the last time."""
-        decay = 0.5 ** ((now - self.updated) / HALF_LIFE)
+        decay = 0.5 ** ((now - self.updated) / self.half_life)
         self.updated = now
         self.counts = [
             [old * decay + new for old, new in zip(olds, news, strict=True)]
--- /dev/null
+++ b/packages/common/src/briarthread_common/placement/quick_change.py
@@ -0,0 +1,92 @@
+"""
+The decision whether a group changes its map while demand shifts by the second.
+
+It answers experts whose popularity changes every few seconds, on a group that
+carries so many requests that the length of its passes decides how many are
+served in time. A change pays where the time that it takes off the passes to
+come is worth more than the experts that have to be loaded for it. Each set of
+experts adds its slowest rank to the pass, so each is decided by itself.
+"""
+
+from dataclasses import dataclass
+
+from briarthread_common.direct.expert_figures import ExpertFigures
+from briarthread_common.placement.improve_map import improve_steps
+from briarthread_common.placement.rank_loads import Layer, rank_loads
+
+HORIZON_SECONDS = 2.5
+"""Time over which a saving is counted: at the users' sites half of what is
+liked changes every four seconds, and a change takes one to be in force."""
+LOAD_SECONDS = 0.008
+"""What loading one expert costs, as seconds of a fully loaded group: the bytes
+are paid for, and passes are longer while they come."""
+EXPERT_SHARE = 0.9
+"""Part of a pass, beyond its fixed part, that lies with the experts where the
+engine's figures name none."""
+CALM_PASS = 0.055
+"""Length of a pass, s, up to which nothing is gained by shorter ones: answers
+come in time anyway. From there to ``FULL_PASS`` the gain counts in part."""
+FULL_PASS = 0.085
+"""Length of a pass, s, from which its length decides how many are served."""
+MOST_SET_LOADS = 36
+"""Experts of one set that one change may load, all ranks together."""
+
+
+@dataclass(frozen=True, slots=True)
+class PassLength:
+    """State a group's pass in seconds, and the part that no map changes."""
+
+    seconds: float
+    fixed: float
+    expert_share: float = EXPERT_SHARE
+
+    @property
+    def pressure(self) -> float:
+        """Return how much shorter passes are worth, from 0 to 1."""
+        over = (self.seconds - CALM_PASS) / (FULL_PASS - CALM_PASS)
+        return min(max(over, 0.0), 1.0)
+
+
+@dataclass(frozen=True, slots=True)
+class SetChange:
+    """A better placement of one set, with what it loads and saves (s)."""
+
+    layer: Layer
+    loads: int
+    saved: float
+
+
+def best_set_change(
+    layer: Layer,
+    counts: list[float],
+    others: float,
+    figures: ExpertFigures,
+    length: PassLength,
+) -> SetChange:
+    """
+    Return the change of one set whose saving exceeds its cost by most.
+
+    ``others`` is the load of the slowest ranks of the other sets together, so
+    that the pass can be shared out over the sets. Without a worthwhile change
+    the set comes back as it is.
+
+    >>> figures = ExpertFigures(1, 4, 3, 3)
+    >>> busy = PassLength(0.1, 0.03)
+    >>> best_set_change([[0, 1], [2, 3]], [90.0, 90.0, 5.0, 5.0], 0.0,
+    ...     figures, busy).layer
+    [[0, 1], [2, 3, 0]]
+    """
+    slowest = max(rank_loads(layer, counts))
+    best, best_gain = SetChange(layer, 0, 0.0), 0.0
+    if slowest <= 0:
+        return best
+    movable = (length.seconds - length.fixed) * length.expert_share
+    worth = movable / length.seconds * HORIZON_SECONDS * length.pressure
+    worth /= slowest + others
+    steps = improve_steps(layer, counts, figures.places, MOST_SET_LOADS, figures.spare)
+    for better, loads in steps:
+        saved = (slowest - max(rank_loads(better, counts))) * worth
+        gain = saved - loads * LOAD_SECONDS
+        if gain > best_gain:
+            best, best_gain = SetChange(better, loads, saved), gain
+    return best
--- a/packages/common/src/briarthread_common/spread/following_spreader.py
+++ b/packages/common/src/briarthread_common/spread/following_spreader.py
@@ -30,8 +30,9 @@
 the platform is back, seldom enough not to press it while it is not."""
 WATCH_SECONDS = 0.8
 """How often one that does not follow asks one that does."""
-TRUSTED_AGE = 2.0
-"""Seconds after which a follower's last word from the platform is too old."""
+TRUSTED_AGE = FOLLOW_SECONDS + 1.5
+"""Seconds after which a follower's last word from the platform is too old: a
+call that is held open ends before, and then one more answer is due."""
 STAND_IN_SECONDS = 3.0
 """How long one follows itself after its followers failed it."""
 
@@ -44,7 +45,8 @@
     tell the others at once. One that does not follow asks a follower now and
     then; when that one is silent, or has not heard from the platform itself,
     it follows on its own for a while. One that the platform turns away hears
-    from peers of every data centre.
+    from peers of every data centre. With ``follows`` off, as for an agent, it
+    follows only while it knows no entry.
     """
 
     def __init__(
@@ -55,8 +57,10 @@
         source: FollowedSource,
         channel: Channel,
         rng: random.Random,
+        follows: bool = True,
     ) -> None:
         super().__init__(options, feeds, directory, source, channel, rng)
+        self.follows = follows
         self.followed = source
         self.health = SourceHealth()
         self.standing_in_until = 0.0
@@ -81,9 +85,9 @@
     async def _follow_loop(self, feed: Feed) -> None:
         cursor = 0
         while True:
-            if not self._on_poll_duty():
+            if not self._on_poll_duty() or not self._may_call(feed):
                 await anyio.sleep(FOLLOW_PAUSE)
-                cursor = 0
+                cursor = 0 if not self._on_poll_duty() else cursor
                 continue
             cursor = max(cursor, feed.number)
             try:
@@ -97,6 +101,10 @@
             cursor = max(cursor, patch.number)
             await anyio.sleep(FOLLOW_PAUSE)
 
+    def _may_call(self, feed: Feed) -> bool:
+        """Tell whether to call; while the platform is away, one feed finds out."""
+        return self.health.up or feed is self.feeds.all()[0]
+
     async def _next_patch(self, feed: Feed, cursor: int) -> FeedPatch:
         if cursor == 0:
             return await self.followed.read_whole(feed.name)
@@ -122,14 +130,24 @@
     async def _watch_follower(self) -> None:
         address = self._some_follower()
         if address is None:
+            self._stand_in("no entry is known")
             return
         try:
             heard = await self.exchange_with(address)
         except ChannelError as error:
-            self._stand_in(f"{address}: {error}")
+            await self._do_without(f"{address}: {error}")
             return
         if heard.source_age > TRUSTED_AGE:
-            self._stand_in(f"{address} heard nothing for {heard.source_age:.1f} s")
+            await self._do_without(
+                f"{address} heard nothing for {heard.source_age:.1f} s"
+            )
+
+    async def _do_without(self, reason: str) -> None:
+        """Follow the platform, or where others are to do that, ask any peer."""
+        if self.follows:
+            self._stand_in(reason)
+        else:
+            await self._ask_any_peer()
 
     async def _ask_any_peer(self) -> None:
         address = self._random_peer()
@@ -148,8 +166,9 @@
         self.standing_in_until = anyio.current_time() + STAND_IN_SECONDS
 
     def _on_poll_duty(self) -> bool:
-        standing_in = anyio.current_time() < self.standing_in_until
-        return standing_in or super()._on_poll_duty()
+        if anyio.current_time() < self.standing_in_until:
+            return True
+        return self.follows and super()._on_poll_duty()
 
     def _note_down(self, feed: Feed, error: PlatformError) -> None:
         if self.health.note_failure(anyio.current_time()):
--- a/packages/entry/src/briarthread_entry/commands/direct.py
+++ b/packages/entry/src/briarthread_entry/commands/direct.py
@@ -2,13 +2,12 @@
 
 import importlib
 import random
-import signal
 from pathlib import Path
 
 import anyio
 from loguru import logger
 
-from briarthread_common.core.exceptions import ChecksFailed
+from briarthread_common.conf.reload import reload_on_signal
 from briarthread_common.core.exit_code import ExitCode
 from briarthread_common.core.logs import set_up_logs
 from briarthread_common.http.channel_options import ChannelOptions
@@ -63,7 +62,7 @@
         server = HttpServer(app, [callers, ready, peers], settings.drain_timeout)
         async with anyio.create_task_group() as tasks:
             entry.start(tasks)
-            tasks.start_soon(_reload_on_signal, path, entry)
+            tasks.start_soon(reload_on_signal, path, load_direct_settings, entry.apply)
             tasks.start_soon(_follow_limits, entry, server)
             logger.info("entry: {} serves {}", settings.name, settings.callers_listen)
             await server.run(entry.drain)
@@ -84,20 +83,6 @@
         )
 
 
-async def _reload_on_signal(path: Path, entry: DirectEntry) -> None:
-    """Read the settings anew at SIGHUP; faults leave the old ones in force."""
-    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for _ in signals:
-            try:
-                settings = load_direct_settings(path)
-            except ChecksFailed as error:
-                logger.error("entry: settings kept, the file has faults: {}", error)
-                continue
-            set_up_logs(settings.log_level, settings.log_json)
-            entry.budget.allowance = settings.allowance
-            logger.info("entry: settings read anew")
-
-
 async def _follow_limits(entry: DirectEntry, server: HttpServer) -> None:
     """Keep callers' idle connections for as long as the configuration says."""
     number = 0
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -7,9 +7,10 @@
 from loguru import logger
 
 from briarthread_common.core.event_log import EventLog
-from briarthread_common.core.exceptions import PlatformError
+from briarthread_common.core.logs import set_up_logs
 from briarthread_common.core.metrics import Metrics
 from briarthread_common.direct.platform_adapter import PlatformAdapter
+from briarthread_common.direct.route_view import RouteView
 from briarthread_common.feeds.feed_set import DIRECT_FEEDS, FeedSet
 from briarthread_common.http.app import App, Route
 from briarthread_common.http.channel import Channel
@@ -17,6 +18,7 @@
 from briarthread_common.messages.instance import Instance, InstanceRole
 from briarthread_common.spread.directory import Directory
 from briarthread_common.spread.following_spreader import FollowingSpreader
+from briarthread_common.spread.list_itself import list_itself
 from briarthread_common.spread.spreader import EXCHANGE_PATH
 from briarthread_common.utils.clock import Clock
 from briarthread_entry.direct.attempt_sender import AttemptSender
@@ -24,7 +26,6 @@
 from briarthread_entry.direct.read_request import RequestReader
 from briarthread_entry.direct.request_handler import RequestHandler
 from briarthread_entry.direct.request_runner import RequestRunner
-from briarthread_entry.direct.route_view import RouteView
 from briarthread_entry.direct.running_board import RunningBoard
 from briarthread_entry.direct.running_reporter import RUNNING_PATH, RunningReporter
 from briarthread_entry.direct.running_watcher import RunningWatcher
@@ -32,9 +33,6 @@
 from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
 from briarthread_entry.direct.target_book import TargetBook
 
-LIST_RETRY_SECONDS = 1.0
-"""Pause before the entry tries again to enter itself in the list."""
-
 
 class DirectEntry:
     """
@@ -111,6 +109,11 @@
         tasks.start_soon(self.watcher.run)
         tasks.start_soon(self._list_itself)
 
+    def apply(self, settings: DirectSettings) -> None:
+        """Take over settings read anew; addresses stay until a restart."""
+        set_up_logs(settings.log_level, settings.log_json)
+        self.budget.allowance = settings.allowance
+
     async def drain(self) -> None:
         """Say that the entry leaves, and go on serving until it is heard."""
         logger.info("entry: stopping")
@@ -129,7 +132,6 @@
         return ""
 
     async def _list_itself(self) -> None:
-        """Enter this instance in the list, unless it is there already."""
         await self.spreader.started.wait()
         row = Instance(
             self.settings.name,
@@ -137,14 +139,7 @@
             self.settings.listen,
             InstanceRole.ENTRY,
         )
-        while self.directory.all().get(self.settings.name) != row:
-            try:
-                await self.store.list_instance(row)
-                logger.info("entry: entered in the list of instances")
-                return
-            except PlatformError as error:
-                logger.warning("entry: not entered in the list yet: {}", error)
-            await anyio.sleep(LIST_RETRY_SECONDS)
+        await list_itself(row, self.directory, self.store)
 
     def _entries(self) -> int:
         return sum(
--- a/packages/entry/src/briarthread_entry/direct/request_handler.py
+++ b/packages/entry/src/briarthread_entry/direct/request_handler.py
@@ -9,13 +9,13 @@
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.core.exceptions import RequestError
 from briarthread_common.core.metrics import Metrics
+from briarthread_common.direct.route_view import RouteView
 from briarthread_common.http.app import AnswerAborted
 from briarthread_common.http.call import Call
 from briarthread_common.http.problem import problem_body, problem_headers
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.read_request import RequestReader
 from briarthread_entry.direct.request_runner import RequestRunner
-from briarthread_entry.direct.route_view import RouteView
 
 HONOURED_SHARE = 1 / 3
 """Part of the time left within which callers come back when they are told."""
--- a/packages/entry/src/briarthread_entry/direct/settings.py
+++ b/packages/entry/src/briarthread_entry/direct/settings.py
@@ -7,7 +7,12 @@
 from briarthread_common.conf.option_kind import OptionKind
 from briarthread_common.conf.read_settings import read_settings
 from briarthread_common.conf.section_spec import SectionSpec
-from briarthread_common.conf.shared_sections import LOGS, PEERS, instance_section
+from briarthread_common.conf.shared_sections import (
+    LOGS,
+    PEERS,
+    STORE_OPTIONS,
+    instance_section,
+)
 from briarthread_common.spread.spreader import SpreadOptions
 from briarthread_entry.direct.shared_retry_budget import RetryAllowance
 
@@ -25,8 +30,7 @@
     "direct",
     "The platform that lists routes and targets.",
     (
-        Option("adapter", OptionKind.TEXT, None, "Module that translates for it."),
-        Option("address", OptionKind.ADDRESS, None, "Address of its store."),
+        *STORE_OPTIONS,
         Option(
             "retry_ratio",
             OptionKind.NUMBER,
--- a/packages/entry/src/briarthread_entry/maps/group_planner.py
+++ b/packages/entry/src/briarthread_entry/maps/group_planner.py
@@ -12,6 +12,8 @@
 from briarthread_common.http.channel_calls import call_json
 from briarthread_common.messages.expert_map import ExpertMap
 from briarthread_common.messages.map_report import REPORT_PATH, MapReport
+from briarthread_common.placement.move_rule import Move, Stay, decide_move
+from briarthread_common.placement.popularity import Popularity
 from briarthread_common.platform.lease import Held, HeldByOther, Lease
 from briarthread_common.platform.platform_client import PlatformClient
 from briarthread_common.spread.directory import Directory
@@ -20,8 +22,6 @@
 from briarthread_common.utils.clock import Clock
 from briarthread_common.utils.hashing import rendezvous_order
 from briarthread_entry.maps.coordinator import Coordinator
-from briarthread_entry.placement.move_rule import Move, Stay, decide_move
-from briarthread_entry.placement.popularity import Popularity
 
 PLAN_INTERVAL = 300.0
 REPORT_TIMEOUT = 5.0
--- a/packages/measure/src/briarthread_measure/expert_moves.py
+++ b/packages/measure/src/briarthread_measure/expert_moves.py
@@ -22,11 +22,11 @@
 from docopt import docopt
 
 from briarthread_common.messages.expert_map import ExpertMap, even_map
+from briarthread_common.placement.move_rule import Move, decide_move
+from briarthread_common.placement.place_experts import place_experts
+from briarthread_common.placement.popularity import Popularity
+from briarthread_common.placement.rank_loads import map_skew, moved_experts
 from briarthread_common.text.objective import Objective
-from briarthread_entry.placement.move_rule import Move, decide_move
-from briarthread_entry.placement.place_experts import place_experts
-from briarthread_entry.placement.popularity import Popularity
-from briarthread_entry.placement.rank_loads import map_skew, moved_experts
 
 RANKS, EXPERTS, SLOTS, LAYERS = 32, 256, 9, 2
 MINUTE = 60.0
--- a/packages/measure/src/briarthread_measure/reference_pages.py
+++ b/packages/measure/src/briarthread_measure/reference_pages.py
@@ -10,6 +10,7 @@
 
 from docopt import docopt
 
+from briarthread_agent.ranks.settings import DIRECT_AGENT_SECTIONS
 from briarthread_agent.settings import AGENT_SECTIONS
 from briarthread_common.conf.section_spec import SectionSpec
 from briarthread_common.core.error_answer import ERROR_ANSWERS
@@ -83,6 +84,7 @@
                 "`briarthread serve`": ENTRY_SECTIONS,
                 "`briarthread direct`": DIRECT_SECTIONS,
                 "`briarthread-agent`": AGENT_SECTIONS,
+                "`briarthread-agent --direct`": DIRECT_AGENT_SECTIONS,
             },
             CLOCKS,
         ),
--- a/tests/world/test_planning.py
+++ b/tests/world/test_planning.py
@@ -4,7 +4,7 @@
 from builders import build_text, in_world
 
 from briarthread_common.messages.expert_map import even_map
-from briarthread_entry.placement.rank_loads import map_skew
+from briarthread_common.placement.rank_loads import map_skew
 from briarthread_standins.platform_app import PlatformMode
 from briarthread_standins.rank_group import RankGroup
 from briarthread_standins.world import World
