--- a/packages/agent/src/briarthread_agent/ranks/map_finisher.py
+++ b/packages/agent/src/briarthread_agent/ranks/map_finisher.py
@@ -19,14 +19,20 @@
 LOOK_SECONDS = 0.25
 """How often an agent looks at its own rank; a look is free there."""
 STUCK_LOOKS = 3
-"""Looks in a row with the same pass held before it counts as left behind: a
-planner that lives lets it go within some hundredths of a second."""
+"""Looks in a row at a group that makes no passes, though it has requests or a
+change due, before a change counts as left behind: a planner that lives lets a
+pass go within some hundredths of a second."""
+STAGGER = 4
+"""Ranks by which agents differ in patience, lest all of them ask all others."""
 
 
 class MapFinisher:
     """
     Watch the agent's own rank and finish what a planner did not.
 
+    A rank that neither holds nor is armed only sees that no pass begins though
+    it has requests; then all ranks are asked.
+
     A pass was held only after every rank had loaded the new map, so arming
     those that are not armed yet always leads to the end, and it is what the
     planner does as well. Whoever holds is told to go once all are armed.
@@ -47,9 +53,16 @@
             now = _pending(state)
             looks = looks + 1 if now and now == before else 0
             before = now
-            if state is not None and looks >= STUCK_LOOKS:
+            if state is not None and self._left_behind(state, looks):
+                looks = 0
                 await self.finish(state.group)
 
+    def _left_behind(self, state: RankState, looks: int) -> bool:
+        """Tell whether a change seems to have nobody who finishes it."""
+        if state.held is not None and state.held != self.keeper.own_hold:
+            return True
+        return looks >= STUCK_LOOKS + state.rank % STAGGER
+
     async def finish(self, group: str) -> None:
         """Finish the change of a group, as far as its ranks can be reached."""
         view = await self.peers.view_with_engines(group)
@@ -99,15 +112,14 @@
 
 
 def _pending(state: RankState | None) -> tuple[object, ...]:
-    """Return what marks a pass that the group waits for, if it does."""
+    """Return what marks a group that makes no passes though it has reason to."""
     if state is None:
         return ()
     due = state.held
     if due is None and state.armed is not None:
         due = state.armed.step
-    if due is None or state.step < due - 1:
-        return ()
-    return (state.epoch, state.step, due)
+    at_due = due is not None and state.step >= due - 1
+    return (state.epoch, state.step) if at_due or state.running else ()
 
 
 def _agreed(view: GroupView) -> ArmedMap | None:
--- a/packages/agent/src/briarthread_agent/ranks/map_mover.py
+++ b/packages/agent/src/briarthread_agent/ranks/map_mover.py
@@ -47,6 +47,9 @@
 LEAST_AHEAD = 4
 """The same as a number of passes, for a group that is fast or idle."""
 RETRY_SECONDS = 0.05
+HOLD_SECONDS = 1.0
+"""Longest wait for a hold without an answer to show; one that comes later
+still is found by the finisher."""
 SETTLE_SECONDS = 8.0
 """Time after which the mover leaves an unfinished change to the finisher."""
 
@@ -78,16 +81,25 @@
             return False
         ahead = max(LEAST_AHEAD, math.ceil(AHEAD_SECONDS / max(pass_seconds, 0.001)))
         step = current.step + ahead
-        if not await self._hold(view.epoch, fence, step):
-            self.events.add("map-dropped", group, f"pass {step} could not be held")
+        self.keeper.own_hold = step
+        try:
+            return await self._switch(current, fence, ArmedMap(version, step))
+        finally:
+            self.keeper.own_hold = None
+
+    async def _switch(self, view: GroupView, fence: int, armed: ArmedMap) -> bool:
+        """Hold the pass of a change, arm every rank and let the pass go."""
+        group = view.members[0].state.group
+        what = f"version {armed.version} from pass {armed.step}"
+        if not await self._hold(view.epoch, fence, armed.step):
+            self.events.add("map-dropped", group, f"{what}: it could not be held")
+            return False
+        if not await self._arm_all(view, fence, armed):
+            self.events.add("map-unsettled", group, what)
             return False
-        armed = await self._arm_all(current, fence, ArmedMap(version, step))
-        if armed:
-            await self._go(view.epoch, step)
-            self.events.add("map-moves", group, f"version {version} from pass {step}")
-        else:
-            self.events.add("map-unsettled", group, f"version {version}, pass {step}")
-        return armed
+        await self._go(view.epoch, armed.step)
+        self.events.add("map-moves", group, what)
+        return True
 
     async def _stage(
         self, view: GroupView, fence: int, version: int, layers: Layers
@@ -117,8 +129,17 @@
         if self.keeper.fence > fence:
             return False
         await self.keeper.engine.hold(epoch, step)
-        state = await self.keeper.own_state()
-        return state is not None and state.held == step and state.epoch == epoch
+        with anyio.move_on_after(HOLD_SECONDS):
+            while True:
+                state = await self.keeper.own_state()
+                if state is not None and state.epoch != epoch:
+                    return False
+                if state is not None and state.held == step:
+                    return True
+                if state is not None and state.step >= step:
+                    return False
+                await anyio.sleep(RETRY_SECONDS)
+        return False
 
     async def _arm_all(self, view: GroupView, fence: int, armed: ArmedMap) -> bool:
         missing = {member.address for member in view.members}
--- a/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
@@ -34,13 +34,16 @@
     An engine takes orders from anyone and does not check who gives them, so
     the agent does: it obeys no planner with a lower fencing number than the
     highest that has asked it. What the rank says of itself, not the answer to
-    an order, tells whether the order was carried out.
+    an order, tells whether the order was carried out. ``own_hold`` is the pass
+    that this agent's own planner holds now; any other that the rank holds is
+    the work of a late order or of a process that died.
     """
 
     def __init__(self, engine: RankClient) -> None:
         self.engine = engine
         self.fence = NO_FENCE
         self.planner_heard = NEVER
+        self.own_hold: int | None = None
 
     def routes(self) -> list[Route]:
         """Return the routes of the planner's calls."""
--- a/packages/common/src/briarthread_common/direct/rank_state.py
+++ b/packages/common/src/briarthread_common/direct/rank_state.py
@@ -19,7 +19,7 @@
     ``epoch`` counts the times that the group was formed. ``step`` is the last
     pass that was begun. ``prepared`` is the version whose experts are all
     loaded; ``held`` is the pass that the group does not begin until this
-    rank is told to go.
+    rank is told to go. ``running`` counts the requests that the rank works on.
     """
 
     group: str
@@ -32,3 +32,4 @@
     prepared: int | None = None
     armed: ArmedMap | None = None
     held: int | None = None
+    running: int = 0
--- a/packages/common/src/briarthread_common/direct/route_view.py
+++ b/packages/common/src/briarthread_common/direct/route_view.py
@@ -22,6 +22,13 @@
         self.number = 0
         self.routes: RouteMap | None = None
 
+    async def follow(self) -> None:
+        """Decode each version as it comes, so that no request waits for it."""
+        while True:
+            number = self.feed.number
+            self.current()
+            await self.feed.wait_beyond(number)
+
     def current(self) -> RouteMap | None:
         """Return the newest configuration, ``None`` before the first."""
         if self.number != self.feed.number:
--- a/packages/common/src/briarthread_common/messages/exchange.py
+++ b/packages/common/src/briarthread_common/messages/exchange.py
@@ -12,9 +12,11 @@
 
     The asker sends its versions; the answer holds the versions of the other
     side and a patch for each feed in which the asker lags. ``source_age`` is
-    how many seconds ago the sender last heard from the platform.
+    how many seconds ago the sender last heard from the platform, ``source_well``
+    for how long the platform has answered it without a failure, 0 if it does not.
     """
 
     versions: dict[str, int]
     patches: list[FeedPatch] = field(default_factory=list)
     source_age: float = 0.0
+    source_well: float = 0.0
--- a/packages/common/src/briarthread_common/messages/running_report.py
+++ b/packages/common/src/briarthread_common/messages/running_report.py
@@ -8,10 +8,10 @@
     """
     Count the attempts running from one entry at each target, by its name.
 
-    Targets without any are left out. ``passes`` gives, for each service, the
-    length in seconds of its group's passes as the entry's own streams show
-    them.
+    Targets without any are left out. ``each`` gives, for each service, the
+    seconds that a running request adds to its group's passes, as the entry's
+    own streams show it.
     """
 
     running: dict[str, int] = field(default_factory=dict)
-    passes: dict[str, float] = field(default_factory=dict)
+    each: dict[str, float] = field(default_factory=dict)
--- a/packages/common/src/briarthread_common/spread/following_spreader.py
+++ b/packages/common/src/briarthread_common/spread/following_spreader.py
@@ -14,6 +14,7 @@
 from briarthread_common.feeds.feed_patch import FeedPatch
 from briarthread_common.feeds.feed_set import FeedSet
 from briarthread_common.http.channel import Channel
+from briarthread_common.messages.exchange import Exchange
 from briarthread_common.spread.directory import Directory
 from briarthread_common.spread.feed_source import FollowedSource
 from briarthread_common.spread.source_health import SourceHealth
@@ -64,11 +65,36 @@
         self.followed = source
         self.health = SourceHealth()
         self.standing_in_until = 0.0
+        self.peers_well = SourceHealth()
 
     def source_age(self) -> float:
         """Return the seconds since the platform was last heard from."""
         return self.health.age(anyio.current_time())
 
+    def source_well(self) -> float:
+        """Return for how long the platform has answered this process."""
+        return self.health.well_for(anyio.current_time())
+
+    def well_since(self) -> float:
+        """
+        Return since when the platform is known to be well; now if it is not.
+
+        One that follows knows by itself. Any other takes the word of those
+        who do, as long as that is fresh.
+        """
+        now = anyio.current_time()
+        health = self.health if self._on_poll_duty() else self.peers_well
+        if not health.up or health.age(now) > TRUSTED_AGE:
+            return now
+        return health.well_since
+
+    def _hear(self, heard: Exchange) -> None:
+        if heard.source_well > 0:
+            now = anyio.current_time()
+            self.peers_well.note_success(now)
+            self.peers_well.well_since = now - heard.source_well
+        super()._hear(heard)
+
     async def _poll_loop(self) -> None:
         async with anyio.create_task_group() as tasks:
             for feed in self.feeds.all():
--- a/packages/common/src/briarthread_common/spread/source_health.py
+++ b/packages/common/src/briarthread_common/spread/source_health.py
@@ -38,6 +38,10 @@
         self.up = False
         return lost
 
+    def well_for(self, now: float) -> float:
+        """Return how long the platform has answered, 0 if it does not."""
+        return now - self.well_since if self.up else 0.0
+
     def age(self, now: float) -> float:
         """Return the seconds since the last answer, a large number if none."""
         return min(now - self.heard_at, 1e9)
--- a/packages/common/src/briarthread_common/spread/spreader.py
+++ b/packages/common/src/briarthread_common/spread/spreader.py
@@ -98,7 +98,7 @@
     async def handle_exchange(self, call: Call) -> None:
         """Answer a peer: install its patches, give it what it lacks."""
         heard = await call.read_json(Exchange, MAX_MESSAGE_BYTES)
-        self.install_all(heard.patches)
+        self._hear(heard)
         await call.reply_json(self._message_for(heard.versions))
 
     async def poll_platform(self) -> None:
@@ -123,6 +123,10 @@
         by_name = {row.name: row for row in rows}
         return [by_name[name] for name in rendezvous_order("tree", by_name)]
 
+    def source_well(self) -> float:
+        """Return for how long the platform has answered, if it matters."""
+        return 0.0
+
     async def _poll_loop(self) -> None:
         while True:
             await anyio.sleep(self.options.poll_interval * self.rng.uniform(0.8, 1.2))
@@ -175,7 +179,7 @@
 
     async def _send_and_mend(self, address: str, message: Exchange) -> Exchange:
         theirs = await self._send(address, message)
-        self.install_all(theirs.patches)
+        self._hear(theirs)
         missing = self._message_for(theirs.versions)
         if missing.patches:
             await self._send(address, missing)
@@ -197,7 +201,12 @@
         return self._message([patch for patch in patches if patch is not None])
 
     def _message(self, patches: list[FeedPatch]) -> Exchange:
-        return Exchange(self.feeds.versions(), patches, self.source_age())
+        return Exchange(
+            self.feeds.versions(), patches, self.source_age(), self.source_well()
+        )
+
+    def _hear(self, heard: Exchange) -> None:
+        self.install_all(heard.patches)
 
     def install_all(self, patches: list[FeedPatch]) -> None:
         """Install patches, whichever of them lead to a higher version."""
--- a/packages/entry/src/briarthread_entry/direct/admission_rule.py
+++ b/packages/entry/src/briarthread_entry/direct/admission_rule.py
@@ -97,3 +97,15 @@
 
 def _limit(room: GroupRoom, returning: bool) -> float:
     return room.most * (1 - YIELDED_SHARE) if returning else room.most
+
+
+def return_after(kind: ErrorKind, time_left: float, pick: float) -> float:
+    """
+    Return when a caller is to come back after a refusal of some kind.
+
+    >>> return_after(ErrorKind.GROUP_BROKEN, 6.0, 1.0)
+    2.0
+    """
+    if kind is ErrorKind.GROUP_BROKEN:
+        return later_return(time_left, pick)
+    return spread_return(time_left, pick)
--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -64,12 +64,12 @@
             raise BrokenCallError("the answer is to another request")
         if names.not_run in headers or response.status == REPLACED:
             await read_bounded(response.body, MAX_ANSWER_BYTES)
+            faulty = headers.get(names.faulty_target, "")
+            kind = ErrorKind.GROUP_BROKEN if faulty else ErrorKind.OVERLOADED
             return ProvedNotRun(
-                RequestError(
-                    ErrorKind.OVERLOADED, f"the target refused: {response.status}"
-                ),
+                RequestError(kind, f"the target refused: {response.status} {faulty}"),
                 replaced=response.status == REPLACED,
-                faulty=headers.get(names.faulty_target, ""),
+                faulty=faulty,
             )
         self._check_answer(response)
         passed_on = tuple(f for f in response.fields if f[0] not in DROPPED_BACK)
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -64,9 +64,7 @@
             settings.spread, self.feeds, self.directory, self.store, peer_channel, rng
         )
         self.routes = RouteView(self.feeds.routes, adapter)
-        self.book = TargetBook(
-            self.feeds.targets, adapter, lambda: self.spreader.health.well_since
-        )
+        self.book = TargetBook(self.feeds.targets, adapter, self.spreader.well_since)
         self.board = RunningBoard()
         self.gate = GroupGate(self.book, self.board, rng)
         self.reporter = RunningReporter(self.gate.report)
@@ -106,6 +104,8 @@
     def start(self, tasks: TaskGroup) -> None:
         """Start the background tasks in a task group."""
         tasks.start_soon(self.spreader.run)
+        tasks.start_soon(self.routes.follow)
+        tasks.start_soon(self.book.follow)
         tasks.start_soon(self.watcher.run)
         tasks.start_soon(self._list_itself)
 
--- a/packages/entry/src/briarthread_entry/direct/direct_request.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_request.py
@@ -13,7 +13,8 @@
 
     ``path`` is the path with its query, as the caller wrote it. ``arrived``
     and ``deadline`` are seconds of the runtime's clock; the deadline is the
-    earlier of the caller's and the route's.
+    earlier of the caller's and the route's. ``patience`` is how many seconds
+    the caller itself was ready to wait, ``None`` where it did not say.
     """
 
     id: str
@@ -27,6 +28,13 @@
     priority: int
     arrived: float
     deadline: float
+    patience: float | None = None
     prompt_tokens: int = 0
     answer_tokens: int = 0
     resumes_after: int | None = None
+
+    def caller_left(self, now: float) -> float:
+        """Return the seconds that the caller itself still waits."""
+        if self.patience is None:
+            return self.deadline - now
+        return self.arrived + self.patience - now
--- a/packages/entry/src/briarthread_entry/direct/group_gate.py
+++ b/packages/entry/src/briarthread_entry/direct/group_gate.py
@@ -1,12 +1,14 @@
 """The way into the groups of a service's ranks."""
 
 import random
+from collections.abc import Sequence
 from dataclasses import replace
 
 import anyio
 from loguru import logger
 
 from briarthread_common.core.exceptions import RequestError
+from briarthread_common.direct.direct_service import DirectService
 from briarthread_common.messages.running_report import RunningReport
 from briarthread_entry.direct.admission_rule import (
     Decision,
@@ -17,11 +19,12 @@
 )
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.group_health import GroupHealth
-from briarthread_entry.direct.group_load import GroupLoad, most_running
+from briarthread_entry.direct.group_load import most_running
 from briarthread_entry.direct.pass_meter import PassMeter
 from briarthread_entry.direct.return_detector import ReturnDetector
 from briarthread_entry.direct.running_board import RunningBoard
 from briarthread_entry.direct.target_book import TargetBook
+from briarthread_entry.direct.target_state import DirectTargetState
 
 LOOK_SECONDS = 0.02
 """How often a waiting request looks for room: a part of a pass."""
@@ -51,9 +54,14 @@
         self.returns = ReturnDetector()
         self.waiting: list[tuple[bool, int, float, str]] = []
 
-    def meter(self, service: str) -> PassMeter:
+    def meter(self, service: DirectService) -> PassMeter:
         """Return the meter of a service's passes."""
-        return self.meters.setdefault(service, PassMeter())
+        meter = self.meters.get(service.name)
+        if meter is None:
+            engine = service.engine
+            fixed = engine.stride * engine.step_seconds if engine else 0.0
+            meter = self.meters[service.name] = PassMeter(fixed)
+        return meter
 
     def health(self, service: str) -> GroupHealth:
         """Return the health of a service's group."""
@@ -62,10 +70,10 @@
     def report(self) -> RunningReport:
         """Return what the other entries are told."""
         now = anyio.current_time()
-        passes = {
-            service: round(seconds, 4)
+        each = {
+            service: round(seconds, 6)
             for service, meter in self.meters.items()
-            if (seconds := meter.seconds(now)) is not None
+            if (seconds := meter.each(now)) is not None
         }
         return RunningReport(
             {
@@ -73,13 +81,12 @@
                 for name, state in self.book.states.items()
                 if state.running
             },
-            passes,
+            each,
         )
 
     async def enter(self, request: DirectRequest) -> None:
         """Return when the request may start, or raise RequestError."""
-        time_left = request.deadline - request.arrived
-        returning = self.returns.is_return(request.route.name, time_left)
+        returning = self.returns.is_return(request.route.name, request.patience)
         place = (returning, request.priority, request.arrived, request.id)
         self.waiting.append(place)
         try:
@@ -113,31 +120,31 @@
         room = self._room(request, now)
         ahead = sum(other < place for other in self.waiting)
         room = replace(room, running=room.running + ahead)
-        return decide(
-            room, returning, give_up - now, request.deadline - now, self.rng.random()
-        )
+        left = request.caller_left(now)
+        return decide(room, returning, give_up - now, left, self.rng.random())
 
     def _room(self, request: DirectRequest, now: float) -> GroupRoom:
         service = request.service
         states = self.book.of_service(service.name, now)
-        running = sum(
-            state.running + self.board.elsewhere(state.target.name, now)
-            for state in states
-        )
-        seen = self.meter(service.name).seconds(now)
-        if seen is None:
-            seen = self.board.pass_seconds(service.name, now)
-        load = GroupLoad(len(states), running, seen)
+        each = self.meter(service).each(now)
+        if each is None:
+            each = self.board.each(service.name, now)
         return GroupRoom(
             serving=self.health(service.name).may_send(now),
-            running=running,
-            most=most_running(load, service.engine, request.route.gap_aim),
+            running=self._running(states, now),
+            most=most_running(len(states), service.engine, request.route.gap_aim, each),
+        )
+
+    def _running(self, states: Sequence[DirectTargetState], now: float) -> int:
+        return sum(
+            state.running + self.board.elsewhere(state.target.name, now)
+            for state in states
         )
 
     def _patience(self, request: DirectRequest) -> float:
         """Return how long the request may wait and still meet its aim."""
         now = anyio.current_time()
-        seen = self.meter(request.service.name).seconds(now) or 0.0
+        seen = self.meter(request.service).seconds(now) or 0.0
         answer = PASSES_TO_ANSWER * seen
         return min(max(request.route.aim - answer, 0.0), LONGEST_WAIT)
 
@@ -146,8 +153,10 @@
         if self.health(service).note_broken(anyio.current_time()):
             logger.warning("group: {} is not serving: {}", service, faulty)
 
-    def note_event(self, service: str, previous: float | None) -> None:
+    def note_event(self, service: DirectService, previous: float | None) -> None:
         """Record an event of one of this entry's streams."""
-        self.meter(service).note_event(previous, anyio.current_time())
-        if self.health(service).note_serving():
-            logger.info("group: {} serves again", service)
+        now = anyio.current_time()
+        states = self.book.of_service(service.name, now)
+        self.meter(service).note_event(previous, now, self._running(states, now))
+        if self.health(service.name).note_serving():
+            logger.info("group: {} serves again", service.name)
--- a/packages/entry/src/briarthread_entry/direct/read_request.py
+++ b/packages/entry/src/briarthread_entry/direct/read_request.py
@@ -60,6 +60,8 @@
         body = await self._read_body(call, headers, routes)
         service = routes.services[self._choose_service(route)]
         prompt, answer = _size(headers.get(self.names.size, ""))
+        patience = self._patience(headers)
+        timeout = route.timeout
         priority = route.priority if account.priority is None else account.priority
         return DirectRequest(
             id=headers.get(self.names.request_id, ""),
@@ -72,7 +74,9 @@
             account=account.name,
             priority=priority,
             arrived=arrived,
-            deadline=arrived + self._patience(headers, route),
+            deadline=arrived
+            + (timeout if patience is None else min(patience, timeout)),
+            patience=patience,
             prompt_tokens=prompt,
             answer_tokens=answer,
             resumes_after=_event_id(headers.get(self.names.resume_from)),
@@ -107,12 +111,12 @@
         weights = [share.weight for share in route.shares]
         return self.rng.choices(route.shares, weights)[0].service
 
-    def _patience(self, headers: dict[str, str], route: HostRoute) -> float:
+    def _patience(self, headers: dict[str, str]) -> float | None:
         raw = headers.get(self.names.time_left)
         if raw is None:
-            return route.timeout
+            return None
         try:
-            return min(float(raw) / 1000, route.timeout)
+            return float(raw) / 1000
         except ValueError as error:
             raise RequestError(
                 ErrorKind.BAD_REQUEST, f"{self.names.time_left} is not a number"
--- a/packages/entry/src/briarthread_entry/direct/request_handler.py
+++ b/packages/entry/src/briarthread_entry/direct/request_handler.py
@@ -17,9 +17,6 @@
 from briarthread_entry.direct.read_request import RequestReader
 from briarthread_entry.direct.request_runner import RequestRunner
 
-HONOURED_SHARE = 1 / 3
-"""Part of the time left within which callers come back when they are told."""
-
 
 class RequestHandler:
     """Read a request, run it and give the caller its final answer at once."""
@@ -49,7 +46,7 @@
         except RequestError as error:
             self.metrics.refusals.labels(str(error.kind)).inc()
             self.events.add("request-refused", call.path, error.detail)
-            await self._answer_error(call, error, arrived)
+            await self._answer_error(call, error)
             return
         self.metrics.requests.labels(request.service.name).inc()
         await self._serve(request, call)
@@ -68,7 +65,7 @@
                 await self.runner.run(request, call)
             except RequestError as error:
                 self._note(request, error)
-                await self._answer_error(call, error, request.deadline)
+                await self._answer_error(call, error)
             tasks.cancel_scope.cancel()
 
     def _note(self, request: DirectRequest, error: RequestError) -> None:
@@ -81,21 +78,9 @@
             request.id,
         )
 
-    async def _answer_error(
-        self, call: Call, error: RequestError, deadline: float
-    ) -> None:
+    async def _answer_error(self, call: Call, error: RequestError) -> None:
         if call.started:
             raise AnswerAborted(str(error)) from error
         status = ERROR_ANSWERS[error.kind].status
         headers = problem_headers(error, exact=True)
         await call.reply(status, problem_body(error), headers)
-
-
-def within_honoured(retry_after: float, left: float) -> float:
-    """
-    Return the pause, at most what callers honour of the time they have left.
-
-    >>> within_honoured(2.0, 3.0)
-    1.0
-    """
-    return min(retry_after, max(left, 0.0) * HONOURED_SHARE)
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -11,6 +11,7 @@
 from briarthread_common.core.outcome import Outcome
 from briarthread_common.http.app import AnswerAborted
 from briarthread_common.http.call import Call
+from briarthread_entry.direct.admission_rule import return_after
 from briarthread_entry.direct.answer_relay import AnswerRelay
 from briarthread_entry.direct.attempt_outcome import (
     DirectOutcome,
@@ -66,11 +67,10 @@
 
     async def run(self, request: DirectRequest, call: Call) -> None:
         """Answer the caller, or raise the RequestError that it gets."""
-        service = request.service.name
         relay = AnswerRelay(
             call,
             request.resumes_after,
-            lambda previous: self.gate.note_event(service, previous),
+            lambda previous: self.gate.note_event(request.service, previous),
         )
         failures: list[DirectOutcome] = []
         try:
@@ -96,7 +96,7 @@
         while True:
             state = self._choose(request, tried)
             if state is None:
-                raise self._final(failures, "no target is listed")
+                raise self._final(request, failures)
             tried.add(state.target.name)
             outcome = await self._attempt(request, state, relay)
             match outcome:
@@ -111,7 +111,7 @@
                     sent += 1
             failures.append(outcome)
             if not self._may_repeat(request, failures, sent):
-                await self._give_up(call, failures)
+                await self._give_up(request, call, failures)
                 return
 
     def _choose(
@@ -194,27 +194,36 @@
         self.metrics.retries.labels(_reason(outcome)).inc()
         return True
 
-    async def _give_up(self, call: Call, failures: list[DirectOutcome]) -> None:
+    async def _give_up(
+        self, request: DirectRequest, call: Call, failures: list[DirectOutcome]
+    ) -> None:
         last = failures[-1]
         if isinstance(last, TargetAnswer) and not call.started:
             await _reply(call, last)
             return
-        raise self._final(failures, "")
+        raise self._final(request, failures)
 
-    def _final(self, failures: list[DirectOutcome], reason: str) -> RequestError:
+    def _final(
+        self, request: DirectRequest, failures: list[DirectOutcome]
+    ) -> RequestError:
         """Return the last failure, as not run only if no attempt may have run."""
         if not failures:
-            return RequestError(ErrorKind.NO_TARGET, reason)
-        certain = all(isinstance(failure, ProvedNotRun) for failure in failures)
+            return self._refusal(request, ErrorKind.NO_TARGET, "no target is listed")
         last = failures[-1]
+        certain = all(isinstance(failure, ProvedNotRun) for failure in failures)
         if isinstance(last, ProvedNotRun) and certain:
-            return last.error
-        detail = (
-            last.error.detail if isinstance(last, ProvedNotRun | MayHaveRun) else ""
-        )
-        return RequestError(
-            ErrorKind.TARGET_FAILED, detail or reason, outcome=Outcome.UNKNOWN
-        )
+            return self._refusal(request, last.error.kind, last.error.detail)
+        detail = "the target answered with a failure"
+        if isinstance(last, ProvedNotRun | MayHaveRun):
+            detail = last.error.detail
+        return RequestError(ErrorKind.TARGET_FAILED, detail, outcome=Outcome.UNKNOWN)
+
+    def _refusal(
+        self, request: DirectRequest, kind: ErrorKind, detail: str
+    ) -> RequestError:
+        left = request.caller_left(anyio.current_time())
+        pause = return_after(kind, left, self.rng.random())
+        return RequestError(kind, detail, retry_after=pause)
 
 
 async def _reply(call: Call, answer: TargetAnswer) -> None:
--- a/packages/entry/src/briarthread_entry/direct/return_detector.py
+++ b/packages/entry/src/briarthread_entry/direct/return_detector.py
@@ -19,8 +19,10 @@
     def __init__(self) -> None:
         self.usual: dict[str, float] = {}
 
-    def is_return(self, route: str, time_left: float) -> bool:
+    def is_return(self, route: str, time_left: float | None) -> bool:
         """Tell whether a caller with this time left was here before."""
+        if time_left is None:
+            return False
         usual = max(self.usual.get(route, 0.0), time_left)
         self.usual[route] = usual
         return time_left < usual * RETURN_SHARE
--- a/packages/entry/src/briarthread_entry/direct/running_board.py
+++ b/packages/entry/src/briarthread_entry/direct/running_board.py
@@ -40,12 +40,12 @@
         """Return the attempts that other entries have running at a target."""
         return sum(heard.report.running.get(target, 0) for heard in self._fresh(now))
 
-    def pass_seconds(self, service: str, now: float) -> float | None:
-        """Return the mean of the passes that other entries see, if any do."""
+    def each(self, service: str, now: float) -> float | None:
+        """Return what others see that a running request adds to a pass."""
         seen = [
-            heard.report.passes[service]
+            heard.report.each[service]
             for heard in self._fresh(now)
-            if service in heard.report.passes
+            if service in heard.report.each
         ]
         return sum(seen) / len(seen) if seen else None
 
--- a/packages/entry/src/briarthread_entry/direct/target_book.py
+++ b/packages/entry/src/briarthread_entry/direct/target_book.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import anyio
 from loguru import logger
 
 from briarthread_common.core.exceptions import DecodeError
@@ -37,6 +38,13 @@
         self.raw: dict[str, str] = {}
         self.states: dict[str, DirectTargetState] = {}
 
+    async def follow(self) -> None:
+        """Take over each version as it comes, not only when a request asks."""
+        while True:
+            number = self.feed.number
+            self.refresh(anyio.current_time())
+            await self.feed.wait_beyond(number)
+
     def of_service(self, service: str, now: float) -> list[DirectTargetState]:
         """Return the targets of a service that new work may be sent to."""
         self.refresh(now)
@@ -92,6 +100,7 @@
         state.removed_at = None
 
     def _kept_until(self, state: DirectTargetState) -> float:
+        """Return when a target that left the list is to be taken for gone."""
         removed = state.removed_at or 0.0
-        lapsed = removed < self.well_since() + RETURN_SECONDS
-        return self.well_since() + RETURN_SECONDS if lapsed else removed
+        returned = self.well_since() + RETURN_SECONDS
+        return returned if removed < returned else removed
--- /dev/null
+++ b/packages/standins/src/briarthread_standins/direct_group.py
@@ -0,0 +1,229 @@
+"""A stand-in for a lock-step group of the users' platform, with an oracle."""
+
+from dataclasses import dataclass, field
+
+import anyio
+
+from briarthread_common.http.app import App, Route
+from briarthread_common.http.call import Call
+from briarthread_common.messages.expert_map import even_map
+
+MAX_BODY = 4 * 1024 * 1024
+COPY_SECONDS = 0.2
+PASS_SECONDS = 0.06
+PICKS = 400
+"""Choices of experts that each rank counts in a pass, in each set."""
+
+
+@dataclass(eq=False)
+class Rank:
+    """Hold one rank's side of the group."""
+
+    number: int
+    placed: list[list[int]]
+    map_version: int = 0
+    had: int = 0
+    prepared: int | None = None
+    prepared_layers: list[list[list[int]]] = field(default_factory=list)
+    copying: bool = False
+    armed: tuple[int, int] | None = None
+    held: int | None = None
+    counts: list[int] = field(default_factory=list)
+
+
+class DirectGroup:
+    """
+    Make passes in which all ranks must have the same map.
+
+    ``violations`` collects each pass that began otherwise. Orders are taken
+    from anyone. ``unanswered`` counts orders that stay without an answer and
+    are carried out ``late`` seconds on; ``held_seconds`` sums up how long the
+    group waited for a held pass.
+    """
+
+    def __init__(self, ranks: int, sets: int, experts: int, spare: int = 3) -> None:
+        self.sets = sets
+        self.experts = experts
+        self.spare = spare
+        self.epoch = 1
+        self.step = 0
+        self.serving = True
+        self.demand = [[1.0] * experts for _ in range(sets)]
+        self.violations: list[str] = []
+        self.unanswered = 0
+        self.late = 2.0
+        self.held_seconds = 0.0
+        self.longest_hold = 0.0
+        self.orders: list[str] = []
+        layer = even_map(0, 1, experts, ranks).layers[0]
+        self.even = [[list(layer[r]) for _ in range(sets)] for r in range(ranks)]
+        self.ranks = [
+            Rank(r, [list(e) for e in self.even[r]], counts=[0] * sets * experts)
+            for r in range(ranks)
+        ]
+
+    def app(self, number: int) -> App:
+        """Return the application of one rank's engine."""
+        rank = self.ranks[number]
+
+        async def report(call: Call) -> None:
+            await call.reply_json(self._report(rank))
+
+        async def picked(call: Call) -> None:
+            if "lists" in call.query:
+                lists = {"version": rank.map_version, "experts": rank.placed}
+                await call.reply_json({"epoch": self.epoch, "map": lists})
+                return
+            counts = {"step": self.step, "epoch": self.epoch, "counts": rank.counts}
+            await call.reply_json(counts)
+
+        async def order(call: Call) -> None:
+            await self._order(rank, call)
+
+        return App(
+            [
+                Route("GET", "/api/report", report),
+                Route("GET", "/api/picked", picked),
+                Route("POST", "/api/order", order),
+            ]
+        )
+
+    async def run(self) -> None:
+        """Make passes until cancelled."""
+        while True:
+            await anyio.sleep(PASS_SECONDS)
+            waited = 0.0
+            while any(rank.held == self.step + 1 for rank in self.ranks):
+                await anyio.sleep(0.01)
+                waited += 0.01
+                self.held_seconds += 0.01
+                self.longest_hold = max(self.longest_hold, waited)
+            if self.serving:
+                self._begin_pass()
+
+    def form_anew(self) -> None:
+        """Break the group and form it in a new epoch, with the first map."""
+        self.epoch += 1
+        for rank in self.ranks:
+            rank.placed = [list(experts) for experts in self.even[rank.number]]
+            rank.map_version = 0
+            rank.prepared, rank.armed, rank.held = None, None, None
+            rank.copying = False
+
+    def skew(self) -> float:
+        """Return the slowest ranks' share of the work over an even one."""
+        slowest = even = 0.0
+        for number in range(self.sets):
+            demand = self.demand[number]
+            replicas = [0] * self.experts
+            for rank in self.ranks:
+                for expert in rank.placed[number]:
+                    replicas[expert] += 1
+            loads = [
+                sum(demand[e] / replicas[e] for e in rank.placed[number])
+                for rank in self.ranks
+            ]
+            slowest += max(loads)
+            even += sum(loads) / len(loads)
+        return slowest / even
+
+    def _begin_pass(self) -> None:
+        self.step += 1
+        for rank in self.ranks:
+            if rank.armed is not None and rank.armed[1] == self.step:
+                rank.map_version = rank.armed[0]
+                rank.placed = [layer[rank.number] for layer in rank.prepared_layers]
+                rank.armed = None
+        versions = {rank.map_version for rank in self.ranks}
+        if len(versions) > 1:
+            self.violations.append(f"pass {self.step}: maps {sorted(versions)}")
+        for rank in self.ranks:
+            self._count(rank)
+
+    def _count(self, rank: Rank) -> None:
+        for number, demand in enumerate(self.demand):
+            total = sum(demand)
+            for expert, share in enumerate(demand):
+                rank.counts[number * self.experts + expert] += int(
+                    PICKS * share / total
+                )
+
+    def _report(self, rank: Rank) -> dict[str, object]:
+        armed = rank.armed and {"version": rank.armed[0], "step": rank.armed[1]}
+        return {
+            "group": {
+                "name": "g",
+                "epoch": self.epoch,
+                "rank": rank.number,
+                "state": "open" if self.serving else "broken",
+            },
+            "size": len(self.ranks),
+            "step": self.step,
+            "active": 1,
+            "map": rank.map_version,
+            "prepared": rank.prepared,
+            "armed": armed,
+            "held": rank.held,
+        }
+
+    async def _order(self, rank: Rank, call: Call) -> None:
+        order = await call.read_json(dict, MAX_BODY)
+        if self.unanswered:
+            self.unanswered -= 1
+            await anyio.sleep(self.late)
+            await self._carry_out(rank, order)
+            return
+        await call.reply(await self._carry_out(rank, order), b"")
+
+    async def _carry_out(self, rank: Rank, order: dict) -> int:
+        self.orders.append(order["op"])
+        if order["epoch"] != self.epoch:
+            return 409
+        match order["op"]:
+            case "prepare":
+                return self._prepare(rank, order)
+            case "arm":
+                return self._arm(rank, order)
+            case "hold":
+                return self._hold(rank, order["step"])
+            case "go":
+                if rank.held == order["step"]:
+                    rank.held = None
+                return 200
+        return 400
+
+    def _prepare(self, rank: Rank, order: dict) -> int:
+        version, layers = order["version"], order["map"]
+        new = [
+            len(set(layer[rank.number]) - set(placed))
+            for layer, placed in zip(layers, rank.placed, strict=True)
+        ]
+        if version <= rank.had or rank.armed or rank.copying or max(new) > self.spare:
+            return 409
+        rank.had = version
+        rank.prepared = None
+        rank.prepared_layers = layers
+        rank.copying = True
+        loop_time = COPY_SECONDS if any(new) else 0.0
+        self.tasks.start_soon(self._copy, rank, version, loop_time, self.epoch)
+        return 202
+
+    async def _copy(self, rank: Rank, version: int, seconds: float, epoch: int) -> None:
+        await anyio.sleep(seconds)
+        if epoch == self.epoch and rank.had == version:
+            rank.copying = False
+            rank.prepared = version
+
+    def _arm(self, rank: Rank, order: dict) -> int:
+        if rank.prepared != order["version"] or order["step"] <= self.step:
+            return 409
+        rank.armed = (order["version"], order["step"])
+        return 200
+
+    def _hold(self, rank: Rank, step: int) -> int:
+        if step <= self.step or rank.held is not None:
+            return 409
+        rank.held = step
+        return 200
+
+    tasks: anyio.abc.TaskGroup
--- /dev/null
+++ b/packages/standins/src/briarthread_standins/direct_worker.py
@@ -0,0 +1,122 @@
+"""A stand-in for a worker of the users' platform, in its own protocol."""
+
+from collections import Counter
+from enum import StrEnum
+
+import anyio
+
+from briarthread_common.http.app import AnswerAborted, App, Route
+from briarthread_common.http.call import Call
+
+MAX_BODY = 1024 * 1024
+STAMP = ("x-server-stamp", "stamp")
+
+
+class WorkerFault(StrEnum):
+    """Name what a worker may do instead of answering properly."""
+
+    REFUSE = "refuse"
+    GROUP_BROKEN = "group-broken"
+    OWN_ERROR = "own-error"
+    LOSE_ANSWER = "lose-answer"
+    MUTE = "mute"
+    OTHER_ID = "other-id"
+    NO_STAMP = "no-stamp"
+    ENCODED = "encoded"
+    CUT_EVENT = "cut-event"
+
+
+class DirectWorker:
+    """
+    Answer requests, whole or as a stream, and count what ran.
+
+    ``faults`` are used up one a request. A stream has ``pieces`` events; one
+    that is cut stops in the middle of the event after ``cut_after``.
+    """
+
+    def __init__(self, name: str, pieces: int = 6) -> None:
+        self.name = name
+        self.pieces = pieces
+        self.delay = 0.02
+        self.event_pause = 0.06
+        self.cut_after = 2
+        self.faults: list[WorkerFault] = []
+        self.runs: Counter[str] = Counter()
+        self.seen: list[dict[str, str]] = []
+        self.bodies: list[bytes] = []
+        self.working = 0
+        self.broken_off = 0
+        self.app = App([Route("*", "/", self._handle)])
+
+    async def _handle(self, call: Call) -> None:
+        headers = call.headers
+        self.seen.append(headers)
+        self.bodies.append(await call.read_body(MAX_BODY))
+        if headers.get("x-expect-instance", self.name) != self.name:
+            await call.reply(421, b"", [("x-instance-id", self.name)])
+            return
+        fault = self.faults.pop(0) if self.faults else None
+        if fault in (WorkerFault.REFUSE, WorkerFault.GROUP_BROKEN):
+            named = [("at-server", "10.9.9.9:1")]
+            more = named if fault is WorkerFault.GROUP_BROKEN else []
+            await call.reply(503, b"", [("x-not-executed", "1"), *more])
+            return
+        self.runs[headers["x-request-id"]] += 1
+        self.working += 1
+        try:
+            await self._work(call, headers, fault)
+        finally:
+            self.working -= 1
+
+    async def _work(
+        self, call: Call, headers: dict[str, str], fault: WorkerFault | None
+    ) -> None:
+        answered = False
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call.cancel_on_disconnect, tasks.cancel_scope)
+            await anyio.sleep(self.delay)
+            await self._answer(call, headers, fault)
+            answered = True
+            tasks.cancel_scope.cancel()
+        self.broken_off += not answered
+
+    async def _answer(
+        self, call: Call, headers: dict[str, str], fault: WorkerFault | None
+    ) -> None:
+        echoed = ("x-request-id", headers["x-request-id"])
+        match fault:
+            case WorkerFault.OWN_ERROR:
+                await call.reply(500, b"broken", [STAMP, echoed])
+            case WorkerFault.LOSE_ANSWER:
+                raise AnswerAborted("lost")
+            case WorkerFault.MUTE:
+                await anyio.sleep_forever()
+            case WorkerFault.OTHER_ID:
+                await call.reply(200, b"other", [STAMP, ("x-request-id", "other")])
+            case WorkerFault.NO_STAMP:
+                await call.reply(200, b"forged", [echoed])
+            case WorkerFault.ENCODED:
+                encoded = ("content-encoding", "gzip")
+                await call.reply(200, b"zip", [STAMP, echoed, encoded])
+            case _ if "x-token-count" in headers:
+                await self._stream(call, headers, echoed, fault)
+            case _:
+                await call.reply(200, self.name.encode(), [STAMP, echoed])
+
+    async def _stream(
+        self,
+        call: Call,
+        headers: dict[str, str],
+        echoed: tuple[str, str],
+        fault: WorkerFault | None,
+    ) -> None:
+        first = int(headers.get("last-event-id", "0")) + 1
+        await call.start(200, [STAMP, echoed, ("content-type", "text/event-stream")])
+        for number in range(first, self.pieces + 1):
+            await anyio.sleep(self.event_pause)
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if fault is WorkerFault.CUT_EVENT and number - first >= self.cut_after:
+                await call.send_chunk(event[:9])
+                raise AnswerAborted("cut in the middle of an event")
+            await call.send_chunk(event)
+        await call.finish()
--- /dev/null
+++ b/packages/standins/src/briarthread_standins/direct_world.py
@@ -0,0 +1,164 @@
+"""Entries before direct targets on the users' platform, in one process."""
+
+import random
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import TaskGroup
+
+from briarthread_common.core.exceptions import ChannelError
+from briarthread_common.http.channel import Channel, ChannelRequest
+from briarthread_common.spread.spreader import SpreadOptions
+from briarthread_common.utils.clock import Clock
+from briarthread_entry.direct.direct_entry import DirectEntry
+from briarthread_entry.direct.settings import DirectSettings
+from briarthread_entry.direct.shared_retry_budget import RetryAllowance
+from briarthread_platform.adapter import ADAPTER
+from briarthread_standins.direct_worker import DirectWorker
+from briarthread_standins.fake_network import FakeNetwork
+from briarthread_standins.users_store import UsersStore
+
+STORE = "10.200.0.1:80"
+DATA_CENTRES = ("palermo", "catania")
+START_SECONDS = 2.0
+CLIENT = "10.250.0.1:1"
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What a caller got; ``whole`` is off where the answer broke off."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool = True
+
+    @property
+    def event_ids(self) -> list[int]:
+        """Return the ids of the events of a stream."""
+        lines = self.body.decode().split("\n")
+        return [int(line[3:]) for line in lines if line.startswith("id:")]
+
+
+@dataclass
+class DirectWorld:
+    """Hold a store, workers and entries on one fake network."""
+
+    tasks: TaskGroup
+    seed: int = 1
+    entries: dict[str, DirectEntry] = field(default_factory=dict)
+    workers: dict[str, DirectWorker] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)
+    requests: int = 0
+
+    def __post_init__(self) -> None:
+        self.network = FakeNetwork(self.tasks)
+        self.store = UsersStore()
+        self.network.listen(STORE, "store", self.store.app)
+
+    def add_worker(
+        self, name: str, service: str, data_centre: str = "palermo", listed: bool = True
+    ) -> DirectWorker:
+        """Start a worker at an address of its own and list it."""
+        worker = DirectWorker(name)
+        number = len(self.workers) + 1
+        address = f"10.9.0.{number}:80"
+        self.workers[name] = worker
+        self.addresses[name] = address
+        self.network.listen(address, data_centre, worker.app)
+        if listed:
+            self.list_worker(name, service, data_centre)
+        return worker
+
+    def list_worker(
+        self,
+        name: str,
+        service: str,
+        data_centre: str = "palermo",
+        state: str = "ready",
+    ) -> None:
+        """Write a worker's row."""
+        row = {
+            "service": service,
+            "address": self.addresses[name],
+            "zone": data_centre,
+            "slots": 6,
+            "state": state,
+        }
+        self.store.put("servers", name, row)
+
+    def add_entry(self, name: str, data_centre: str = "palermo") -> DirectEntry:
+        """Start an entry."""
+        number = len(self.entries) + 1
+        peer, front = f"10.1.0.{number}:9", f"10.1.0.{number}:8"
+        settings = DirectSettings(
+            name=name,
+            data_centre=data_centre,
+            listen=peer,
+            callers_listen=front,
+            ready_listen=f"10.1.0.{number}:7",
+            drain_notice=1.0,
+            drain_timeout=3.0,
+            adapter="briarthread_platform.adapter",
+            store=STORE,
+            allowance=RetryAllowance(0.2, 20.0, 10.0),
+            spread=SpreadOptions(name, data_centre, ("10.1.0.1:9",), 4.0, 2.0),
+            log_level="INFO",
+            log_json=False,
+        )
+        channel = self.network.channel(peer, data_centre)
+        entry = DirectEntry(
+            settings,
+            ADAPTER,
+            channel,
+            channel,
+            channel,
+            Clock(),
+            random.Random(self.seed + number),
+        )
+        self.network.listen(peer, data_centre, entry.peer_app)
+        self.network.listen(front, data_centre, entry.app)
+        self.entries[name] = entry
+        entry.start(self.tasks)
+        return entry
+
+    async def ask(
+        self,
+        entry: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        method: str = "POST",
+        body: bytes | None = b"x",
+        host: str = "salon.example",
+        give_up: float = 20.0,
+    ) -> Reply:
+        """Send a request as a caller and return what came back."""
+        self.requests += 1
+        fields = {
+            "host": host,
+            "x-request-id": f"request-{self.requests}",
+            "x-credential": "key-1",
+            "x-deadline-ms": "8000",
+            **(headers or {}),
+        }
+        if body is not None:
+            fields["content-length"] = str(len(body))
+        front = self.entries[entry].settings.callers_listen
+        channel = self.network.channel(CLIENT, "clients")
+        call = ChannelRequest(method, front, path, tuple(fields.items()), body)
+        with anyio.move_on_after(give_up):
+            return await _read(channel, call)
+        return Reply(0, {}, b"", whole=False)
+
+
+async def _read(channel: Channel, call: ChannelRequest) -> Reply:
+    parts: list[bytes] = []
+    async with channel.stream(call) as response:
+        try:
+            async for chunk in response.body:
+                parts.append(chunk)
+        except ChannelError:
+            return Reply(
+                response.status, dict(response.headers), b"".join(parts), whole=False
+            )
+        return Reply(response.status, dict(response.headers), b"".join(parts))
--- a/packages/standins/src/briarthread_standins/fake_network.py
+++ b/packages/standins/src/briarthread_standins/fake_network.py
@@ -164,6 +164,7 @@
             "type": "http",
             "method": request.method,
             "path": path,
+            "raw_path": path.encode("latin-1"),
             "query_string": query.encode(),
             "headers": [(k.encode(), v.encode()) for k, v in request.headers],
         }
@@ -172,7 +173,7 @@
         """Give the server its next message."""
         if not self.body_given:
             self.body_given = True
-            return {"type": "http.request", "body": self.request.body}
+            return {"type": "http.request", "body": self.request.body or b""}
         await self.disconnected.wait()
         return {"type": "http.disconnect"}
 
@@ -212,9 +213,9 @@
             head = await self._next(node, exchange)
             if self.network.take_fault(self.network.lose_answers, request):
                 raise BrokenCallError(f"answer to {request.path} was lost")
-            headers = {k.decode(): v.decode() for k, v in head["headers"]}
+            fields = tuple((k.decode(), v.decode()) for k, v in head["headers"])
             body = self._body(node, exchange)
-            yield ChannelResponse(head["status"], headers, body)
+            yield ChannelResponse(head["status"], dict(fields), body, fields)
         finally:
             exchange.end()
 
--- /dev/null
+++ b/tests/direct/test_configuration.py
@@ -0,0 +1,201 @@
+"""Configuration and list of targets reach every entry and never go back."""
+
+import anyio
+import pytest
+from direct_builders import DIARY, build_config, build_route_row, in_direct_world
+
+from briarthread_standins.direct_world import DirectWorld
+
+ENTRIES = ("entry-1", "entry-2", "entry-3", "entry-4")
+IN_FORCE_SECONDS = 2.0
+"""What the platform's rules allow between acknowledgement and effect."""
+
+
+def new_config(version: int) -> dict[str, object]:
+    row = build_route_row(f"/v{version}/", DIARY, "safe")
+    return build_config(version, routes=[*build_config()["routes"], row])
+
+
+async def statuses(world: DirectWorld, path: str) -> list[int]:
+    return [(await world.ask(name, path)).status for name in world.entries]
+
+
+def test_change_is_in_force_everywhere_within_two_seconds() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        world.store.put("op", "config", new_config(2))
+        await anyio.sleep(IN_FORCE_SECONDS / 2)
+        assert await statuses(world, "/v2/1") == [200] * 4
+
+    in_direct_world(scenario, ENTRIES)
+
+
+def test_removed_key_is_refused_everywhere_within_two_seconds() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        tenants = [{"name": "salon", "apiKeys": ["key-2"]}]
+        world.store.put("op", "config", build_config(2, tenants=tenants))
+        await anyio.sleep(IN_FORCE_SECONDS / 2)
+        assert await statuses(world, "/list/1") == [401] * 4
+
+    in_direct_world(scenario, ENTRIES)
+
+
+def test_lower_version_never_comes_back() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        world.store.put("op", "config", new_config(5))
+        await anyio.sleep(1)
+        world.store.put("op", "config", build_config(4))
+        await anyio.sleep(1)
+        assert await statuses(world, "/v5/1") == [200] * 4
+
+    in_direct_world(scenario, ENTRIES)
+
+
+def test_malformed_config_leaves_the_last_good_one_in_force() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        world.store.put("op", "config", b'{"version":9}')
+        await anyio.sleep(1)
+        assert await statuses(world, "/list/1") == [200] * 4
+
+    in_direct_world(scenario, ENTRIES)
+
+
+def test_malformed_worker_row_leaves_the_target_in_use() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        world.store.put("servers", "diary-0", b"{}")
+        await anyio.sleep(1)
+        assert (await world.ask("entry-1", "/list/1")).status == 200
+
+    in_direct_world(scenario, diaries=1)
+
+
+def test_entry_without_a_config_answers_503_and_is_not_ready() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        world.store.refuse = 503
+        entry = world.add_entry("late", "catania")
+        world.network.cut("catania", "palermo")
+        await anyio.sleep(2)
+        reply = await world.ask("late", "/list/1")
+        assert reply.status == 503
+        assert entry.ready()
+
+    in_direct_world(scenario)
+
+
+def test_entry_that_the_store_turns_away_learns_from_a_peer() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        world.network.cut("catania", "store")
+        world.add_entry("cut", "catania")
+        await anyio.sleep(3)
+        assert (await world.ask("cut", "/list/1")).status == 200
+        world.store.put("op", "config", new_config(2))
+        await anyio.sleep(IN_FORCE_SECONDS)
+        assert (await world.ask("cut", "/v2/1")).status == 200
+
+    in_direct_world(scenario, ("entry-1", "entry-2"))
+
+
+@pytest.mark.parametrize("outage", [0.5, 4.5, 9.0])
+def test_change_after_an_outage_is_in_force_in_time(outage: float) -> None:
+    async def scenario(world: DirectWorld) -> None:
+        world.store.silent = True
+        await anyio.sleep(outage)
+        assert await statuses(world, "/list/1") == [200] * 4
+        world.store.silent = False
+        await anyio.sleep(3)
+        world.store.put("op", "config", new_config(2))
+        await anyio.sleep(IN_FORCE_SECONDS)
+        assert await statuses(world, "/v2/1") == [200] * 4
+
+    in_direct_world(scenario, ENTRIES)
+
+
+def test_change_during_dropped_history_is_not_missed() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        world.store.put("op", "config", new_config(2))
+        world.store.drop("servers", "diary-0")
+        world.store.forget()
+        await anyio.sleep(IN_FORCE_SECONDS)
+        assert await statuses(world, "/v2/1") == [200] * 4
+        before = len(world.workers["diary-0"].seen)
+        for _ in range(10):
+            await world.ask("entry-1", "/list/1")
+        assert len(world.workers["diary-0"].seen) == before
+
+    in_direct_world(scenario, ENTRIES)
+
+
+@pytest.mark.parametrize("removed", [True, False])
+def test_leaving_target_gets_no_new_work_soon_after(removed: bool) -> None:
+    async def scenario(world: DirectWorld) -> None:
+        await anyio.sleep(3)
+        if removed:
+            world.store.drop("servers", "diary-0")
+        else:
+            world.list_worker("diary-0", DIARY, state="draining")
+        await anyio.sleep(IN_FORCE_SECONDS / 2)
+        before = len(world.workers["diary-0"].seen)
+        for _ in range(20):
+            assert (await world.ask("entry-2", "/list/1")).status == 200
+        assert len(world.workers["diary-0"].seen) == before
+
+    in_direct_world(scenario, ENTRIES)
+
+
+def test_rows_that_lapse_with_the_platform_stay_in_use_until_it_is_back() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        world.store.silent = True
+        await anyio.sleep(6)
+        for name in list(world.workers):
+            world.store.drop("servers", name)
+        world.store.silent = False
+        await anyio.sleep(1.2)
+        assert await statuses(world, "/list/1") == [200] * 4
+        for name in list(world.workers):
+            service = DIARY if name.startswith("diary") else "model"
+            world.list_worker(name, service)
+        await anyio.sleep(4)
+        assert await statuses(world, "/list/1") == [200] * 4
+
+    in_direct_world(scenario, ENTRIES)
+
+
+def test_rows_that_stay_away_after_the_platforms_return_are_gone() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        world.store.silent = True
+        await anyio.sleep(6)
+        world.store.drop("servers", "diary-0")
+        world.store.silent = False
+        await anyio.sleep(5)
+        before = len(world.workers["diary-0"].seen)
+        for _ in range(10):
+            await world.ask("entry-1", "/list/1")
+        assert len(world.workers["diary-0"].seen) == before
+
+    in_direct_world(scenario)
+
+
+def test_two_entries_of_a_data_centre_follow_for_all() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        await anyio.sleep(5)
+        before = world.store.calls
+        await anyio.sleep(60)
+        a_minute = world.store.calls - before
+        assert a_minute <= 2 * 3 * (60 / 4 + 1)
+
+    in_direct_world(scenario, ENTRIES)
+
+
+def test_followers_that_die_are_replaced_in_time() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        await anyio.sleep(5)
+        duty = world.entries["entry-1"].spreader._duty()
+        for name in duty:
+            entry = world.entries[name]
+            world.network.freeze(entry.settings.listen, True)
+        await anyio.sleep(3)
+        world.store.put("op", "config", new_config(2))
+        await anyio.sleep(IN_FORCE_SECONDS)
+        for name in set(world.entries) - set(duty):
+            assert (await world.ask(name, "/v2/1")).status == 200
+
+    in_direct_world(scenario, ENTRIES)
--- /dev/null
+++ b/tests/direct/test_streams.py
@@ -0,0 +1,123 @@
+"""A caller gets each event of its stream once and in order, or a broken answer."""
+
+import anyio
+import pytest
+from direct_builders import build_config, build_route_row, in_direct_world
+
+from briarthread_standins.direct_worker import WorkerFault
+from briarthread_standins.direct_world import DirectWorld
+
+SIZE = {"x-token-count": "100,30"}
+WHOLE = [1, 2, 3, 4, 5, 6]
+
+
+def test_stream_is_whole_and_complete() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        reply = await world.ask("entry-1", "/chat/1", SIZE)
+        assert (reply.status, reply.event_ids, reply.whole) == (200, WHOLE, True)
+        assert reply.headers["x-server-stamp"] == "stamp"
+
+    in_direct_world(scenario)
+
+
+def test_broken_stream_goes_on_at_another_rank_in_the_same_answer() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        replies = []
+        for _ in range(12):
+            world.workers["rank-0"].faults = [WorkerFault.CUT_EVENT]
+            replies.append(await world.ask("entry-1", "/chat/1", SIZE))
+        assert [reply.event_ids for reply in replies] == [WHOLE] * 12
+        assert all(reply.whole for reply in replies)
+        resumed = [
+            seen["last-event-id"]
+            for worker in world.workers.values()
+            for seen in worker.seen
+            if "last-event-id" in seen
+        ]
+        assert resumed
+        assert set(resumed) == {"2"}
+
+    in_direct_world(scenario)
+
+
+def test_stream_that_may_not_be_resumed_breaks_off() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        for worker in world.workers.values():
+            worker.faults = [WorkerFault.CUT_EVENT]
+        reply = await world.ask("entry-1", "/chat/1", SIZE)
+        assert (reply.event_ids, reply.whole) == ([1, 2], False)
+        assert sum(worker.runs.total() for worker in world.workers.values()) == 1
+
+    row = build_route_row("/chat/", "model", "stream", maxAttempts=2)
+    in_direct_world(scenario, config=build_config(routes=[row]))
+
+
+def test_caller_that_resumes_gets_only_what_it_lacks() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        reply = await world.ask("entry-1", "/chat/1", {**SIZE, "last-event-id": "4"})
+        assert (reply.event_ids, reply.whole) == ([5, 6], True)
+
+    in_direct_world(scenario)
+
+
+def test_broken_stream_never_looks_complete() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        for worker in world.workers.values():
+            worker.faults = [WorkerFault.CUT_EVENT] * 9
+        reply = await world.ask("entry-1", "/chat/1", SIZE)
+        assert not reply.whole
+        assert reply.event_ids == [1, 2, 3, 4]
+
+    in_direct_world(scenario)
+
+
+def test_stream_refused_before_its_first_event_is_refused_to_the_caller() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        for worker in world.workers.values():
+            worker.faults = [WorkerFault.GROUP_BROKEN]
+        reply = await world.ask("entry-1", "/chat/1", SIZE)
+        assert reply.status == 503
+        assert reply.headers["briarthread-outcome"] == "not-run"
+        assert sum(worker.runs.total() for worker in world.workers.values()) == 0
+
+    in_direct_world(scenario)
+
+
+def test_broken_group_gets_one_probe_and_the_rest_is_refused_at_once() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        for worker in world.workers.values():
+            worker.faults = [WorkerFault.GROUP_BROKEN] * 20
+        started = anyio.current_time()
+        replies = [await world.ask("entry-1", "/chat/1", SIZE) for _ in range(10)]
+        assert {reply.status for reply in replies} == {503}
+        assert anyio.current_time() - started < 0.2
+        assert sum(len(worker.seen) for worker in world.workers.values()) == 1
+        later = float(replies[-1].headers["retry-after"])
+        assert 8 / 3 * 0.75 < later <= 8 / 3
+
+    in_direct_world(scenario)
+
+
+def test_group_that_forms_again_is_found_by_a_probe() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        for worker in world.workers.values():
+            worker.faults = [WorkerFault.GROUP_BROKEN]
+        assert (await world.ask("entry-1", "/chat/1", SIZE)).status == 503
+        for worker in world.workers.values():
+            worker.faults = []
+        await anyio.sleep(0.4)
+        assert (await world.ask("entry-1", "/chat/1", SIZE)).status == 200
+        assert (await world.ask("entry-1", "/chat/1", SIZE)).status == 200
+
+    in_direct_world(scenario)
+
+
+@pytest.mark.parametrize("leaves_after", [0.03, 0.15, 0.25])
+def test_caller_who_leaves_its_stream_ends_the_work(leaves_after: float) -> None:
+    async def scenario(world: DirectWorld) -> None:
+        await world.ask("entry-1", "/chat/1", SIZE, give_up=leaves_after)
+        await anyio.sleep(0.3)
+        assert all(worker.working == 0 for worker in world.workers.values())
+        assert sum(worker.broken_off for worker in world.workers.values()) == 1
+
+    in_direct_world(scenario)
--- /dev/null
+++ b/tests/direct_builders.py
@@ -0,0 +1,200 @@
+"""Builders of test data for direct targets."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from briarthread_common.direct.call_kind import CallKind
+from briarthread_common.direct.direct_service import DirectService
+from briarthread_common.direct.direct_target import DirectTarget
+from briarthread_common.direct.engine_figures import EngineFigures
+from briarthread_common.direct.host_route import HostRoute, RouteShare
+from briarthread_entry.direct.direct_request import DirectRequest
+from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_standins.direct_agents import GroupWorld
+from briarthread_standins.direct_group import DirectGroup
+from briarthread_standins.direct_world import START_SECONDS, DirectWorld
+from briarthread_standins.virtual_time import run_virtual
+
+MODEL, DIARY = "model", "diary"
+
+
+def build_config(version: int = 1, **changes: object) -> dict[str, object]:
+    """Return an operator's config with a stream, an unsafe and a safe route."""
+    config: dict[str, object] = {
+        "version": version,
+        "routes": [
+            build_route_row("/chat/", MODEL, "stream", resumable=True, maxAttempts=2),
+            build_route_row("/book/", DIARY, "unsafe"),
+            build_route_row("/list/", DIARY, "safe", maxAttempts=2),
+        ],
+        "services": [
+            {"name": MODEL, "maxConns": 100, "engine": build_engine_row()},
+            {"name": DIARY, "maxConns": 100},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 1000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [{"name": "salon", "apiKeys": ["key-1", "key-2"]}],
+    }
+    return {**config, **changes}
+
+
+def build_route_row(
+    prefix: str, service: str, kind: str, **changes: object
+) -> dict[str, object]:
+    """Return one route of a config."""
+    row = {
+        "name": f"r{prefix}",
+        "host": "salon.example",
+        "pathPrefix": prefix,
+        "type": kind,
+        "timeoutMs": 4000,
+        "sloMs": 400,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 1,
+        "gapTargetMs": 120,
+    }
+    return {**row, **changes}
+
+
+def build_engine_row() -> dict[str, object]:
+    """Return the figures of an engine without experts."""
+    return {
+        "slots": 6,
+        "step_ms": 5.85,
+        "per_seq_ms": 0.71,
+        "context_per_k": 0.07,
+        "read_per_s": 61200.0,
+        "pairs_per_m": 0.3,
+        "chunk": 512,
+        "stride": 5,
+    }
+
+
+def build_engine() -> EngineFigures:
+    """Return the figures of an engine with six slots."""
+    return EngineFigures(6, 0.00585, 0.00071, 0.00007, 61200.0, 0.0003, 512, 5)
+
+
+def build_target(name: str = "t-1", **changes: object) -> DirectTarget:
+    """Return a target of the diary."""
+    fields: dict[str, object] = {
+        "name": name,
+        "service": DIARY,
+        "address": "10.9.0.1:80",
+        "data_centre": "palermo",
+        "slots": 6,
+        "leaving": False,
+    }
+    return DirectTarget(**{**fields, **changes})
+
+
+def build_state(name: str = "t-1", **changes: object) -> DirectTargetState:
+    """Return the state of a target of the diary."""
+    return DirectTargetState(build_target(name, **changes))
+
+
+def build_direct_request(**changes: object) -> DirectRequest:
+    """Return a request of a stream's route."""
+    route = HostRoute(
+        "chat",
+        "salon.example",
+        "/chat/",
+        CallKind.STREAM,
+        (RouteShare(MODEL, 1.0),),
+        timeout=8.0,
+        aim=0.4,
+        gap_aim=0.12,
+        max_attempts=2,
+        resumable=True,
+    )
+    fields: dict[str, object] = {
+        "id": "request-1",
+        "method": "POST",
+        "path": "/chat/1",
+        "headers": (),
+        "body": b"x",
+        "route": route,
+        "service": DirectService(MODEL, 100, build_engine()),
+        "account": "salon",
+        "priority": 1,
+        "arrived": 0.0,
+        "deadline": 8.0,
+    }
+    return DirectRequest(**{**fields, **changes})
+
+
+def in_direct_world(
+    scenario: Callable[[DirectWorld], Awaitable[None]],
+    entries: tuple[str, ...] = ("entry-1",),
+    diaries: int = 3,
+    ranks: int = 3,
+    config: dict[str, object] | None = None,
+) -> None:
+    """Run a scenario in virtual time in a world that has come up."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            world = DirectWorld(tasks)
+            world.store.put("op", "config", config or build_config())
+            for number in range(diaries):
+                world.add_worker(f"diary-{number}", DIARY)
+            for number in range(ranks):
+                world.add_worker(f"rank-{number}", MODEL)
+            for name in entries:
+                world.add_entry(name)
+            await anyio.sleep(START_SECONDS)
+            await scenario(world)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
+def in_group_world(
+    scenario: Callable[[GroupWorld], Awaitable[None]],
+    ranks: int = 4,
+    skewed: bool = True,
+) -> None:
+    """Run a scenario in virtual time with a group whose agents have started."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            world = GroupWorld(tasks, ranks)
+            world.store.put("op", "config", build_group_config(world))
+            if skewed:
+                prefer(world.group, hot=0)
+            world.world.add_entry("entry-1")
+            for number in range(ranks):
+                world.start_agent(number)
+            await anyio.sleep(START_SECONDS)
+            await scenario(world)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
+def build_group_config(world: GroupWorld) -> dict[str, object]:
+    """Return a config whose model has experts."""
+    engine = {
+        **build_engine_row(),
+        "sets": world.sets,
+        "experts": world.experts,
+        "placements": 5,
+        "spare": 3,
+        "expertShare": 0.85,
+    }
+    return build_config(services=[{"name": MODEL, "engine": engine}, {"name": DIARY}])
+
+
+def prefer(group: DirectGroup, hot: int) -> None:
+    """Make some experts of each set much liked, ``hot`` first of them."""
+    for demand in group.demand:
+        for expert in range(group.experts):
+            demand[expert] = 1.0
+        for offset, liked in enumerate((30.0, 12.0, 6.0)):
+            demand[(hot + offset) % group.experts] = liked
--- /dev/null
+++ b/tests/ranks/test_map_changes.py
@@ -0,0 +1,221 @@
+"""All ranks of a group have one map in every pass, and a better one soon."""
+
+import anyio
+import pytest
+from direct_builders import in_group_world, prefer
+
+from briarthread_common.messages.rank_messages import ArmRequest, RankQuery
+from briarthread_standins.direct_agents import GroupWorld
+
+SETTLED = 1.5
+"""Skew under which a group of the tests counts as well placed."""
+
+
+@pytest.fixture(autouse=True)
+def long_passes(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let the stand-in's passes count as those of a fully loaded group."""
+    monkeypatch.setattr("briarthread_common.placement.quick_change.CALM_PASS", 0.01)
+    monkeypatch.setattr("briarthread_common.placement.quick_change.FULL_PASS", 0.02)
+
+
+def held(world: GroupWorld) -> list[int | None]:
+    return [rank.held for rank in world.group.ranks]
+
+
+async def wait_for_order(world: GroupWorld, order: str, count: int = 1) -> None:
+    start = world.group.orders.count(order)
+    while world.group.orders.count(order) < start + count:
+        await anyio.sleep(0.001)
+
+
+def test_skew_falls_and_no_pass_is_held_up() -> None:
+    async def scenario(world: GroupWorld) -> None:
+        before = world.group.skew()
+        await anyio.sleep(6)
+        assert before > 2
+        assert world.group.skew() < SETTLED
+        assert world.group.violations == []
+        assert world.group.held_seconds == 0
+        assert held(world) == [None] * 4
+
+    in_group_world(scenario)
+
+
+def test_map_follows_demand_that_shifts() -> None:
+    async def scenario(world: GroupWorld) -> None:
+        for hot in (3, 7, 10):
+            await anyio.sleep(4)
+            prefer(world.group, hot)
+            shifted = world.group.skew()
+            await anyio.sleep(3)
+            assert world.group.skew() < min(SETTLED, shifted)
+        assert world.group.violations == []
+
+    in_group_world(scenario)
+
+
+def test_even_demand_moves_nothing() -> None:
+    async def scenario(world: GroupWorld) -> None:
+        await anyio.sleep(6)
+        assert world.group.orders == []
+
+    in_group_world(scenario, skewed=False)
+
+
+@pytest.mark.parametrize("order", ["prepare", "hold", "arm", "go"])
+@pytest.mark.parametrize("count", [1, 2, 4])
+def test_planner_killed_after_an_order_leaves_one_map_and_no_hold(
+    order: str, count: int
+) -> None:
+    async def scenario(world: GroupWorld) -> None:
+        with anyio.move_on_after(3):
+            await wait_for_order(world, order, 1 if order == "hold" else count)
+        victim = world.planner()
+        world.kill_agent(victim)
+        await anyio.sleep(5)
+        world.start_agent(victim)
+        await anyio.sleep(12)
+        assert world.group.violations == []
+        assert held(world) == [None] * 4
+        assert world.group.longest_hold < 4
+        assert world.group.skew() < SETTLED
+
+    in_group_world(scenario)
+
+
+@pytest.mark.parametrize("order", ["prepare", "hold", "arm"])
+def test_planner_frozen_after_an_order_and_woken_leaves_one_map(order: str) -> None:
+    async def scenario(world: GroupWorld) -> None:
+        with anyio.move_on_after(3):
+            await wait_for_order(world, order)
+        victim = world.planner()
+        world.network.freeze(world.agent_address(victim), True)
+        await anyio.sleep(7)
+        prefer(world.group, 5)
+        world.network.freeze(world.agent_address(victim), False)
+        await anyio.sleep(10)
+        assert world.group.violations == []
+        assert held(world) == [None] * 4
+        assert world.group.skew() < SETTLED
+
+    in_group_world(scenario)
+
+
+@pytest.mark.parametrize("skipped", range(12))
+def test_order_without_answer_that_is_carried_out_late_does_no_harm(
+    skipped: int,
+) -> None:
+    async def scenario(world: GroupWorld) -> None:
+        with anyio.move_on_after(3):
+            while len(world.group.orders) < skipped:
+                await anyio.sleep(0.001)
+        world.group.unanswered = 2
+        await anyio.sleep(12)
+        assert world.group.violations == []
+        assert held(world) == [None] * 4
+        assert world.group.skew() < SETTLED
+
+    in_group_world(scenario)
+
+
+@pytest.mark.parametrize("order", ["prepare", "hold", "arm", "go"])
+def test_group_formed_anew_in_the_middle_of_a_change_starts_over(order: str) -> None:
+    async def scenario(world: GroupWorld) -> None:
+        with anyio.move_on_after(3):
+            await wait_for_order(world, order)
+        world.group.form_anew()
+        await anyio.sleep(10)
+        assert world.group.violations == []
+        assert held(world) == [None] * 4
+        assert world.group.skew() < SETTLED
+
+    in_group_world(scenario)
+
+
+def test_agent_that_is_not_the_planner_dies_in_the_middle_of_a_change() -> None:
+    async def scenario(world: GroupWorld) -> None:
+        with anyio.move_on_after(3):
+            await wait_for_order(world, "hold")
+        victim = next(n for n in world.agents if n != world.planner())
+        world.kill_agent(victim)
+        await anyio.sleep(3)
+        world.start_agent(victim)
+        await anyio.sleep(8)
+        assert world.group.violations == []
+        assert held(world) == [None] * 4
+
+    in_group_world(scenario)
+
+
+def test_planning_goes_on_while_the_platform_is_away() -> None:
+    async def scenario(world: GroupWorld) -> None:
+        await anyio.sleep(3)
+        world.store.silent = True
+        prefer(world.group, 6)
+        await anyio.sleep(4)
+        assert world.group.skew() < SETTLED
+        assert world.group.violations == []
+
+    in_group_world(scenario)
+
+
+def test_outdated_planner_is_refused() -> None:
+    async def scenario(world: GroupWorld) -> None:
+        await anyio.sleep(2)
+        keeper = world.agents[0].keeper
+        newest = keeper.fence
+        assert newest > 0
+        assert not (await keeper.query(RankQuery(newest - 1))).accepted
+        refused = await keeper.arm(ArmRequest(newest - 1, 1, 99, 10_000))
+        assert not refused.taken
+        assert all(rank.armed is None for rank in world.group.ranks)
+
+    in_group_world(scenario, skewed=False)
+
+
+def test_stand_in_notices_ranks_with_different_maps() -> None:
+    async def scenario(world: GroupWorld) -> None:
+        world.group.ranks[0].map_version = 9
+        await anyio.sleep(0.2)
+        assert world.group.violations
+
+    in_group_world(scenario, skewed=False)
+
+
+@pytest.mark.parametrize("late", [0.05, 0.15, 0.3, 0.6, 2.0])
+@pytest.mark.parametrize("idle", [False, True])
+def test_hold_that_is_carried_out_late_holds_the_group_up_for_a_moment_only(
+    late: float, idle: bool
+) -> None:
+    async def scenario(world: GroupWorld) -> None:
+        with anyio.move_on_after(3):
+            await wait_for_order(world, "prepare", 4)
+        world.group.late = late
+        await lose_next(world, "hold")
+        if idle:
+            world.group.serving = False
+            await anyio.sleep(3)
+            world.group.serving = True
+        await anyio.sleep(8)
+        assert world.group.violations == []
+        assert held(world) == [None] * 4
+        assert world.group.longest_hold < 0.45
+
+    in_group_world(scenario)
+
+
+async def lose_next(world: GroupWorld, order: str) -> None:
+    """Leave the next order of a kind without an answer."""
+    carry_out = world.group._carry_out
+    lost = []
+
+    async def carry_out_late(rank, taken):  # noqa: ANN001, ANN202
+        if taken["op"] == order and not lost:
+            lost.append(order)
+            await anyio.sleep(world.group.late)
+        return await carry_out(rank, taken)
+
+    world.group._carry_out = carry_out_late
+    with anyio.move_on_after(3):
+        while not lost:
+            await anyio.sleep(0.001)
