--- a/packages/common/src/briarthread_common/placement/quick_change.py
+++ b/packages/common/src/briarthread_common/placement/quick_change.py
@@ -23,10 +23,10 @@
 EXPERT_SHARE = 0.9
 """Part of a pass, beyond its fixed part, that lies with the experts where the
 engine's figures name none."""
-CALM_PASS = 0.055
+CALM_PASS = 0.045
 """Length of a pass, s, up to which nothing is gained by shorter ones: answers
 come in time anyway. From there to ``FULL_PASS`` the gain counts in part."""
-FULL_PASS = 0.085
+FULL_PASS = 0.07
 """Length of a pass, s, from which its length decides how many are served."""
 MOST_SET_LOADS = 36
 """Experts of one set that one change may load, all ranks together."""
