--- a/packages/agent/src/briarthread_agent/ranks/map_mover.py
+++ b/packages/agent/src/briarthread_agent/ranks/map_mover.py
@@ -37,6 +37,9 @@
     StageRequest,
 )
 
+STAGE_TRIES = 4
+"""How often a rank that did not take the order to load is ordered anew. One
+that took an order without an answer refuses the next, and loads all the same."""
 STAGE_SECONDS = 3.0
 """Longest wait for all ranks to load: three experts a set take under one."""
 LOOK_SECONDS = 0.08
@@ -105,25 +108,34 @@
         self, view: GroupView, fence: int, version: int, layers: Layers
     ) -> bool:
         request = StageRequest(fence, view.epoch, version, layers)
-        addresses = [member.address for member in view.members]
-        answers = await self.peers.call(
-            STAGE_PATH, dict.fromkeys(addresses, request), OrderAnswer
-        )
-        if not all(answer.taken for answer in answers.values()):
-            return False
         group = view.members[0].state.group
+        missing = {member.address for member in view.members}
+        tries = 0
         with anyio.move_on_after(STAGE_SECONDS):
             while True:
+                if missing and tries < STAGE_TRIES:
+                    tries += 1
+                    missing -= await self._order_stage(missing, request)
                 current = await self.peers.view(group, RankQuery(fence))
                 if not current.fault and current.epoch != view.epoch:
                     return False
-                if not current.fault and all(
-                    member.state.prepared == version for member in current.members
-                ):
+                lacking = _lacking(current, version)
+                if not lacking and not current.fault:
                     return True
+                if lacking & missing and tries == STAGE_TRIES:
+                    return False
                 await anyio.sleep(LOOK_SECONDS)
         return False
 
+    async def _order_stage(
+        self, addresses: set[str], request: StageRequest
+    ) -> set[str]:
+        """Order ranks to load; return the addresses of those that took it."""
+        answers = await self.peers.call(
+            STAGE_PATH, dict.fromkeys(addresses, request), OrderAnswer
+        )
+        return {address for address, answer in answers.items() if answer.taken}
+
     async def _hold(self, epoch: int, fence: int, step: int) -> bool:
         """Hold a pass at this agent's own rank, unless a newer planner was heard."""
         if self.keeper.fence > fence:
@@ -162,6 +174,13 @@
                 await anyio.sleep(RETRY_SECONDS)
 
 
+def _lacking(view: GroupView, version: int) -> set[str]:
+    """Return the addresses of ranks that have not loaded a map."""
+    return {
+        member.address for member in view.members if member.state.prepared != version
+    }
+
+
 def _formed_anew(answers: dict[str, OrderAnswer], epoch: int) -> bool:
     return any(
         answer.state is not None and answer.state.epoch != epoch
--- a/tests/ranks/test_map_changes.py
+++ b/tests/ranks/test_map_changes.py
@@ -205,3 +205,19 @@
         assert world.group.longest_hold < 0.45
 
     in_group_world(scenario)
+
+
+def test_lost_orders_to_load_do_not_make_the_planner_start_over() -> None:
+    async def scenario(world: GroupWorld) -> None:
+        world.group.unanswered_of = {"prepare": 6}
+        world.group.late = 5.0
+        with anyio.move_on_after(3):
+            while world.group.skew() >= SETTLED:
+                await anyio.sleep(0.05)
+        assert world.group.skew() < SETTLED
+        assert world.group.ranks[0].map_version == 1
+        await anyio.sleep(6)
+        assert world.group.violations == []
+        assert held(world) == [None] * 4
+
+    in_group_world(scenario)
