--- a/packages/common/src/briarthread_common/core/event_log.py
+++ b/packages/common/src/briarthread_common/core/event_log.py
@@ -22,7 +22,8 @@
         """Record a decision about a subject and log it."""
         event = Event(self.clock.now(), decision, subject, reason, request)
         self.ring.append(event)
-        logger.info("{}: {} {}: {}", self.prefix, decision, subject, reason)
+        about = f" request={request}" if request else ""
+        logger.info("{}: {} {}{}: {}", self.prefix, decision, subject, about, reason)
 
     def about(self, subject: str) -> list[Event]:
         """Return the events about a request id or a subject, oldest first."""
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -154,9 +154,11 @@
         match outcome:
             case StreamPassedOn():
                 state.note_success(seconds)
+                self._note_served(request, name, "stream", seconds)
                 return
             case TargetAnswer(status=status) if status < SERVER_ERROR:
                 state.note_success(seconds)
+                self._note_served(request, name, str(status), seconds)
                 return
             case TargetAnswer(status=status):
                 reason = f"the target answered {status}"
@@ -168,7 +170,7 @@
                 reason = error.detail
                 ejected = state.note_failure(now)
             case ProvedNotRun(error=error, faulty=faulty):
-                reason = f"{error.detail} {faulty}"
+                reason = error.detail
                 ejected = False
                 if faulty:
                     self.gate.note_refused(request.service.name, faulty)
@@ -176,6 +178,17 @@
         if ejected:
             self.events.add("target-ejected", name, reason)
 
+    def _note_served(
+        self, request: DirectRequest, target: str, answer: str, seconds: float
+    ) -> None:
+        waited = anyio.current_time() - seconds - request.arrived
+        self.events.add(
+            "request-served",
+            target,
+            f"{answer} in {seconds:.3f} s, sent after {waited:.3f} s",
+            request.id,
+        )
+
     def _may_repeat(
         self, request: DirectRequest, failures: list[DirectOutcome], sent: int
     ) -> bool:
