Take the notes on attempts out of the runner; name failures of calls

Change: attempt_notes.py, spread_options.py, waiting_place.py; the name of the library's error stands in the reason.

--- a/packages/agent/src/briarthread_agent/ranks/settings.py
+++ b/packages/agent/src/briarthread_agent/ranks/settings.py
@@ -7,7 +7,7 @@
 from briarthread_common.conf.read_settings import read_settings
 from briarthread_common.conf.section_spec import SectionSpec
 from briarthread_common.conf.shared_sections import LOGS, PEERS, STORE_OPTIONS
-from briarthread_common.spread.spreader import SpreadOptions
+from briarthread_common.spread.spread_options import SpreadOptions
 
 DIRECT = SectionSpec("direct", "The platform that lists the targets.", STORE_OPTIONS)
 DIRECT_AGENT_SECTIONS = (INSTANCE, TARGET, DIRECT, PEERS, LOGS)
--- a/packages/agent/src/briarthread_agent/settings.py
+++ b/packages/agent/src/briarthread_agent/settings.py
@@ -13,7 +13,7 @@
     PLATFORM,
     instance_section,
 )
-from briarthread_common.spread.spreader import SpreadOptions
+from briarthread_common.spread.spread_options import SpreadOptions
 
 INSTANCE = instance_section(
     Option("service", OptionKind.TEXT, None, "Service that its target serves."),
--- a/packages/common/src/briarthread_common/http/http_channel.py
+++ b/packages/common/src/briarthread_common/http/http_channel.py
@@ -44,15 +44,15 @@
                     response.status, dict(fields), _body(response), fields
                 )
         except httpcore.ConnectError as error:
-            raise ConnectionRefused(f"{request.address}: {error}") from error
+            raise ConnectionRefused(_reason(request, error)) from error
         except (httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
-            raise NotWrittenError(f"{request.address}: {error}") from error
+            raise NotWrittenError(_reason(request, error)) from error
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
         ) as error:
-            raise BrokenCallError(f"{request.address}: {error}") from error
+            raise BrokenCallError(_reason(request, error)) from error
 
     async def close(self) -> None:
         """Close every pool."""
@@ -81,6 +81,12 @@
     )
 
 
+def _reason(request: ChannelRequest, error: Exception) -> str:
+    """Name the failure; the library's own errors often carry no text."""
+    text = f" {error}" if str(error) else ""
+    return f"{request.address}: {type(error).__name__}{text}"
+
+
 def _headers(request: ChannelRequest) -> list[tuple[bytes, bytes]]:
     named = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in request.headers]
     if any(name == b"host" for name, _ in named):
--- a/packages/common/src/briarthread_common/spread/following_spreader.py
+++ b/packages/common/src/briarthread_common/spread/following_spreader.py
@@ -18,7 +18,8 @@
 from briarthread_common.spread.directory import Directory
 from briarthread_common.spread.feed_source import FollowedSource
 from briarthread_common.spread.source_health import SourceHealth
-from briarthread_common.spread.spreader import Spreader, SpreadOptions
+from briarthread_common.spread.spread_options import SpreadOptions
+from briarthread_common.spread.spreader import Spreader
 
 FOLLOW_SECONDS = 4.0
 """Longest wait in one call. A silent platform is noticed after it at the
--- a/packages/common/src/briarthread_common/spread/spreader.py
+++ b/packages/common/src/briarthread_common/spread/spreader.py
@@ -1,7 +1,6 @@
 """The task that keeps a process's feeds up to date."""
 
 import random
-from dataclasses import dataclass
 
 import anyio
 from loguru import logger
@@ -21,6 +20,7 @@
 from briarthread_common.messages.instance import Instance
 from briarthread_common.spread.directory import Directory
 from briarthread_common.spread.feed_source import FeedSource
+from briarthread_common.spread.spread_options import SpreadOptions
 from briarthread_common.spread.tree import told_by
 from briarthread_common.utils.hashing import rendezvous_order
 
@@ -34,17 +34,6 @@
 """How many peers a starting process asks for the highest versions."""
 
 
-@dataclass(frozen=True, slots=True)
-class SpreadOptions:
-    """Hold the settings of the spread; times are in seconds."""
-
-    name: str
-    data_centre: str
-    seeds: tuple[str, ...]
-    exchange_interval: float
-    poll_interval: float
-
-
 class Spreader:
     """
     Keep the feeds of one process at the highest versions to be had.
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/attempt_notes.py
@@ -0,0 +1,75 @@
+"""What is remembered and logged of an attempt that has ended."""
+
+import anyio
+
+from briarthread_common.core.event_log import EventLog
+from briarthread_entry.direct.attempt_outcome import (
+    DirectOutcome,
+    MayHaveRun,
+    ProvedNotRun,
+    StreamPassedOn,
+    TargetAnswer,
+)
+from briarthread_entry.direct.direct_request import DirectRequest
+from briarthread_entry.direct.group_gate import GroupGate
+from briarthread_entry.direct.target_state import DirectTargetState
+
+SERVER_ERROR = 500
+"""Statuses from here on are the target's own failures (RFC 9110, 15.6)."""
+
+
+class AttemptNotes:
+    """Record how an attempt ended: at its target, its group and in the log."""
+
+    def __init__(self, gate: GroupGate, events: EventLog) -> None:
+        self.gate = gate
+        self.events = events
+
+    def note(
+        self,
+        request: DirectRequest,
+        state: DirectTargetState,
+        outcome: DirectOutcome,
+        seconds: float,
+    ) -> None:
+        """Record an attempt that took some seconds."""
+        match outcome:
+            case StreamPassedOn():
+                self._note_served(request, state, "stream", seconds)
+            case TargetAnswer(status=status) if status < SERVER_ERROR:
+                self._note_served(request, state, str(status), seconds)
+            case TargetAnswer(status=status):
+                self._note_failed(request, state, f"the target answered {status}")
+            case ProvedNotRun(written=False, error=error) | MayHaveRun(error=error):
+                self._note_failed(request, state, error.detail)
+            case ProvedNotRun():
+                self._note_refused(request, state, outcome)
+
+    def _note_served(
+        self,
+        request: DirectRequest,
+        state: DirectTargetState,
+        answer: str,
+        seconds: float,
+    ) -> None:
+        state.note_success(seconds)
+        waited = anyio.current_time() - seconds - request.arrived
+        reason = f"{answer} in {seconds:.3f} s, sent after {waited:.3f} s"
+        self.events.add("request-served", state.target.name, reason, request.id)
+
+    def _note_failed(
+        self, request: DirectRequest, state: DirectTargetState, reason: str
+    ) -> None:
+        name = state.target.name
+        self.events.add("attempt-failed", name, reason, request.id)
+        if state.note_failure(anyio.current_time()):
+            self.events.add("target-ejected", name, reason)
+
+    def _note_refused(
+        self, request: DirectRequest, state: DirectTargetState, refusal: ProvedNotRun
+    ) -> None:
+        reason = refusal.error.detail
+        self.events.add("attempt-failed", state.target.name, reason, request.id)
+        state.replaced = state.replaced or refusal.replaced
+        if refusal.faulty:
+            self.gate.note_refused(request.service.name, refusal.faulty)
--- a/packages/entry/src/briarthread_entry/direct/group_gate.py
+++ b/packages/entry/src/briarthread_entry/direct/group_gate.py
@@ -25,6 +25,7 @@
 from briarthread_entry.direct.running_board import RunningBoard
 from briarthread_entry.direct.target_book import TargetBook
 from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.waiting_place import WaitingPlace
 
 LOOK_SECONDS = 0.02
 """How often a waiting request looks for room: a part of a pass."""
@@ -52,7 +53,7 @@
         self.meters: dict[str, PassMeter] = {}
         self.healths: dict[str, GroupHealth] = {}
         self.returns = ReturnDetector()
-        self.waiting: list[tuple[bool, int, float, str]] = []
+        self.waiting: list[WaitingPlace] = []
 
     def meter(self, service: DirectService) -> PassMeter:
         """Return the meter of a service's passes."""
@@ -87,20 +88,24 @@
     async def enter(self, request: DirectRequest) -> None:
         """Return when the request may start, or raise RequestError."""
         returning = self.returns.is_return(request.route.name, request.patience)
-        place = (returning, request.priority, request.arrived, request.id)
+        place = WaitingPlace(
+            returning,
+            request.priority,
+            request.arrived,
+            request.id,
+            request.service.name,
+        )
         self.waiting.append(place)
         try:
-            await self._wait(request, returning, place)
+            await self._wait(request, place)
         finally:
             self.waiting.remove(place)
 
-    async def _wait(
-        self, request: DirectRequest, returning: bool, place: tuple
-    ) -> None:
+    async def _wait(self, request: DirectRequest, place: WaitingPlace) -> None:
         give_up = request.arrived + self._patience(request)
         while True:
             now = anyio.current_time()
-            match self._decide(request, returning, place, give_up, now):
+            match self._decide(request, place, give_up - now, now):
                 case Start():
                     return
                 case Refuse() as refusal:
@@ -112,16 +117,15 @@
     def _decide(
         self,
         request: DirectRequest,
-        returning: bool,
-        place: tuple,
-        give_up: float,
+        place: WaitingPlace,
+        wait_left: float,
         now: float,
     ) -> Decision:
         room = self._room(request, now)
-        ahead = sum(other < place for other in self.waiting)
+        ahead = sum(other.is_before(place) for other in self.waiting)
         room = replace(room, running=room.running + ahead)
         left = request.caller_left(now)
-        return decide(room, returning, give_up - now, left, self.rng.random())
+        return decide(room, place.returning, wait_left, left, self.rng.random())
 
     def _room(self, request: DirectRequest, now: float) -> GroupRoom:
         service = request.service
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -13,6 +13,7 @@
 from briarthread_common.http.call import Call
 from briarthread_entry.direct.admission_rule import return_after
 from briarthread_entry.direct.answer_relay import AnswerRelay
+from briarthread_entry.direct.attempt_notes import SERVER_ERROR, AttemptNotes
 from briarthread_entry.direct.attempt_outcome import (
     DirectOutcome,
     MayHaveRun,
@@ -31,7 +32,6 @@
 
 UNWRITTEN_TRIES = 3
 """Targets tried in a row that did not even take the connection."""
-SERVER_ERROR = 500
 
 
 class RequestRunner:
@@ -62,7 +62,7 @@
         self.board = board
         self.gate = gate
         self.metrics = metrics
-        self.events = events
+        self.notes = AttemptNotes(gate, events)
         self.rng = rng
 
     async def run(self, request: DirectRequest, call: Call) -> None:
@@ -139,56 +139,9 @@
         finally:
             state.running -= 1
             state.prompt_tokens -= request.prompt_tokens
-        self._note(request, state, outcome, anyio.current_time() - started)
+        self.notes.note(request, state, outcome, anyio.current_time() - started)
         return outcome
 
-    def _note(
-        self,
-        request: DirectRequest,
-        state: DirectTargetState,
-        outcome: DirectOutcome,
-        seconds: float,
-    ) -> None:
-        name = state.target.name
-        now = anyio.current_time()
-        match outcome:
-            case StreamPassedOn():
-                state.note_success(seconds)
-                self._note_served(request, name, "stream", seconds)
-                return
-            case TargetAnswer(status=status) if status < SERVER_ERROR:
-                state.note_success(seconds)
-                self._note_served(request, name, str(status), seconds)
-                return
-            case TargetAnswer(status=status):
-                reason = f"the target answered {status}"
-                ejected = state.note_failure(now)
-            case ProvedNotRun(replaced=True, error=error):
-                state.replaced = True
-                reason, ejected = error.detail, False
-            case ProvedNotRun(written=False, error=error) | MayHaveRun(error=error):
-                reason = error.detail
-                ejected = state.note_failure(now)
-            case ProvedNotRun(error=error, faulty=faulty):
-                reason = error.detail
-                ejected = False
-                if faulty:
-                    self.gate.note_refused(request.service.name, faulty)
-        self.events.add("attempt-failed", name, reason, request.id)
-        if ejected:
-            self.events.add("target-ejected", name, reason)
-
-    def _note_served(
-        self, request: DirectRequest, target: str, answer: str, seconds: float
-    ) -> None:
-        waited = anyio.current_time() - seconds - request.arrived
-        self.events.add(
-            "request-served",
-            target,
-            f"{answer} in {seconds:.3f} s, sent after {waited:.3f} s",
-            request.id,
-        )
-
     def _may_repeat(
         self, request: DirectRequest, failures: list[DirectOutcome], sent: int
     ) -> bool:
--- a/packages/entry/src/briarthread_entry/direct/settings.py
+++ b/packages/entry/src/briarthread_entry/direct/settings.py
@@ -13,7 +13,7 @@
     STORE_OPTIONS,
     instance_section,
 )
-from briarthread_common.spread.spreader import SpreadOptions
+from briarthread_common.spread.spread_options import SpreadOptions
 from briarthread_entry.direct.shared_retry_budget import RetryAllowance
 
 CALLERS = SectionSpec(
--- a/packages/standins/src/briarthread_standins/direct_agents.py
+++ b/packages/standins/src/briarthread_standins/direct_agents.py
@@ -8,7 +8,7 @@
 
 from briarthread_agent.ranks.direct_agent import DirectAgent
 from briarthread_agent.ranks.settings import DirectAgentSettings
-from briarthread_common.spread.spreader import SpreadOptions
+from briarthread_common.spread.spread_options import SpreadOptions
 from briarthread_common.utils.clock import Clock
 from briarthread_platform.adapter import ADAPTER
 from briarthread_standins.direct_group import DirectGroup
--- a/packages/standins/src/briarthread_standins/direct_world.py
+++ b/packages/standins/src/briarthread_standins/direct_world.py
@@ -8,7 +8,7 @@
 
 from briarthread_common.core.exceptions import ChannelError
 from briarthread_common.http.channel import Channel, ChannelRequest
-from briarthread_common.spread.spreader import SpreadOptions
+from briarthread_common.spread.spread_options import SpreadOptions
 from briarthread_common.utils.clock import Clock
 from briarthread_entry.direct.direct_entry import DirectEntry
 from briarthread_entry.direct.settings import DirectSettings
--- a/packages/standins/src/briarthread_standins/world.py
+++ b/packages/standins/src/briarthread_standins/world.py
@@ -18,7 +18,7 @@
 )
 from briarthread_common.platform.feed_store import FeedStore
 from briarthread_common.platform.platform_client import PlatformClient
-from briarthread_common.spread.spreader import SpreadOptions
+from briarthread_common.spread.spread_options import SpreadOptions
 from briarthread_common.text.split_text import split_text
 from briarthread_common.text.text_store import ApplyResult, TextStore
 from briarthread_common.utils.clock import Clock
