--- a/tests/processes/run_faults.py
+++ b/tests/processes/run_faults.py
@@ -176,8 +176,12 @@
     good = check_load(deployment, "planned stops", load)
     failed = [a.status for a in load.answers.values() if a.status != OK]
     quarantined = [a for a in load.answers.values() if outcome(a) == "unknown"]
-    print(f"planned stops: {len(failed)} failed, {len(quarantined)} of them unknown")
-    return good
+    verdict = "FAILED" if failed else "ok"
+    print(
+        f"{verdict}: planned stops: {len(failed)} failed, "
+        f"{len(quarantined)} of them unknown"
+    )
+    return good and not failed
 
 
 def main() -> int:
