Start measured processes by one function; remove an empty package

control_run.py started stand-ins and the farm by two functions of one shape; briarthread_agent.commands held nothing. No behaviour changes; the command was not run anew beyond its help.

--- a/packages/agent/src/briarthread_agent/commands/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The command of the agent."""
--- a/packages/measure/src/briarthread_measure/control_run.py
+++ b/packages/measure/src/briarthread_measure/control_run.py
@@ -196,24 +196,25 @@
 
 def start(module: str, address: str) -> subprocess.Popen:
     """Start a stand-in."""
-    command = [sys.executable, "-m", f"briarthread_standins.{module}", address]
-    return subprocess.Popen(
-        command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL
-    )
+    return run_quietly(f"briarthread_standins.{module}", address)
 
 
 def start_farm(load: Load) -> subprocess.Popen:
     """Start the farm of agents."""
-    command = [
-        sys.executable,
-        "-m",
+    return run_quietly(
         "briarthread_measure.agent_farm",
         str(FARM_PORT),
         str(farm_size(load)),
         str(load.load_changes),
-    ]
+    )
+
+
+def run_quietly(module: str, *arguments: str) -> subprocess.Popen:
+    """Start a module whose output nobody needs."""
     return subprocess.Popen(
-        command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL
+        [sys.executable, "-m", module, *arguments],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
     )
 
 
