Remove a reader, a bound and a field that nothing used

read_events stood beside EventReader, which the sender uses; MAX_EVENT_BYTES was checked nowhere, so that it promised a limit that does not exist; a tally of the load test had a list that stayed empty.

--- a/packages/entry/src/briarthread_entry/direct/event_reader.py
+++ b/packages/entry/src/briarthread_entry/direct/event_reader.py
@@ -1,11 +1,8 @@
 """Splitting of a stream into whole events."""
 
-from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 EVENT_END = b"\n\n"
-MAX_EVENT_BYTES = 1024 * 1024
-"""Largest event that is held while its end is awaited."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,14 +33,6 @@
         return [StreamEvent(raw + EVENT_END, event_id(raw)) for raw in whole]
 
 
-async def read_events(body: AsyncIterator[bytes]) -> AsyncIterator[StreamEvent]:
-    """Give the events of a body; a part without an end is not given."""
-    reader = EventReader()
-    async for chunk in body:
-        for event in reader.feed(chunk):
-            yield event
-
-
 def event_id(raw: bytes) -> int | None:
     """Return the number in an event's id line."""
     for line in raw.split(b"\n"):
--- a/tests/direct/test_load.py
+++ b/tests/direct/test_load.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import anyio
 import pytest
@@ -44,7 +44,6 @@
     refused_twice: int = 0
     lost: int = 0
     slowest_refusal: float = 0.0
-    kinds: list[str] = field(default_factory=list)
 
     @property
     def worth(self) -> float:
