Log the first event and the longest pause of each stream

Cause: whether a stream was late could not be told from the logs; only its whole time was there. Change: request-served of a stream names when its first event went out and the longest pause between two. No decision changes.

--- a/packages/entry/src/briarthread_entry/direct/answer_relay.py
+++ b/packages/entry/src/briarthread_entry/direct/answer_relay.py
@@ -20,7 +20,8 @@
     before it can still be refused or started elsewhere. A later run may go
     on in the same answer; events that the caller has are left out then, and
     one that skips some is an error. ``on_event`` is told when the event before
-    was passed on.
+    was passed on. ``first_at`` is when the first event went out, and
+    ``longest_pause`` the longest time, s, between two.
     """
 
     def __init__(
@@ -32,7 +33,9 @@
         self.call = call
         self.last_id = resumes_after
         self.on_event = on_event
+        self.first_at: float | None = None
         self.last_at: float | None = None
+        self.longest_pause = 0.0
 
     async def pass_event(
         self, status: int, headers: Fields, event: StreamEvent
@@ -50,7 +53,7 @@
             await self.call.start(status, headers)
         await self.call.send_chunk(event.raw)
         self.on_event(self.last_at)
-        self.last_at = anyio.current_time()
+        self._note_time(anyio.current_time())
         if event.id is not None:
             self.last_id = event.id
 
@@ -59,3 +62,10 @@
         if not self.call.started:
             await self.call.start(status, headers)
         await self.call.finish()
+
+    def _note_time(self, now: float) -> None:
+        if self.first_at is None or self.last_at is None:
+            self.first_at = now
+        else:
+            self.longest_pause = max(self.longest_pause, now - self.last_at)
+        self.last_at = now
--- a/packages/entry/src/briarthread_entry/direct/attempt_notes.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_notes.py
@@ -35,7 +35,8 @@
         """Record an attempt that took some seconds."""
         match outcome:
             case StreamPassedOn():
-                self._note_served(request, state, "stream", seconds)
+                answer = _describe_stream(request, outcome)
+                self._note_served(request, state, answer, seconds)
             case TargetAnswer(status=status) if status < SERVER_ERROR:
                 self._note_served(request, state, str(status), seconds)
             case TargetAnswer(status=status):
@@ -73,3 +74,11 @@
         state.replaced = state.replaced or refusal.replaced
         if refusal.faulty:
             self.gate.note_refused(request.service.name, refusal.faulty)
+
+
+def _describe_stream(request: DirectRequest, passed: StreamPassedOn) -> str:
+    """Return what decides whether a stream was in time."""
+    if passed.first_at is None:
+        return "empty stream"
+    first = passed.first_at - request.arrived
+    return f"stream, first {first:.3f} s, pause {passed.longest_pause:.3f} s,"
--- a/packages/entry/src/briarthread_entry/direct/attempt_outcome.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_outcome.py
@@ -16,7 +16,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamPassedOn:
-    """The caller has the whole stream."""
+    """
+    The caller has the whole stream.
+
+    ``first_at`` is when its first event went out on the runtime's clock,
+    ``None`` for a stream without events; ``longest_pause`` is in seconds.
+    """
+
+    first_at: float | None = None
+    longest_pause: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -75,7 +75,7 @@
         passed_on = tuple(f for f in response.fields if f[0] not in DROPPED_BACK)
         if request.route.kind is CallKind.STREAM and response.status == STREAM_STATUS:
             await self._pass_stream(response, passed_on, relay)
-            return StreamPassedOn()
+            return StreamPassedOn(relay.first_at, relay.longest_pause)
         body = await read_bounded(response.body, MAX_ANSWER_BYTES)
         return TargetAnswer(response.status, passed_on, body)
 
