Search placements step by step on a plan kept up to date

Change: LayerPlan keeps the ranks' work as steps are taken; StepSearch weighs drops, moves, copies and exchanges; a search ends 6 loads beyond its best change. Ranks may count as slower than others.

--- a/packages/common/src/briarthread_common/placement/improve_map.py
+++ b/packages/common/src/briarthread_common/placement/improve_map.py
@@ -1,41 +1,17 @@
 """A better placement at a bounded cost."""
 
-from collections import Counter
-from collections.abc import Iterator
-from dataclasses import dataclass
+from collections.abc import Iterator, Sequence
 
 from briarthread_common.messages.expert_map import ExpertMap
-from briarthread_common.placement.rank_loads import Layer, rank_loads
+from briarthread_common.placement.layer_plan import LayerPlan
+from briarthread_common.placement.layer_step import Exchange, Step, loads_of
+from briarthread_common.placement.rank_loads import Layer
+from briarthread_common.placement.step_search import StepSearch
 
-COLD_RANKS = 4
-"""How many of the least loaded ranks are tried for each move."""
 MIN_GAIN = 0.002
-"""Part of the mean load that a move must take off the slowest rank."""
-
-
-NO_EXPERT = -1
-
-
-@dataclass(frozen=True, slots=True)
-class Swap:
-    """
-    Take load off the hot rank by way of a cold one.
-
-    The cold rank loads ``hot_expert`` in place of ``cold_expert``, or into a
-    free slot if that is ``NO_EXPERT``. With ``copy`` the hot rank keeps its
-    replica, else it loads ``cold_expert`` in its place.
-    """
-
-    hot_expert: int
-    cold_rank: int
-    cold_expert: int
-    gain: float
-    copy: bool
-
-    @property
-    def loads(self) -> int:
-        """Return how many experts some rank has to load."""
-        return 1 if self.copy else 2
+"""Part of the mean load that a step must take off the slowest rank."""
+MOST_FREE_STEPS = 200
+"""Bound on steps that load nothing, so that a search ends in any case."""
 
 
 def improve_map(
@@ -48,8 +24,7 @@
     """
     Return the present map with up to ``max_moves`` experts loaded anew.
 
-    Layer by layer it takes load off the slowest rank, by a swap with a cold
-    rank or by a copy in place of a replica there, as long as that gains.
+    Layer by layer it takes load off the slowest rank, as long as that gains.
     """
     left = max_moves
     layers = []
@@ -79,110 +54,39 @@
     slots: int,
     max_moves: int,
     rank_moves: int | None = None,
+    slowdown: Sequence[float] = (),
 ) -> Iterator[tuple[Layer, int]]:
     """
     Give better layers one after the other, with the experts loaded so far.
 
     ``rank_moves`` bounds what a single rank loads, where its engine does.
+    ``slowdown`` is how many times longer each rank takes for a token; left
+    out, all take the same time.
+
+    >>> slow = improve_steps([[0, 1], [2, 3]], [9.0, 9.0, 9.0, 9.0], 3, 9,
+    ...     slowdown=[1.0, 3.0])
+    >>> list(slow)
+    [([[0, 1, 2], [3]], 1)]
     """
-    better = [list(rank) for rank in layer]
+    plan = LayerPlan(layer, counts, slowdown or [1.0] * len(layer))
     left = [max_moves if rank_moves is None else rank_moves] * len(layer)
-    used = 0
     floor = MIN_GAIN * sum(counts) / len(layer)
-    while used < max_moves:
-        swap = _best_swap(better, counts, slots, left)
-        if swap is None or swap.gain <= floor or used + swap.loads > max_moves:
+    used = 0
+    for _ in range(max_moves + MOST_FREE_STEPS):
+        found = StepSearch(plan, slots, left).best()
+        if found is None or found[0] <= floor:
             return
-        hot = _carry_out(better, counts, swap)
-        used += swap.loads
-        left[swap.cold_rank] -= 1
-        if not swap.copy:
-            left[hot] -= 1
-        yield [list(rank) for rank in better], used
-
-
-def _best_swap(
-    layer: Layer, counts: list[float], slots: int, left: list[int]
-) -> Swap | None:
-    """Return the best swap by ranks that may still load an expert."""
-    view = _LayerView(layer, counts)
-    order = sorted(range(len(layer)), key=lambda r: (view.loads[r], r))
-    hot = order[-1]
-    cold_ranks = [rank for rank in order[:-1] if left[rank] > 0]
-    swaps = [
-        swap
-        for cold in cold_ranks[:COLD_RANKS]
-        for swap in view.exchanges(hot, cold)
-        if swap.copy or left[hot] > 0
-    ]
-    swaps.extend(
-        swap
-        for cold in cold_ranks
-        if len(layer[cold]) < slots
-        for swap in view.copies(hot, cold)
-    )
-    return max(swaps, key=lambda swap: swap.gain / swap.loads, default=None)
-
-
-class _LayerView:
-    """A layer with its loads, and what could take load off its hot rank."""
-
-    def __init__(self, layer: Layer, counts: list[float]) -> None:
-        self.layer = layer
-        self.counts = counts
-        self.loads = rank_loads(layer, counts)
-        self.replicas = Counter(expert for rank in layer for expert in rank)
-
-    def exchanges(self, hot: int, cold: int) -> list[Swap]:
-        """Return what takes the place of an expert on the cold rank."""
-        return [
-            swap
-            for out in self._movable(hot, cold)
-            for back in self._movable(cold, hot)
-            for swap in self._exchange(hot, cold, out, back)
-        ]
-
-    def copies(self, hot: int, cold: int) -> list[Swap]:
-        """Return the copies into a free slot of the cold rank."""
-        return [
-            self._copy(hot, cold, out, NO_EXPERT) for out in self._movable(hot, cold)
-        ]
-
-    def _movable(self, source: int, other: int) -> list[int]:
-        held = self.layer[other]
-        return [expert for expert in self.layer[source] if expert not in held]
-
-    def _exchange(self, hot: int, cold: int, out: int, back: int) -> list[Swap]:
-        part, other = self._part(out), self._part(back)
-        after = max(self.loads[hot] - part + other, self.loads[cold] + part - other)
-        swaps = [Swap(out, cold, back, self.loads[hot] - after, copy=False)]
-        if self.replicas[back] > 1:
-            swaps.append(self._copy(hot, cold, out, back))
-        return swaps
-
-    def _copy(self, hot: int, cold: int, out: int, back: int) -> Swap:
-        thinner = self.counts[out] / (self.replicas[out] + 1)
-        freed = self._part(back) if back != NO_EXPERT else 0.0
-        after = max(
-            self.loads[hot] - self._part(out) + thinner,
-            self.loads[cold] + thinner - freed,
-        )
-        return Swap(out, cold, back, self.loads[hot] - after, copy=True)
-
-    def _part(self, expert: int) -> float:
-        return self.counts[expert] / self.replicas[expert]
+        step = found[1]
+        if used + loads_of(step) > max_moves:
+            return
+        plan.carry_out(step)
+        used += loads_of(step)
+        _note_loads(step, left)
+        yield plan.copy(), used
 
 
-def _carry_out(layer: Layer, counts: list[float], swap: Swap) -> int:
-    """Change the layer by a swap; return the hot rank."""
-    loads = rank_loads(layer, counts)
-    hot = max(range(len(layer)), key=lambda r: (loads[r], r))
-    cold = layer[swap.cold_rank]
-    if swap.cold_expert == NO_EXPERT:
-        cold.append(swap.hot_expert)
-        return hot
-    cold[cold.index(swap.cold_expert)] = swap.hot_expert
-    if not swap.copy:
-        ranks = layer[hot]
-        ranks[ranks.index(swap.hot_expert)] = swap.cold_expert
-    return hot
+def _note_loads(step: Step, left: list[int]) -> None:
+    if loads_of(step):
+        left[step.rank] -= 1
+    if isinstance(step, Exchange):
+        left[step.source] -= 1
--- a/packages/common/src/briarthread_common/placement/quick_change.py
+++ b/packages/common/src/briarthread_common/placement/quick_change.py
@@ -8,11 +8,12 @@
 experts adds its slowest rank to the pass, so each is decided by itself.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from briarthread_common.direct.expert_figures import ExpertFigures
 from briarthread_common.placement.improve_map import improve_steps
-from briarthread_common.placement.rank_loads import Layer, rank_loads
+from briarthread_common.placement.rank_loads import Layer, slowest_load
 
 HORIZON_SECONDS = 2.5
 """Time over which a saving is counted: at the users' sites half of what is
@@ -30,6 +31,9 @@
 """Length of a pass, s, from which its length decides how many are served."""
 MOST_SET_LOADS = 36
 """Experts of one set that one change may load, all ranks together."""
+PATIENCE_LOADS = 6
+"""Loads beyond the best change found so far after which the search ends: the
+first steps gain most, and a long search would delay the change."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,31 +66,37 @@
     others: float,
     figures: ExpertFigures,
     length: PassLength,
+    slowdown: Sequence[float] = (),
 ) -> SetChange:
     """
     Return the change of one set whose saving exceeds its cost by most.
 
     ``others`` is the load of the slowest ranks of the other sets together, so
-    that the pass can be shared out over the sets. Without a worthwhile change
-    the set comes back as it is.
+    that the pass can be shared out over the sets. ``slowdown`` is how many
+    times longer each rank takes for a token; left out, all take the same time.
+    Without a worthwhile change the set comes back as it is.
 
     >>> figures = ExpertFigures(1, 4, 3, 3)
     >>> busy = PassLength(0.1, 0.03)
     >>> best_set_change([[0, 1], [2, 3]], [90.0, 90.0, 5.0, 5.0], 0.0,
     ...     figures, busy).layer
-    [[0, 1], [2, 3, 0]]
+    [[1, 2], [3, 0]]
     """
-    slowest = max(rank_loads(layer, counts))
+    slowest = slowest_load(layer, counts, slowdown)
     best, best_gain = SetChange(layer, 0, 0.0), 0.0
     if slowest <= 0:
         return best
     movable = (length.seconds - length.fixed) * length.expert_share
     worth = movable / length.seconds * HORIZON_SECONDS * length.pressure
     worth /= slowest + others
-    steps = improve_steps(layer, counts, figures.places, MOST_SET_LOADS, figures.spare)
+    steps = improve_steps(
+        layer, counts, figures.places, MOST_SET_LOADS, figures.spare, slowdown
+    )
     for better, loads in steps:
-        saved = (slowest - max(rank_loads(better, counts))) * worth
+        saved = (slowest - slowest_load(better, counts, slowdown)) * worth
         gain = saved - loads * LOAD_SECONDS
         if gain > best_gain:
             best, best_gain = SetChange(better, loads, saved), gain
+        elif loads > best.loads + PATIENCE_LOADS:
+            break
     return best
--- a/packages/common/src/briarthread_common/placement/rank_loads.py
+++ b/packages/common/src/briarthread_common/placement/rank_loads.py
@@ -1,6 +1,7 @@
 """What a placement means for the ranks."""
 
 from collections import Counter
+from collections.abc import Sequence
 
 from briarthread_common.messages.expert_map import ExpertMap
 
@@ -20,6 +21,24 @@
     return [sum(counts[e] / replicas[e] for e in rank) for rank in layer]
 
 
+def slowest_load(
+    layer: Layer, counts: list[float], slowdown: Sequence[float] = ()
+) -> float:
+    """
+    Return the load of the rank that all others of a layer wait for.
+
+    ``slowdown`` is how many times longer each rank takes for a token; left
+    out, all take the same time.
+
+    >>> slowest_load([[0, 1], [1]], [2.0, 6.0], [1.0, 2.0])
+    6.0
+    """
+    loads = rank_loads(layer, counts)
+    if not slowdown:
+        return max(loads)
+    return max(work * times for work, times in zip(loads, slowdown, strict=True))
+
+
 def map_skew(expert_map: ExpertMap, counts: list[list[float]]) -> float:
     """
     Return the time of a step over that of an even one.
