Finish a frozen planner's change within two seconds

Those who finish a change waited 0.6 s for the frozen agent at each of several steps, one rank after the other, and gave up where an engine's report, some hundred milliseconds old, did not show the arm yet. Ruled out: nobody noticing (ranks were armed and stood at the pass). Change: an agent whose rank is armed for the very next pass waits one look; all ranks are armed at once; agents that gave no answer are left out and their engines ordered; arming is looked at again until it shows. Why a group is not finished now is logged.

--- a/packages/agent/src/briarthread_agent/ranks/group_view.py
+++ b/packages/agent/src/briarthread_agent/ranks/group_view.py
@@ -26,11 +26,14 @@
     """
     Hold the answers of all ranks of a group in the order of the ranks.
 
-    ``fault`` says why the group cannot be changed now, or is empty.
+    ``fault`` says why the group cannot be changed now, or is empty. ``silent``
+    holds the addresses of agents that gave no answer, so that their engines
+    were asked instead.
     """
 
     members: tuple[Member, ...]
     fault: str = ""
+    silent: frozenset[str] = frozenset()
 
     @property
     def epoch(self) -> int:
@@ -58,7 +61,9 @@
         )
 
 
-def build_view(group: str, answers: dict[str, RankAnswer]) -> GroupView:
+def build_view(
+    group: str, answers: dict[str, RankAnswer], silent: frozenset[str] = frozenset()
+) -> GroupView:
     """Return the view of a group from its agents' answers by address."""
     members = tuple(
         sorted(
@@ -70,7 +75,7 @@
             key=lambda member: member.state.rank,
         )
     )
-    return GroupView(members, _fault(members, answers))
+    return GroupView(members, _fault(members, answers), silent)
 
 
 def _fault(members: tuple[Member, ...], answers: dict[str, RankAnswer]) -> str:
--- a/packages/agent/src/briarthread_agent/ranks/map_finisher.py
+++ b/packages/agent/src/briarthread_agent/ranks/map_finisher.py
@@ -1,12 +1,14 @@
 """Bringing to its end a change of a map that its planner left behind."""
 
 import anyio
+from loguru import logger
 
 from briarthread_agent.ranks.group_view import GroupView, Member
 from briarthread_agent.ranks.map_mover import all_armed
 from briarthread_agent.ranks.rank_keeper import RankKeeper
 from briarthread_agent.ranks.rank_peers import RankPeers
 from briarthread_common.core.event_log import EventLog
+from briarthread_common.direct.rank_client import RankClient
 from briarthread_common.direct.rank_state import ArmedMap, RankState
 from briarthread_common.messages.rank_messages import (
     ARM_PATH,
@@ -22,6 +24,14 @@
 """Looks in a row at a group that makes no passes, though it has requests or a
 change due, before a change counts as left behind: a planner that lives lets a
 pass go within some hundredths of a second."""
+OVERDUE_LOOKS = 1
+"""The same at a rank that is armed for the very next pass: all that is missing
+is the word to begin it, and giving that twice does no harm."""
+ARM_SECONDS = 1.5
+"""Longest time spent on arming the rest in one go; an engine without an agent
+reports what it was ordered some hundred milliseconds late."""
+AGAIN_SECONDS = 0.05
+"""Pause before the ranks that were ordered are looked at again."""
 STAGGER = 4
 """Ranks by which agents differ in patience, lest all of them ask all others."""
 
@@ -61,12 +71,16 @@
         """Tell whether a change seems to have nobody who finishes it."""
         if state.held is not None and state.held != self.keeper.own_hold:
             return True
-        return looks >= STUCK_LOOKS + state.rank % STAGGER
+        patience = OVERDUE_LOOKS if state.armed is not None else STUCK_LOOKS
+        return looks >= patience + state.rank % STAGGER
 
     async def finish(self, group: str) -> None:
         """Finish the change of a group, as far as its ranks can be reached."""
         view = await self.peers.view_with_engines(group)
-        if view.fault or not view.unsettled:
+        if view.fault:
+            logger.info("rank: {} is not finished now: {}", group, view.fault)
+            return
+        if not view.unsettled:
             return
         armed = _agreed(view)
         if armed is not None and _on_its_way(view, armed):
@@ -74,35 +88,58 @@
         if armed is None:
             self.events.add("map-unsettled", group, "the ranks name different maps")
             return
-        for member in view.members:
-            if member.state.armed != armed:
-                await self._arm(member, armed)
-        view = await self.peers.view_with_engines(group)
-        if view.fault or not all_armed(view.members, armed):
+        finished = await self._arm_rest(group, view, armed)
+        if finished is None:
+            self.events.add("map-unsettled", group, "not all ranks could be armed")
             return
         self.events.add("map-finished", group, f"version {armed.version}")
-        for member in view.members:
-            if member.state.held is not None:
-                await self._go(member, member.state.held)
+        await self._let_go(finished)
+
+    async def _arm_rest(
+        self, group: str, view: GroupView, armed: ArmedMap
+    ) -> GroupView | None:
+        """Arm the ranks that are not armed yet; return them as they are then."""
+        with anyio.move_on_after(ARM_SECONDS):
+            while not all_armed(view.members, armed):
+                async with anyio.create_task_group() as tasks:
+                    for member in view.members:
+                        if member.state.armed != armed:
+                            tasks.start_soon(self._arm, member, armed, view)
+                await anyio.sleep(AGAIN_SECONDS)
+                view = await self.peers.view_with_engines(group)
+                if view.fault:
+                    return None
+            return view
+        return None
 
-    async def _arm(self, member: Member, armed: ArmedMap) -> None:
+    async def _arm(self, member: Member, armed: ArmedMap, view: GroupView) -> None:
         epoch = member.state.epoch
-        request = ArmRequest(self.keeper.fence, epoch, armed.version, armed.step)
-        answers = await self.peers.call(
-            ARM_PATH, {member.address: request}, OrderAnswer
-        )
-        engine = self.peers.engine_beside(member.address)
-        if not answers and engine is not None:
+        engine = self._engine_of_silent(member, view)
+        if engine is not None:
             await engine.arm(epoch, armed.version, armed.step)
+            return
+        request = ArmRequest(self.keeper.fence, epoch, armed.version, armed.step)
+        await self.peers.call(ARM_PATH, {member.address: request}, OrderAnswer)
+
+    async def _let_go(self, view: GroupView) -> None:
+        for member in view.members:
+            if member.state.held is not None:
+                await self._go(member, member.state.held, view)
 
-    async def _go(self, member: Member, step: int) -> None:
+    async def _go(self, member: Member, step: int, view: GroupView) -> None:
         epoch = member.state.epoch
-        answers = await self.peers.call(
-            GO_PATH, {member.address: GoRequest(epoch, step)}, OrderAnswer
-        )
-        engine = self.peers.engine_beside(member.address)
-        if not answers and engine is not None:
+        engine = self._engine_of_silent(member, view)
+        if engine is not None:
             await engine.go(epoch, step)
+            return
+        request = GoRequest(epoch, step)
+        await self.peers.call(GO_PATH, {member.address: request}, OrderAnswer)
+
+    def _engine_of_silent(self, member: Member, view: GroupView) -> RankClient | None:
+        """Return the engine to order in the place of an agent without an answer."""
+        if member.address not in view.silent:
+            return None
+        return self.peers.engine_beside(member.address)
 
 
 def _on_its_way(view: GroupView, armed: ArmedMap) -> bool:
--- a/packages/agent/src/briarthread_agent/ranks/rank_peers.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_peers.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from typing import TypeVar
 
+import anyio
+
 from briarthread_agent.ranks.group_view import GroupView, build_view
 from briarthread_common.core.exceptions import DecodeError, RankError
 from briarthread_common.direct.platform_adapter import PlatformAdapter
@@ -21,6 +23,9 @@
 T = TypeVar("T")
 CALL_SECONDS = 0.6
 """Longest wait for an agent, which asks an engine on its own machine."""
+SILENT_SECONDS = 0.3
+"""The same while the group stands still, when an agent that is frozen or dead
+must not keep it waiting; its engine is asked then."""
 
 
 class RankPeers:
@@ -49,10 +54,14 @@
         }
 
     async def call(
-        self, path: str, messages: Mapping[str, object], answer: type[T]
+        self,
+        path: str,
+        messages: Mapping[str, object],
+        answer: type[T],
+        seconds: float = CALL_SECONDS,
     ) -> dict[str, T]:
         """Send each address its message; return the answers that came."""
-        return await call_many(self.channel, path, messages, answer, CALL_SECONDS)
+        return await call_many(self.channel, path, messages, answer, seconds)
 
     async def view(self, group: str, query: RankQuery) -> GroupView:
         """Return what the ranks of a group say, through their agents."""
@@ -71,12 +80,20 @@
         """
         addresses = [row.address for row in self.agents().values()]
         answers = await self.call(
-            QUERY_PATH, dict.fromkeys(addresses, RankQuery()), RankAnswer
+            QUERY_PATH,
+            dict.fromkeys(addresses, RankQuery()),
+            RankAnswer,
+            SILENT_SECONDS,
         )
-        for address in addresses:
-            if address not in answers:
-                answers[address] = await self._ask_engine(address)
-        return build_view(group, answers)
+        silent = frozenset(addresses) - frozenset(answers)
+
+        async def ask_engine(address: str) -> None:
+            answers[address] = await self._ask_engine(address)
+
+        async with anyio.create_task_group() as tasks:
+            for address in silent:
+                tasks.start_soon(ask_engine, address)
+        return build_view(group, answers, silent)
 
     def engine_beside(self, agent_address: str) -> RankClient | None:
         """Return the engine on the machine of an agent."""
--- a/tests/ranks/test_map_changes.py
+++ b/tests/ranks/test_map_changes.py
@@ -221,3 +221,21 @@
         assert held(world) == [None] * 4
 
     in_group_world(scenario)
+
+
+@pytest.mark.parametrize("order", ["hold", "arm"])
+def test_frozen_planner_does_not_keep_the_group_waiting(order: str) -> None:
+    async def scenario(world: GroupWorld) -> None:
+        with anyio.move_on_after(3):
+            await wait_for_order(world, order)
+        victim = world.planner()
+        world.network.freeze(world.agent_address(victim), True)
+        await anyio.sleep(5)
+        assert world.group.longest_hold > 0
+        assert world.group.longest_hold < 2
+        world.network.freeze(world.agent_address(victim), False)
+        await anyio.sleep(4)
+        assert world.group.violations == []
+        assert held(world) == [None] * 4
+
+    in_group_world(scenario)
