Note served streams again: leave slow ranks by a callback

Change: attempts are watched by one task of the entry that calls them back; nothing is awaited once an answer is complete. The fake network tells the server so at the end of an answer, as uvicorn does.

--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -123,6 +123,7 @@
         tasks.start_soon(self.book.follow)
         tasks.start_soon(self.watcher.run)
         tasks.start_soon(self.group_watcher.run)
+        tasks.start_soon(self.slow_ranks.run)
         tasks.start_soon(self._list_itself)
 
     def apply(self, settings: DirectSettings) -> None:
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -171,17 +171,17 @@
         """Send an attempt, and break it off when its rank turns slow."""
         left: list[LeftSlowRank] = []
 
-        async def leave(scope: anyio.CancelScope) -> None:
-            factor = await self.slow_ranks.wait_slow(request.service.name, state)
+        def leave(factor: float) -> None:
             if self._spend_repeat(request, SLOW_RANK):
                 left.append(LeftSlowRank(factor))
                 scope.cancel()
 
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(leave, tasks.cancel_scope)
-            outcome = await self.sender.send(request, state, relay)
-            tasks.cancel_scope.cancel()
-            return outcome
+        service = request.service.name
+        with (
+            anyio.CancelScope() as scope,
+            self.slow_ranks.watched(service, state, leave),
+        ):
+            return await self.sender.send(request, state, relay)
         return left[0]
 
     def _may_repeat(
--- a/packages/entry/src/briarthread_entry/direct/slow_ranks.py
+++ b/packages/entry/src/briarthread_entry/direct/slow_ranks.py
@@ -8,6 +8,10 @@
 its share of requests, and of a tenth of that without any.
 """
 
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
 import anyio
 
 from briarthread_entry.direct.choose_target import without_slow
@@ -26,6 +30,7 @@
     def __init__(self, book: TargetBook, groups: GroupBoard) -> None:
         self.book = book
         self.groups = groups
+        self.attempts: set[_Watched] = set()
 
     def usable(self, service: str, now: float) -> list[DirectTargetState]:
         """Return the ranks of a service that new requests may go to."""
@@ -34,11 +39,45 @@
             lambda address: self.groups.slowdown(service, address, now),
         )
 
-    async def wait_slow(self, service: str, state: DirectTargetState) -> float:
-        """Return once a rank is to be left, with how many times slower it is."""
+    @contextmanager
+    def watched(
+        self, service: str, state: DirectTargetState, leave: Callable[[float], None]
+    ) -> Iterator[None]:
+        """
+        Have ``leave`` called once when a rank is to be left.
+
+        It gets how many times slower the rank is. Nothing is awaited at the
+        end, so that an attempt that is done is noted before its caller's next
+        request.
+        """
+        attempt = _Watched(service, state, leave)
+        self.attempts.add(attempt)
+        try:
+            yield
+        finally:
+            self.attempts.discard(attempt)
+
+    async def run(self) -> None:
+        """Tell attempts to leave slow ranks until cancelled."""
         while True:
-            now = anyio.current_time()
-            factor = self.groups.slowdown(service, state.target.address, now)
-            if factor >= LEAVE_FACTOR and state not in self.usable(service, now):
-                return factor
+            for attempt in list(self.attempts):
+                factor = self._leave_factor(attempt)
+                if factor is not None:
+                    self.attempts.discard(attempt)
+                    attempt.leave(factor)
             await self.groups.wait_change()
+
+    def _leave_factor(self, attempt: "_Watched") -> float | None:
+        now = anyio.current_time()
+        service, state = attempt.service, attempt.state
+        factor = self.groups.slowdown(service, state.target.address, now)
+        if factor < LEAVE_FACTOR or state in self.usable(service, now):
+            return None
+        return factor
+
+
+@dataclass(frozen=True, eq=False, slots=True)
+class _Watched:
+    service: str
+    state: DirectTargetState
+    leave: Callable[[float], None]
--- a/packages/standins/src/briarthread_standins/fake_network.py
+++ b/packages/standins/src/briarthread_standins/fake_network.py
@@ -147,6 +147,9 @@
         event.set()
 
 
+BODY = "http.response.body"
+
+
 class Exchange:
     """Join the two ends of one call."""
 
@@ -179,11 +182,18 @@
         return {"type": "http.disconnect"}
 
     async def send(self, message: dict[str, Any]) -> None:
-        """Take a message of the server; drop it if the client is gone."""
+        """
+        Take a message of the server; drop it if the client is gone.
+
+        Once the answer is complete the server is told that the client is gone,
+        as uvicorn tells it.
+        """
         try:
             await self.sender.send(message)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             return
+        if message["type"] == BODY and not message.get("more_body", False):
+            self.disconnected.set()
 
     def end(self) -> None:
         """Hang up."""
--- a/tests/direct/test_slow_ranks.py
+++ b/tests/direct/test_slow_ranks.py
@@ -88,3 +88,14 @@
         assert sum(world.workers["rank-0"].runs.values()) == 0
 
     in_direct_world(scenario)
+
+
+def test_streams_that_were_served_are_noted_as_such() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        for _ in range(10):
+            assert (await world.ask("entry-1", CHAT, SIZE)).status == 200
+        await anyio.sleep(1)
+        events = world.entries["entry-1"].events.ring
+        assert sum(event.decision == "request-served" for event in events) == 10
+
+    in_direct_world(scenario)
