Let callers who come back wait for a group that is expected back

Cause: while a data centre is cut off the group serves nobody for some 5.5 s. Callers refused in it come back after at most a third of their time, were refused again while the group was about to serve, and had no further try. The word of an agent that the group serves ends the outage without a probe. Room right after the return is waited for at most 0.2 s.

--- a/packages/entry/src/briarthread_entry/direct/admission_rule.py
+++ b/packages/entry/src/briarthread_entry/direct/admission_rule.py
@@ -6,8 +6,12 @@
 be served in time, while one who comes back is late already. Measured on a day
 of 1.4 times what the group can do, letting those who come back go first made
 nearly every answer late: 0.43 of the worth, against 0.60 this way.
+
+One who comes back has no other try, and is late in any case. So it waits for a
+group that is away, if that is expected back before the caller would leave.
 """
 
+import math
 from dataclasses import dataclass
 
 from briarthread_common.core.error_kind import ErrorKind
@@ -18,6 +22,9 @@
 """Seconds before which a refused caller finds nothing changed: some passes."""
 HONOURED_SHARE = 1 / 3
 """Part of the time left within which callers come back as told."""
+LATE_SHARE = 0.85
+"""Part of the time that callers honour from which on they come back to a group
+that is away for longer; the rest spreads them."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,12 +54,14 @@
     """
     State what a group has room for.
 
-    ``most`` and ``running`` count requests over all entries.
+    ``most`` and ``running`` count requests over all entries. ``back_in`` is
+    in how many seconds a group that is not serving is expected back.
     """
 
     serving: bool
     running: int
     most: int
+    back_in: float = 0.0
 
 
 def decide(
@@ -70,9 +79,13 @@
     WaitForRoom()
     >>> decide(GroupRoom(True, 60, 60), False, 0.0, 8.1, 0.5).retry_after
     1.5
+    >>> decide(GroupRoom(False, 0, 60, back_in=1.2), True, 1.8, 5.0, 0.5)
+    WaitForRoom()
     """
     if not room.serving:
-        pause = later_return(time_left, pick)
+        if room.back_in <= wait_left:
+            return WaitForRoom()
+        pause = return_to_group(time_left, room.back_in, pick)
         return Refuse(ErrorKind.GROUP_BROKEN, "the group is not serving", pause)
     if room.running < _limit(room, returning):
         return Start()
@@ -89,10 +102,16 @@
     return earliest + (latest - earliest) * pick
 
 
-def later_return(time_left: float, pick: float) -> float:
-    """Return when to come back to a group that has to form anew."""
+def return_to_group(time_left: float, back_in: float, pick: float) -> float:
+    """
+    Return when to come back to a group that is expected back in some time.
+
+    >>> return_to_group(6.0, 0.5, 0.0), return_to_group(6.0, 4.0, 0.0)
+    (0.5, 1.7)
+    """
     latest = max(time_left, 0.0) * HONOURED_SHARE
-    return latest * (0.8 + 0.2 * pick)
+    earliest = min(back_in, latest * LATE_SHARE)
+    return earliest + (latest - earliest) * pick
 
 
 def _limit(room: GroupRoom, returning: bool) -> float:
@@ -107,5 +126,5 @@
     2.0
     """
     if kind is ErrorKind.GROUP_BROKEN:
-        return later_return(time_left, pick)
+        return return_to_group(time_left, math.inf, pick)
     return spread_return(time_left, pick)
--- a/packages/entry/src/briarthread_entry/direct/group_gate.py
+++ b/packages/entry/src/briarthread_entry/direct/group_gate.py
@@ -33,6 +33,12 @@
 LONGEST_WAIT = 0.2
 """Longest wait for room, s. A wait costs the caller its aim; more than this
 and the first event would come late even if room were found."""
+LAST_WAIT = 1.8
+"""Longest wait of a caller who came back, s. It is late already, so that only
+its patience counts: callers leave a stream after two seconds without an event."""
+FLOWING_SECONDS = 0.4
+"""Age of the last event of a stream up to which the group serves, whatever an
+agent says; its own rank may be leaving the group."""
 PASSES_TO_ANSWER = 2.0
 """Passes from the start to the first event: the one under way, and its own."""
 
@@ -108,10 +114,11 @@
             self.waiting.remove(place)
 
     async def _wait(self, request: DirectRequest, place: WaitingPlace) -> None:
-        give_up = request.arrived + self._patience(request)
+        patience = self._patience(request)
         while True:
             now = anyio.current_time()
-            match self._decide(request, place, give_up - now, now):
+            wait_left = self._wait_until(request, place, patience) - now
+            match self._decide(request, place, wait_left, now):
                 case Start():
                     return
                 case Refuse() as refusal:
@@ -140,17 +147,45 @@
         if each is None:
             each = self.board.each(service.name, now)
         return GroupRoom(
-            serving=self.health(service.name).may_send(now),
+            serving=self._serves(service, now),
             running=self._running(states, now),
             most=most_running(len(states), service.engine, request.route.gap_aim, each),
+            back_in=self.health(service.name).expected_back(now),
         )
 
+    def _serves(self, service: DirectService, now: float) -> bool:
+        """Tell whether a request may go to the group, by all that is known."""
+        name, health = service.name, self.health(service.name)
+        said = self.slow_ranks.groups.serving(name, now)
+        flowing = now - self.meter(service).last_event <= FLOWING_SECONDS
+        if said is False and not flowing and health.note_broken(now):
+            logger.warning("group: {} is not serving, says an agent", name)
+        if said is True and health.note_said_serving(now):
+            logger.info("group: {} serves again, says an agent", name)
+        return health.may_send(now)
+
     def _running(self, states: Sequence[DirectTargetState], now: float) -> int:
         return sum(
             state.running + self.board.elsewhere(state.target.name, now)
             for state in states
         )
 
+    def _wait_until(
+        self, request: DirectRequest, place: WaitingPlace, patience: float
+    ) -> float:
+        """
+        Return until when a request may wait for room.
+
+        One that came back may wait for a group that is away, and for room right
+        after its return.
+        """
+        health = self.health(place.service)
+        if not place.returning:
+            return request.arrived + patience
+        if health.broken:
+            return request.arrived + LAST_WAIT
+        return max(request.arrived + patience, health.back_at + LONGEST_WAIT)
+
     def _patience(self, request: DirectRequest) -> float:
         """Return how long the request may wait and still meet its aim."""
         now = anyio.current_time()
@@ -168,5 +203,5 @@
         now = anyio.current_time()
         states = self.book.of_service(service.name, now)
         self.meter(service).note_event(previous, now, self._running(states, now))
-        if self.health(service.name).note_serving():
+        if self.health(service.name).note_serving(now):
             logger.info("group: {} serves again", service.name)
--- a/tests/direct/test_load.py
+++ b/tests/direct/test_load.py
@@ -31,6 +31,8 @@
 BURST_SECONDS = 2.0
 AIM, PAUSE, GIVE_UP = 0.4, 0.12, 2.0
 RANKS = 6
+OUTAGES = {"broken": 2.0, "cut": 5.2}
+"""Seconds that a group is away, by the trouble."""
 
 
 @dataclass
@@ -75,8 +77,8 @@
             for name in ENTRIES:
                 set_limit(world.add_entry(name), limit)
             await anyio.sleep(3)
-            if trouble == "broken":
-                tasks.start_soon(break_for_a_while, group)
+            if trouble:
+                tasks.start_soon(break_for_a_while, group, OUTAGES[trouble])
             async with anyio.create_task_group() as callers:
                 await arrive(world, callers, rate, burst, tally, random.Random(seed))
             tasks.cancel_scope.cancel()
@@ -98,10 +100,10 @@
     entry.gate.enter = enter
 
 
-async def break_for_a_while(group: LoadedGroup) -> None:
+async def break_for_a_while(group: LoadedGroup, seconds: float) -> None:
     await anyio.sleep(4)
     group.broken = True
-    await anyio.sleep(2)
+    await anyio.sleep(seconds)
     group.broken = False
 
 
@@ -219,3 +221,14 @@
     for tally in tallies:
         assert tally.slowest_refusal < 0.25
         assert tally.in_time + tally.late >= 0.95 * tally.asked
+
+
+def test_callers_who_return_before_the_group_does_are_served_when_it_is_back() -> None:
+    tallies = [
+        play(CAPACITY * 0.5, "group", trouble="cut", seed=n) for n in range(1, 5)
+    ]
+    refused = sum(tally.refused for tally in tallies)
+    assert refused >= 120
+    assert sum(tally.refused_twice for tally in tallies) <= 0.45 * refused
+    for tally in tallies:
+        assert tally.slowest_refusal < 2.1
