Plan maps of large groups by counts of some ranks and by differences

Change: each agent keeps its own rank's recent choices; a look asks as many ranks in turn as make some 8,000 numbers, eight at least, and counts what others said before with its age. A new map goes out as its differences from the one in force, whole only to agents that lack that. The search yields after each step.

--- a/packages/agent/src/briarthread_agent/ranks/direct_agent.py
+++ b/packages/agent/src/briarthread_agent/ranks/direct_agent.py
@@ -113,6 +113,8 @@
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(list_itself, row, self.directory, self.store)
+            tasks.start_soon(self.keeper.follow_counts)
+            tasks.start_soon(self.keeper.follow_counts)
             tasks.start_soon(self.finisher.run)
             tasks.start_soon(self.planner.run)
 
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/ranks/map_change.py
@@ -0,0 +1,43 @@
+"""A new map of a group, and the one that it changes."""
+
+from dataclasses import dataclass
+
+from briarthread_common.direct.rank_client import Layers
+from briarthread_common.messages.rank_messages import RankExperts
+
+
+@dataclass(frozen=True, slots=True)
+class MapChange:
+    """
+    Hold a map's version and layers, and those of the map in force.
+
+    >>> change = MapChange(2, [[[0], [1, 0]]], 1, [[[0], [1]]])
+    >>> change.differences()
+    [RankExperts(number=0, rank=1, experts=[1, 0])]
+    >>> apply_differences(change.base_layers, change.differences())
+    [[[0], [1, 0]]]
+    """
+
+    version: int
+    layers: Layers
+    base: int
+    base_layers: Layers
+
+    def differences(self) -> list[RankExperts]:
+        """Return what each rank holds otherwise than before."""
+        return [
+            RankExperts(number, rank, experts)
+            for number, (layer, before) in enumerate(
+                zip(self.layers, self.base_layers, strict=True)
+            )
+            for rank, experts in enumerate(layer)
+            if experts != before[rank]
+        ]
+
+
+def apply_differences(base: Layers, differences: list[RankExperts]) -> Layers:
+    """Return the layers of a map from those that it changes."""
+    layers = [[list(experts) for experts in layer] for layer in base]
+    for changed in differences:
+        layers[changed.number][changed.rank] = list(changed.experts)
+    return layers
--- a/packages/agent/src/briarthread_agent/ranks/map_mover.py
+++ b/packages/agent/src/briarthread_agent/ranks/map_mover.py
@@ -22,28 +22,23 @@
 import anyio
 
 from briarthread_agent.ranks.group_view import GroupView, Member
+from briarthread_agent.ranks.map_change import MapChange
+from briarthread_agent.ranks.map_stager import MapStager
 from briarthread_agent.ranks.rank_keeper import RankKeeper
 from briarthread_agent.ranks.rank_peers import RankPeers
 from briarthread_common.core.event_log import EventLog
-from briarthread_common.direct.rank_client import Layers
 from briarthread_common.direct.rank_state import ArmedMap
 from briarthread_common.messages.rank_messages import (
     ARM_PATH,
-    STAGE_PATH,
     ArmRequest,
     GoRequest,
     OrderAnswer,
     RankQuery,
-    StageRequest,
 )
 
-STAGE_TRIES = 4
-"""How often a rank that did not take the order to load is ordered anew. One
-that took an order without an answer refuses the next, and loads all the same."""
-STAGE_SECONDS = 3.0
-"""Longest wait for all ranks to load: three experts a set take under one."""
-LOOK_SECONDS = 0.08
-"""Pause between two looks at the ranks while they load."""
+STAGE_SECONDS = 4.0
+"""Longest wait for all ranks to load: three experts a set take under one, and
+whole maps go out to a few ranks at a time."""
 AHEAD_SECONDS = 0.3
 """How far ahead the pass of the change lies: holding it and arming every rank
 takes some ten calls of a few milliseconds, and one may have to be made anew."""
@@ -69,13 +64,13 @@
         self,
         view: GroupView,
         fence: int,
-        version: int,
-        layers: Layers,
+        change: MapChange,
         pass_seconds: float,
     ) -> bool:
         """Bring a map in force; tell whether it is."""
         group = view.members[0].state.group
-        if not await self._stage(view, fence, version, layers):
+        version = change.version
+        if not await self._stage(view, fence, change):
             self.events.add("map-not-staged", group, f"version {version}")
             return False
         current = await self.peers.view(group, RankQuery(fence))
@@ -104,38 +99,13 @@
         self.events.add("map-moves", group, what)
         return True
 
-    async def _stage(
-        self, view: GroupView, fence: int, version: int, layers: Layers
-    ) -> bool:
-        request = StageRequest(fence, view.epoch, version, layers)
-        group = view.members[0].state.group
-        missing = {member.address for member in view.members}
-        tries = 0
+    async def _stage(self, view: GroupView, fence: int, change: MapChange) -> bool:
+        """Have every rank load what it lacks; tell whether all have."""
+        stager = MapStager(self.peers, view, fence, change)
         with anyio.move_on_after(STAGE_SECONDS):
-            while True:
-                if missing and tries < STAGE_TRIES:
-                    tries += 1
-                    missing -= await self._order_stage(missing, request)
-                current = await self.peers.view(group, RankQuery(fence))
-                if not current.fault and current.epoch != view.epoch:
-                    return False
-                lacking = _lacking(current, version)
-                if not lacking and not current.fault:
-                    return True
-                if lacking & missing and tries == STAGE_TRIES:
-                    return False
-                await anyio.sleep(LOOK_SECONDS)
+            return await stager.run()
         return False
 
-    async def _order_stage(
-        self, addresses: set[str], request: StageRequest
-    ) -> set[str]:
-        """Order ranks to load; return the addresses of those that took it."""
-        answers = await self.peers.call(
-            STAGE_PATH, dict.fromkeys(addresses, request), OrderAnswer
-        )
-        return {address for address, answer in answers.items() if answer.taken}
-
     async def _hold(self, epoch: int, fence: int, step: int) -> bool:
         """Hold a pass at this agent's own rank, unless a newer planner was heard."""
         if self.keeper.fence > fence:
@@ -174,13 +144,6 @@
                 await anyio.sleep(RETRY_SECONDS)
 
 
-def _lacking(view: GroupView, version: int) -> set[str]:
-    """Return the addresses of ranks that have not loaded a map."""
-    return {
-        member.address for member in view.members if member.state.prepared != version
-    }
-
-
 def _formed_anew(answers: dict[str, OrderAnswer], epoch: int) -> bool:
     return any(
         answer.state is not None and answer.state.epoch != epoch
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/ranks/map_stager.py
@@ -0,0 +1,88 @@
+"""The loading of a new map by every rank of a group."""
+
+from collections import Counter
+
+import anyio
+
+from briarthread_agent.ranks.group_view import GroupView
+from briarthread_agent.ranks.map_change import MapChange
+from briarthread_agent.ranks.rank_peers import RankPeers
+from briarthread_common.messages.rank_messages import (
+    STAGE_PATH,
+    OrderAnswer,
+    RankQuery,
+    StageRequest,
+)
+
+STAGE_TRIES = 4
+"""How often a rank that did not take the order to load is ordered anew. One
+that took an order without an answer refuses the next, and loads all the same."""
+WHOLE_AT_ONCE = 12
+"""Agents that are sent a whole map at a time: some 120 KB for a group of 63."""
+LOOK_SECONDS = 0.08
+"""Pause between two looks at the ranks while they load."""
+LOOK_RANK_SECONDS = 0.003
+"""The same for each rank, so that looks at a large group leave its link free."""
+
+
+class MapStager:
+    """Order the ranks of a group to load a map until all have it."""
+
+    def __init__(
+        self, peers: RankPeers, view: GroupView, fence: int, change: MapChange
+    ) -> None:
+        self.peers = peers
+        self.view = view
+        self.fence = fence
+        self.change = change
+        self.missing = {member.address for member in view.members}
+        self.whole: set[str] = set()
+        self.tries: Counter[str] = Counter()
+        self.brief = StageRequest(
+            fence, view.epoch, change.version, change.base, change.differences()
+        )
+        self.full = StageRequest(
+            fence, view.epoch, change.version, change.base, layers=change.layers
+        )
+
+    async def run(self) -> bool:
+        """Return whether all ranks have loaded the map."""
+        group = self.view.members[0].state.group
+        pause = max(LOOK_SECONDS, len(self.view.members) * LOOK_RANK_SECONDS)
+        while True:
+            await self._order()
+            current = await self.peers.view(group, RankQuery(self.fence))
+            if not current.fault and current.epoch != self.view.epoch:
+                return False
+            lacking = self._lacking(current)
+            if not lacking and not current.fault:
+                return True
+            if any(self.tries[address] >= STAGE_TRIES for address in self.missing):
+                return False
+            await anyio.sleep(pause)
+
+    async def _order(self) -> None:
+        """Order those that have not taken the order yet."""
+        whole = sorted(self.missing & self.whole)[:WHOLE_AT_ONCE]
+        messages = dict.fromkeys(self.missing - self.whole, self.brief)
+        messages |= dict.fromkeys(whole, self.full)
+        if not messages:
+            return
+        self.tries.update(messages.keys())
+        answers = await self.peers.call(STAGE_PATH, messages, OrderAnswer)
+        for address, answer in answers.items():
+            if answer.taken:
+                self.missing.discard(address)
+            elif answer.lacks_base:
+                self.whole.add(address)
+                self.tries[address] = 0
+
+    def _lacking(self, view: GroupView) -> set[str]:
+        """Return the addresses of ranks that have not loaded the map."""
+        lacking = {
+            member.address
+            for member in view.members
+            if member.state.prepared != self.change.version
+        }
+        self.missing &= lacking
+        return lacking
--- a/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
@@ -5,8 +5,10 @@
 import anyio
 from loguru import logger
 
+from briarthread_agent.ranks.map_change import apply_differences
+from briarthread_agent.ranks.rank_demand import RankDemand
 from briarthread_common.core.exceptions import RankError
-from briarthread_common.direct.rank_client import RankClient
+from briarthread_common.direct.rank_client import Layers, RankClient
 from briarthread_common.direct.rank_state import ArmedMap, RankState
 from briarthread_common.http.app import Route
 from briarthread_common.http.call import Call
@@ -31,6 +33,9 @@
 NEVER = float("-inf")
 REPORT_SECONDS = 0.1
 """Shortest time between two reports to an entry: some passes."""
+COUNT_SECONDS = 0.5
+"""How often the counts are read where no planner asks for them; it is free at
+the rank's own agent, and older choices would count as recent otherwise."""
 PLANNER_SECONDS = 3.0
 """Age past which a planner's word on slow ranks counts no more. It asks each
 second at least, and more often while the group is busy."""
@@ -53,6 +58,8 @@
         self.fence = NO_FENCE
         self.planner_heard = NEVER
         self.own_hold: int | None = None
+        self.demand = RankDemand()
+        self.maps: dict[tuple[int, int], Layers] = {}
         self.slow: dict[str, float] = {}
         self.serving: bool | None = None
         self.reporter = ReportStream(self.report, operator.eq, REPORT_SECONDS)
@@ -81,7 +88,7 @@
             self.slow = self.slow if asked.slow is None else asked.slow
         try:
             state = await self._read_state()
-            counts = await self.engine.counts() if asked.with_counts else []
+            counts = await self._read_counts() if asked.with_counts else []
             experts = await self.engine.experts() if asked.with_experts else []
         except RankError as error:
             logger.debug("rank: {}", error)
@@ -92,7 +99,14 @@
         """Have the rank load what it lacks for a map."""
         if not self._obeys(asked.fence):
             return OrderAnswer(False)
-        taken = await self.engine.prepare(asked.epoch, asked.version, asked.layers)
+        base = self.maps.get((asked.epoch, asked.base))
+        layers = asked.layers
+        if not layers and base is not None:
+            layers = apply_differences(base, asked.differences)
+        if not layers:
+            return OrderAnswer(False, lacks_base=True)
+        self._remember(asked, layers)
+        taken = await self.engine.prepare(asked.epoch, asked.version, layers)
         return OrderAnswer(taken)
 
     async def arm(self, asked: ArmRequest) -> OrderAnswer:
@@ -118,6 +132,29 @@
             logger.debug("rank: {}", error)
             return None
 
+    async def follow_counts(self) -> None:
+        """Take in the rank's counts now and then, until cancelled."""
+        while True:
+            await anyio.sleep(COUNT_SECONDS)
+            try:
+                await self._read_counts()
+            except RankError as error:
+                logger.debug("rank: {}", error)
+
+    async def _read_counts(self) -> list[int]:
+        self.demand.take(anyio.current_time(), await self.engine.counts())
+        return self.demand.recent()
+
+    def _remember(self, asked: StageRequest, layers: Layers) -> None:
+        """Keep the map and the one that it changes, of this forming only."""
+        kept = {asked.base, asked.version}
+        self.maps[asked.epoch, asked.version] = layers
+        self.maps = {
+            key: known
+            for key, known in self.maps.items()
+            if key[0] == asked.epoch and key[1] in kept
+        }
+
     async def _read_state(self) -> RankState:
         self.serving = None
         state = await self.engine.state()
--- a/packages/agent/src/briarthread_agent/ranks/rank_peers.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_peers.py
@@ -1,6 +1,7 @@
 """Calls to the agents of a group, and to engines whose agents are silent."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
+from dataclasses import replace
 from typing import TypeVar
 
 import anyio
@@ -64,13 +65,24 @@
         """Send each address its message; return the answers that came."""
         return await call_many(self.channel, path, messages, answer, seconds)
 
-    async def view(self, group: str, query: RankQuery) -> GroupView:
-        """Return what the ranks of a group say, through their agents."""
-        addresses = [row.address for row in self.agents().values()]
-        answers = await self.call(
-            QUERY_PATH, dict.fromkeys(addresses, query), RankAnswer
-        )
-        return build_view(group, answers)
+    def addresses(self) -> list[str]:
+        """Return where the agents of the service are called."""
+        return [row.address for row in self.agents().values()]
+
+    async def view(
+        self, group: str, query: RankQuery, counted: Collection[str] = ()
+    ) -> GroupView:
+        """
+        Return what the ranks of a group say, through their agents.
+
+        Those at the addresses ``counted`` are asked for their counts as well.
+        """
+        with_counts = replace(query, with_counts=True)
+        messages = {
+            address: with_counts if address in counted else query
+            for address in self.addresses()
+        }
+        return build_view(group, await self.call(QUERY_PATH, messages, RankAnswer))
 
     async def view_with_engines(self, group: str) -> GroupView:
         """
@@ -79,7 +91,7 @@
         An engine asked from afar answers some hundred milliseconds late and
         for a price; only ranks without an agent are asked that way.
         """
-        addresses = [row.address for row in self.agents().values()]
+        addresses = self.addresses()
         answers = await self.call(
             QUERY_PATH,
             dict.fromkeys(addresses, RankQuery()),
--- a/packages/agent/src/briarthread_agent/ranks/rank_planner.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_planner.py
@@ -4,6 +4,7 @@
 
 from briarthread_agent.ranks.demand_watch import DemandWatch
 from briarthread_agent.ranks.group_view import GroupView
+from briarthread_agent.ranks.map_change import MapChange
 from briarthread_agent.ranks.map_finisher import MapFinisher
 from briarthread_agent.ranks.map_mover import MapMover
 from briarthread_agent.ranks.planner_seat import PlannerSeat
@@ -14,7 +15,7 @@
 from briarthread_common.direct.rank_client import Layers
 from briarthread_common.direct.route_view import RouteView
 from briarthread_common.messages.rank_messages import RankQuery
-from briarthread_common.placement.quick_change import PassLength, best_set_change
+from briarthread_common.placement.quick_change import PassLength, SetChange, set_changes
 from briarthread_common.placement.rank_loads import slowest_load
 
 LOOK_SECONDS = 0.35
@@ -22,6 +23,11 @@
 thousand choices of experts are counted."""
 IDLE_SECONDS = 1.0
 """The same while the group makes no passes, or cannot be changed."""
+COUNTED_NUMBERS = 8000
+"""Counts read at one look, all ranks together: some 25 KB, which the link of a
+target's instance carries in a few hundredths of a second."""
+LEAST_COUNTED = 8
+"""Ranks whose counts are read at each look at least."""
 
 
 class RankPlanner:
@@ -49,6 +55,7 @@
         self.placed: tuple[int, int] | None = None
         self.version = 0
         self.slow: dict[str, float] = {}
+        self.counted_from = 0
 
     async def run(self) -> None:
         """Plan whenever the seat is this agent's, until cancelled."""
@@ -64,8 +71,8 @@
 
     async def _look(self, group: str, service: DirectService, fence: int) -> bool:
         """Look at the group once; tell whether it is worth looking soon."""
-        query = RankQuery(fence, with_counts=True, slow=self.slow)
-        view = await self.peers.view(group, query)
+        query = RankQuery(fence, slow=self.slow)
+        view = await self.peers.view(group, query, self._counted(service))
         if view.fault:
             return False
         self._note_slow(group, view)
@@ -88,6 +95,17 @@
             await self._place(view, fence, layers, passes)
         return True
 
+    def _counted(self, service: DirectService) -> list[str]:
+        """Return the agents that are asked for counts at this look, in turn."""
+        figures = service.experts
+        addresses = sorted(self.peers.addresses())
+        most = max(COUNTED_NUMBERS // (figures.sets * figures.experts), LEAST_COUNTED)
+        if len(addresses) <= most:
+            return addresses
+        first = self.counted_from % len(addresses)
+        self.counted_from = first + most
+        return [*addresses[first:], *addresses[:first]][:most]
+
     def _note_slow(self, group: str, view: GroupView) -> None:
         slow = view.slow()
         if slow.keys() != self.slow.keys():
@@ -98,7 +116,8 @@
         self, view: GroupView, fence: int, layers: Layers, passes: float
     ) -> None:
         self.version = max(self.version, view.newest_version()) + 1
-        placed = await self.mover.place(view, fence, self.version, layers, passes)
+        change = MapChange(self.version, layers, self.placed[1], self.layers)
+        placed = await self.mover.place(view, fence, change, passes)
         if placed:
             self.layers = layers
             self.placed = (view.epoch, self.version)
@@ -136,7 +155,7 @@
         """Return better layers, the experts to load and the seconds saved."""
         engine, figures = service.engine, service.experts
         length = PassLength(passes, engine.stride * engine.step_seconds)
-        demand = self.watch.popularity.counts
+        demand = self.watch.demand(anyio.current_time())
         slowdown = [member.state.slowdown for member in view.members]
         slowest = [
             slowest_load(layer, counts, slowdown)
@@ -146,13 +165,15 @@
         loads, saved = 0, 0.0
         for number, layer in enumerate(self.layers):
             others = sum(slowest) - slowest[number]
-            change = best_set_change(
+            change = SetChange(layer, 0, 0.0)
+            for found in set_changes(
                 layer, demand[number], others, figures, length, slowdown
-            )
+            ):
+                change = found
+                await anyio.sleep(0)
             better.append(change.layer)
             loads += change.loads
             saved += change.saved
-            await anyio.sleep(0)
         return better, loads, saved
 
     def _service(self) -> DirectService | None:
--- a/packages/common/src/briarthread_common/messages/rank_messages.py
+++ b/packages/common/src/briarthread_common/messages/rank_messages.py
@@ -34,8 +34,8 @@
     """
     Give a rank's state; ``accepted`` is off for an outdated planner.
 
-    ``counts`` tells how often each expert was chosen since the rank started,
-    set by set; ``experts`` which it holds, by set.
+    ``counts`` tells how often each expert was chosen of late, set by set;
+    ``experts`` which the rank holds, by set.
     """
 
     accepted: bool
@@ -44,14 +44,31 @@
     experts: list[list[int]] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class RankExperts:
+    """The experts that one rank holds of the set with a number."""
+
+    number: int
+    rank: int
+    experts: list[int]
+
+
 @dataclass(frozen=True, slots=True)
 class StageRequest:
-    """Have a rank load what it lacks for a map."""
+    """
+    Have a rank load what it lacks for a map.
+
+    The map is that of version ``base`` with some differences, or where the
+    agent lacks that one, the whole of ``layers``: a whole map of a large group
+    would fill the link of the planner's instance.
+    """
 
     fence: int
     epoch: int
     version: int
-    layers: Layers
+    base: int
+    differences: list[RankExperts] = field(default_factory=list)
+    layers: Layers = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +91,12 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderAnswer:
-    """Tell whether the engine took an order, and the rank's state after it."""
+    """
+    Tell whether the engine took an order, and the rank's state after it.
+
+    ``lacks_base`` asks for the whole map instead of its differences.
+    """
 
     taken: bool
     state: RankState | None = None
+    lacks_base: bool = False
--- a/packages/common/src/briarthread_common/placement/quick_change.py
+++ b/packages/common/src/briarthread_common/placement/quick_change.py
@@ -8,7 +8,7 @@
 experts adds its slowest rank to the pass, so each is decided by itself.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from briarthread_common.direct.expert_figures import ExpertFigures
@@ -69,12 +69,7 @@
     slowdown: Sequence[float] = (),
 ) -> SetChange:
     """
-    Return the change of one set whose saving exceeds its cost by most.
-
-    ``others`` is the load of the slowest ranks of the other sets together, so
-    that the pass can be shared out over the sets. ``slowdown`` is how many
-    times longer each rank takes for a token; left out, all take the same time.
-    Without a worthwhile change the set comes back as it is.
+    Return the last of the changes that set_changes gives.
 
     >>> figures = ExpertFigures(1, 4, 3, 3)
     >>> busy = PassLength(0.1, 0.03)
@@ -82,10 +77,33 @@
     ...     figures, busy).layer
     [[1, 2], [3, 0]]
     """
+    *_, best = set_changes(layer, counts, others, figures, length, slowdown)
+    return best
+
+
+def set_changes(
+    layer: Layer,
+    counts: list[float],
+    others: float,
+    figures: ExpertFigures,
+    length: PassLength,
+    slowdown: Sequence[float] = (),
+) -> Iterator[SetChange]:
+    """
+    Give ever better changes of one set, after each step of the search.
+
+    The last is the one whose saving exceeds its cost by most; without a
+    worthwhile change the set comes back as it is. A caller with other work may
+    do it between two steps. ``others`` is the load of the slowest ranks of the
+    other sets together, so that the pass can be shared out over the sets.
+    ``slowdown`` is how many times longer each rank takes for a token; left out,
+    all take the same time.
+    """
     slowest = slowest_load(layer, counts, slowdown)
     best, best_gain = SetChange(layer, 0, 0.0), 0.0
+    yield best
     if slowest <= 0:
-        return best
+        return
     movable = (length.seconds - length.fixed) * length.expert_share
     worth = movable / length.seconds * HORIZON_SECONDS * length.pressure
     worth /= slowest + others
@@ -98,5 +116,5 @@
         if gain > best_gain:
             best, best_gain = SetChange(better, loads, saved), gain
         elif loads > best.loads + PATIENCE_LOADS:
-            break
-    return best
+            return
+        yield best
