Start the estimate of what a request adds to a pass from the engine's figures

Change: the estimate starts from the engine's figures at a skew of 2, and one pause counts for three times the mean at most. Tests: tests/direct/test_pass_meter.py; the first failed with the mean set by the first pause (room for 35).

--- a/packages/entry/src/briarthread_entry/direct/group_gate.py
+++ b/packages/entry/src/briarthread_entry/direct/group_gate.py
@@ -19,7 +19,7 @@
 )
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.group_health import GroupHealth
-from briarthread_entry.direct.group_load import most_running
+from briarthread_entry.direct.group_load import most_running, usual_each
 from briarthread_entry.direct.pass_meter import PassMeter
 from briarthread_entry.direct.return_detector import ReturnDetector
 from briarthread_entry.direct.running_board import RunningBoard
@@ -71,11 +71,17 @@
         """Return the meter of a service's passes."""
         meter = self.meters.get(service.name)
         if meter is None:
-            engine = service.engine
-            fixed = engine.stride * engine.step_seconds if engine else 0.0
-            meter = self.meters[service.name] = PassMeter(fixed)
+            meter = self.meters[service.name] = self._new_meter(service)
         return meter
 
+    def _new_meter(self, service: DirectService) -> PassMeter:
+        engine = service.engine
+        if engine is None:
+            return PassMeter(0.0, 0.0)
+        ranks = len(self.book.of_service(service.name, anyio.current_time()))
+        usual = usual_each(engine, max(ranks, 1))
+        return PassMeter(engine.stride * engine.step_seconds, usual)
+
     def health(self, service: str) -> GroupHealth:
         """Return the health of a service's group."""
         return self.healths.setdefault(service, GroupHealth())
--- a/packages/entry/src/briarthread_entry/direct/group_load.py
+++ b/packages/entry/src/briarthread_entry/direct/group_load.py
@@ -17,6 +17,9 @@
 """Part of the longest pause that a predicted pass may take. Single passes are
 longer than the mean by the prompts read in them; one such pass is enough to
 make a stream late."""
+USUAL_SKEW = 2.0
+"""How much more than its even part the busiest rank is taken to do before
+anything was seen: experts placed by demand leave 1.2, in turn some 3."""
 LEAST_SHARE = 0.4
 """Part of the slots that is always given out, whatever was seen: a group in
 trouble must show by running work that it is over."""
@@ -43,3 +46,14 @@
     fixed = engine.stride * engine.step_seconds
     fitting = (longest_pause * PASS_SHARE - fixed) / max(each, TINY)
     return int(min(max(fitting, slots * LEAST_SHARE), slots))
+
+
+def usual_each(engine: EngineFigures, ranks: int) -> float:
+    """
+    Return what a running request adds to a pass, in seconds, as a first guess.
+
+    >>> engine = EngineFigures(6, 0.006, 0.0007, 0.0, 60e3, 0.0, 512, 5)
+    >>> round(usual_each(engine, 10), 5)
+    0.0007
+    """
+    return engine.stride * engine.writer_seconds * USUAL_SKEW / ranks
--- a/packages/entry/src/briarthread_entry/direct/pass_meter.py
+++ b/packages/entry/src/briarthread_entry/direct/pass_meter.py
@@ -15,6 +15,9 @@
 """Weight of one pause in what each running request adds to a pass. That changes
 with the experts' skew, over seconds, and not with the load; a steadier mean
 keeps the limit from swinging with the load that it bounds."""
+MOST_TIMES = 3.0
+"""How many times the mean one pause may count at most in what each request
+adds: single passes with many prompts say little about the next ones."""
 STALE_SECONDS = 2.0
 """Age past which the mean says nothing about the group any more."""
 FEW = 8
@@ -25,19 +28,23 @@
     """
     Keep the mean pause between events, and what each running request adds.
 
-    ``fixed`` is the part of a pass, in seconds, that does not depend on load.
+    ``fixed`` is the part of a pass, in seconds, that does not depend on load;
+    ``usual`` is what a running request adds before anything was seen. Without
+    it the first pause would count for all: after a restart that is one with
+    many prompts read at once, and what runs elsewhere is not known yet.
 
-    >>> meter = PassMeter(fixed=0.02)
+    >>> meter = PassMeter(fixed=0.02, usual=0.002)
     >>> meter.note_event(None, now=1.0, running=20)
-    >>> meter.note_event(1.0, now=1.06, running=20)
-    >>> round(meter.seconds(now=1.1), 3), round(meter.each(now=1.1), 4)
-    (0.06, 0.002)
+    >>> meter.note_event(1.0, now=1.16, running=20)
+    >>> round(meter.seconds(now=1.2), 3), round(meter.each(now=1.2), 5)
+    (0.16, 0.00204)
     """
 
-    def __init__(self, fixed: float) -> None:
+    def __init__(self, fixed: float, usual: float) -> None:
         self.fixed = fixed
+        self.usual = usual
         self.mean = DecayingMean(PAUSE_WEIGHT)
-        self.share = DecayingMean(SHARE_WEIGHT)
+        self.share = DecayingMean(SHARE_WEIGHT, value=usual, samples=1)
         self.last_event = float("-inf")
 
     def note_event(self, previous: float | None, now: float, running: int) -> None:
@@ -47,7 +54,9 @@
             return
         self.mean.add(now - previous)
         if running >= FEW:
-            self.share.add(max(now - previous - self.fixed, 0.0) / running)
+            each = max(now - previous - self.fixed, 0.0) / running
+            known = max(self.share.value, self.usual)
+            self.share.add(min(each, known * MOST_TIMES))
 
     def seconds(self, now: float) -> float | None:
         """Return the mean pass, ``None`` when no stream has shown it lately."""
--- /dev/null
+++ b/tests/direct/test_pass_meter.py
@@ -0,0 +1,38 @@
+"""What an entry learns of a group's passes from its own streams."""
+
+import pytest
+from direct_builders import build_engine
+
+from briarthread_entry.direct.group_load import most_running, usual_each
+from briarthread_entry.direct.pass_meter import PassMeter
+
+RANKS, PAUSE_AIM = 12, 0.12
+
+
+def build_meter() -> PassMeter:
+    """Return the meter of an entry that has just started."""
+    engine = build_engine()
+    return PassMeter(engine.stride * engine.step_seconds, usual_each(engine, RANKS))
+
+
+def room(meter: PassMeter, now: float) -> int:
+    """Return how many requests may run by what a meter knows."""
+    return most_running(RANKS, build_engine(), PAUSE_AIM, meter.each(now))
+
+
+def test_first_pauses_after_a_restart_do_not_close_the_group() -> None:
+    meter = build_meter()
+    for stream in range(6):
+        meter.note_event(1.0, now=1.25 + stream / 1000, running=10)
+    assert room(meter, now=1.3) >= 60
+
+
+@pytest.mark.parametrize(("pause", "least", "most"), [(0.06, 72, 72), (0.1, 40, 55)])
+def test_room_follows_the_pauses_of_a_second(
+    pause: float, least: int, most: int
+) -> None:
+    meter = build_meter()
+    for event in range(400):
+        now = 1.0 + event * 0.01
+        meter.note_event(now - pause, now, running=50)
+    assert least <= room(meter, now=5.0) <= most
