--- a/packages/entry/src/briarthread_entry/commands/explain.py
+++ b/packages/entry/src/briarthread_entry/commands/explain.py
@@ -1,12 +1,16 @@
 """``briarthread explain``."""
 
+import sys
+from collections.abc import Iterator
 from datetime import UTC, datetime
+from pathlib import Path
 
 from briarthread_common.core.event import Event
 from briarthread_common.core.exit_code import ExitCode
 from briarthread_common.http.channel_calls import call_json
 from briarthread_common.http.status_pages import EXPLAIN_PREFIX
 from briarthread_entry.commands.base import Arguments, Command
+from briarthread_entry.commands.log_story import tell_story
 
 TIMEOUT = 5.0
 
@@ -19,17 +23,37 @@
 
 Usage:
   briarthread explain --at=ADDRESS SUBJECT
+  briarthread explain --log=FILE SUBJECT
 
 Options:
   --at=ADDRESS  IP:PORT of the entry or agent to ask.
+  --log=FILE    Logs of one or more processes, - for standard input. What those
+                that name SUBJECT believed at the time is printed with it.
 
 SUBJECT is a request id, or the name of an instance, account or service. It
-exits with 0, with 1 when nothing is known of SUBJECT (the newest 2000
-decisions are kept), and with 4 when the address cannot be reached.
+exits with 0, with 1 when nothing is known of SUBJECT (a process keeps its
+newest 2000 decisions), with 2 when FILE cannot be read, and with 4 when the
+address cannot be reached.
 """
 
     async def run(self, arguments: Arguments) -> ExitCode:
-        """Ask for the events and print a line each."""
+        """Print a line for each decision."""
+        if arguments["--log"] is not None:
+            return self._read_log(str(arguments["--log"]), str(arguments["SUBJECT"]))
+        return await self._ask(arguments)
+
+    def _read_log(self, name: str, subject: str) -> ExitCode:
+        try:
+            lines = sys.stdin if name == "-" else _lines_of(Path(name))
+            story = tell_story(lines, subject)
+        except OSError as error:
+            print(f"{name}: {error.strerror}", file=sys.stderr)
+            return ExitCode.FAULTS
+        for line in story:
+            print(line)
+        return ExitCode.DONE if story else ExitCode.FAILED
+
+    async def _ask(self, arguments: Arguments) -> ExitCode:
         events = await call_json(
             self.channel,
             str(arguments["--at"]),
@@ -46,3 +70,8 @@
             request = f" [{event.request}]" if event.request else ""
             print(f"{at} {event.decision} {event.subject}: {event.reason}{request}")
         return ExitCode.DONE if events else ExitCode.FAILED
+
+
+def _lines_of(path: Path) -> Iterator[str]:
+    with path.open(encoding="utf-8", errors="replace") as file:
+        yield from file
--- a/tests/entry/test_commands.py
+++ b/tests/entry/test_commands.py
@@ -62,3 +62,31 @@
 def test_apply_without_platform_is_unreachable(tmp_path: Path) -> None:
     command = ["apply", f"--platform={UNUSED_ADDRESS}", write(tmp_path, build_text())]
     assert run_command(command) is ExitCode.UNREACHABLE
+
+
+LOG = """\
+edge-1 2026-01-01 10:00:00.000 INFO entry: request-served t-1 request=r-1: 200
+edge-1 2026-01-01 10:00:01.000 WARNING group: model is not serving: 10.0.0.1:80
+edge-2 2026-01-01 10:00:01.000 WARNING group: model is not serving: 10.0.0.1:80
+edge-1 2026-01-01 10:00:02.000 INFO entry: attempt-failed t-2 request=r-2: refused
+edge-1 2026-01-01 10:00:02.100 INFO entry: request-failed a/model request=r-2: broken
+edge-1 2026-01-01 10:00:03.000 INFO group: model serves again
+"""
+
+
+def test_explain_tells_a_requests_story_from_a_log(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    command = ["explain", f"--log={write(tmp_path, LOG)}", "r-2"]
+    assert run_command(command) is ExitCode.DONE
+    lines = LOG.splitlines()
+    assert capsys.readouterr().out.splitlines() == [lines[1], lines[3], lines[4]]
+
+
+def test_explain_fails_for_an_unknown_request_or_a_missing_log(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    log = f"--log={write(tmp_path, LOG)}"
+    assert run_command(["explain", log, "r"]) is ExitCode.FAILED
+    assert run_command(["explain", "--log=/no/such/file", "r-2"]) is ExitCode.FAULTS
+    assert "No such file" in capsys.readouterr().err
