Tell what runs by blocks of entries, and keep its sums up to date

Cause: on the grown sites every entry held a call to each of 44 others, up to ten lines a second each, and summed all reports at each event of each stream (63 ranks by 44 reports). Change: entries are in blocks of the root of their number, twelve at least; each follows its block, and one member of each other block for the sums of that (490 entries: 43 calls each).

--- a/packages/common/src/briarthread_common/messages/running_report.py
+++ b/packages/common/src/briarthread_common/messages/running_report.py
@@ -1,9 +1,13 @@
 """What an entry tells the others of the attempts that it has running."""
 
+from collections import Counter, defaultdict
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 RUNNING_PATH = "/peer/v1/running"
 """Where an entry sends its reports."""
+BLOCK_PATH = "/peer/v1/running-block"
+"""Where an entry sends the sums of its block's reports."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,3 +22,20 @@
 
     running: dict[str, int] = field(default_factory=dict)
     each: dict[str, float] = field(default_factory=dict)
+
+
+def sum_of(reports: Sequence[RunningReport]) -> RunningReport:
+    """
+    Return what several entries have running together, and the mean of ``each``.
+
+    >>> sum_of([RunningReport({"t": 1}, {"s": 0.25}), RunningReport({"t": 2})])
+    RunningReport(running={'t': 3}, each={'s': 0.25})
+    """
+    running: Counter[str] = Counter()
+    seen: defaultdict[str, list[float]] = defaultdict(list)
+    for report in reports:
+        running.update(report.running)
+        for service, seconds in report.each.items():
+            seen[service].append(seconds)
+    each = {name: sum(values) / len(values) for name, values in seen.items()}
+    return RunningReport(dict(running), each)
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -17,7 +17,12 @@
 from briarthread_common.http.report_stream import ReportStream
 from briarthread_common.http.status_pages import StatusPages
 from briarthread_common.messages.instance import Instance, InstanceRole
-from briarthread_common.messages.running_report import RUNNING_PATH, RunningReport
+from briarthread_common.messages.running_report import (
+    BLOCK_PATH,
+    RUNNING_PATH,
+    RunningReport,
+    sum_of,
+)
 from briarthread_common.spread.directory import Directory
 from briarthread_common.spread.following_spreader import FollowingSpreader
 from briarthread_common.spread.list_itself import list_itself
@@ -41,6 +46,8 @@
 """Shortest time between two reports of what runs: three requests come in a
 tenth of a second at the users' sites, so that the entries' counts are that far
 apart at most."""
+BLOCK_REPORT_SECONDS = 0.25
+"""The same for the sums of a block; each is read by the entries of all others."""
 
 
 class DirectEntry:
@@ -79,6 +86,9 @@
         self.slow_ranks = SlowRanks(self.book, self.groups)
         self.gate = GroupGate(self.book, self.board, self.slow_ranks, rng)
         self.reporter = ReportStream(self.gate.report, _same_running, REPORT_SECONDS)
+        self.block_reporter = ReportStream(
+            self._block_report, _same_running, BLOCK_REPORT_SECONDS
+        )
         self.watcher = RunningWatcher(
             settings.name, self.directory, self.board, peer_channel, rng
         )
@@ -112,6 +122,7 @@
             [
                 Route("POST", EXCHANGE_PATH, self.spreader.handle_exchange),
                 Route("GET", RUNNING_PATH, self.reporter.handle),
+                Route("GET", BLOCK_PATH, self.block_reporter.handle),
                 *self.pages.routes(),
             ]
         )
@@ -137,6 +148,7 @@
         self.draining = True
         await anyio.sleep(self.settings.drain_notice)
         self.reporter.close()
+        self.block_reporter.close()
 
     def ready(self) -> str:
         """Return why the entry is not ready, or nothing."""
@@ -148,6 +160,11 @@
             return "no targets known yet"
         return ""
 
+    def _block_report(self) -> RunningReport:
+        now = anyio.current_time()
+        others = self.board.reports(self.watcher.block(), now)
+        return sum_of([self.gate.report(), *others])
+
     async def _list_itself(self) -> None:
         await self.spreader.started.wait()
         row = Instance(
