Strengthen tests that did not notice their mechanism taken out

Cause: with a mechanism removed from a scratch copy, five tests of the direct path went on passing: a booking repeated after it may have run (the route allowed one attempt only), 'not run' after an attempt that may have run, an event passed on twice after a resumption, a stream that ends within an event without breaking off, and new work for a leaving target (one request at a time never went there again).

--- a/packages/standins/src/briarthread_standins/direct_worker.py
+++ b/packages/standins/src/briarthread_standins/direct_worker.py
@@ -24,6 +24,7 @@
     NO_STAMP = "no-stamp"
     ENCODED = "encoded"
     CUT_EVENT = "cut-event"
+    TORN_END = "torn-end"
 
 
 class DirectWorker:
@@ -31,7 +32,9 @@
     Answer requests, whole or as a stream, and count what ran.
 
     ``faults`` are used up one a request. A stream has ``pieces`` events; one
-    that is cut stops in the middle of the event after ``cut_after``.
+    that is cut stops in the middle of the event after ``cut_after``, with a
+    broken connection or, torn, as if it were complete. A worker that
+    ``rewinds`` repeats an event when a stream is resumed there.
     """
 
     def __init__(self, name: str, pieces: int = 6) -> None:
@@ -40,6 +43,7 @@
         self.delay = 0.02
         self.event_pause = 0.06
         self.cut_after = 2
+        self.rewinds = False
         self.faults: list[WorkerFault] = []
         self.runs: Counter[str] = Counter()
         self.seen: list[dict[str, str]] = []
@@ -111,6 +115,8 @@
         fault: WorkerFault | None,
     ) -> None:
         first = int(headers.get("last-event-id", "0")) + 1
+        if self.rewinds:
+            first = max(first - 1, 1)
         await call.start(200, [STAMP, echoed, ("content-type", "text/event-stream")])
         for number in range(first, self.pieces + 1):
             await anyio.sleep(self.event_pause)
@@ -118,5 +124,8 @@
             if fault is WorkerFault.CUT_EVENT and number - first >= self.cut_after:
                 await call.send_chunk(event[:9])
                 raise AnswerAborted("cut in the middle of an event")
+            if fault is WorkerFault.TORN_END and number - first >= self.cut_after:
+                await call.send_chunk(event[:9])
+                break
             await call.send_chunk(event)
         await call.finish()
--- a/packages/standins/src/briarthread_standins/direct_world.py
+++ b/packages/standins/src/briarthread_standins/direct_world.py
@@ -50,6 +50,7 @@
     workers: dict[str, DirectWorker] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
     requests: int = 0
+    scopes: dict[str, anyio.CancelScope] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.network = FakeNetwork(self.tasks)
@@ -88,8 +89,9 @@
         self.store.put("servers", name, row)
 
     def add_entry(self, name: str, data_centre: str = "palermo") -> DirectEntry:
-        """Start an entry."""
-        number = len(self.entries) + 1
+        """Start an entry, anew at its addresses if it ran before."""
+        names = [*self.entries, name]
+        number = names.index(name) + 1
         peer, front = f"10.1.0.{number}:9", f"10.1.0.{number}:8"
         settings = DirectSettings(
             name=name,
@@ -119,9 +121,22 @@
         self.network.listen(peer, data_centre, entry.peer_app)
         self.network.listen(front, data_centre, entry.app)
         self.entries[name] = entry
-        entry.start(self.tasks)
+        self.tasks.start_soon(self._run_entry, name, entry)
         return entry
 
+    def kill_entry(self, name: str) -> None:
+        """Kill an entry; what it was doing is cut off."""
+        settings = self.entries[name].settings
+        for address in (settings.listen, settings.callers_listen):
+            self.network.close(address)
+        self.scopes.pop(name).cancel()
+
+    async def _run_entry(self, name: str, entry: DirectEntry) -> None:
+        with anyio.CancelScope() as scope:
+            self.scopes[name] = scope
+            async with anyio.create_task_group() as tasks:
+                entry.start(tasks)
+
     async def ask(
         self,
         entry: str,
--- a/tests/direct/test_attempts.py
+++ b/tests/direct/test_attempts.py
@@ -77,6 +77,32 @@
     in_direct_world(scenario)
 
 
+@pytest.mark.parametrize("fault", SPOILT)
+def test_unsafe_request_that_may_have_run_goes_to_no_second_target(
+    fault: WorkerFault,
+) -> None:
+    async def scenario(world: DirectWorld) -> None:
+        all_faulty(world, fault)
+        assert (await world.ask("entry-1", "/book/1")).status == 502
+        assert runs(world) == 1
+
+    row = build_route_row("/book/", DIARY, "unsafe", maxAttempts=3)
+    in_direct_world(scenario, config=build_config(routes=[row]))
+
+
+def test_request_refused_after_it_may_have_run_is_not_called_not_run() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        in_turn = [WorkerFault.LOSE_ANSWER, WorkerFault.REFUSE, WorkerFault.REFUSE]
+        for worker in world.workers.values():
+            worker.faults = in_turn
+        reply = await world.ask("entry-1", "/list/1")
+        assert reply.status == 502
+        assert reply.headers["briarthread-outcome"] == "unknown"
+        assert runs(world) == 1
+
+    in_direct_world(scenario)
+
+
 def test_unsafe_request_refused_by_its_target_is_not_run() -> None:
     async def scenario(world: DirectWorld) -> None:
         all_faulty(world, WorkerFault.REFUSE)
--- a/tests/direct/test_configuration.py
+++ b/tests/direct/test_configuration.py
@@ -124,18 +124,30 @@
     in_direct_world(scenario, ENTRIES)
 
 
+async def ask_at_once(world: DirectWorld, path: str, number: int) -> None:
+    """Send so many requests at the same time, so that all targets get some."""
+
+    async def ask() -> None:
+        assert (await world.ask("entry-2", path)).status == 200
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(number):
+            tasks.start_soon(ask)
+
+
 @pytest.mark.parametrize("removed", [True, False])
 def test_leaving_target_gets_no_new_work_soon_after(removed: bool) -> None:
     async def scenario(world: DirectWorld) -> None:
         await anyio.sleep(3)
+        await ask_at_once(world, "/list/1", 20)
+        assert world.workers["diary-0"].seen
         if removed:
             world.store.drop("servers", "diary-0")
         else:
             world.list_worker("diary-0", DIARY, state="draining")
         await anyio.sleep(IN_FORCE_SECONDS / 2)
         before = len(world.workers["diary-0"].seen)
-        for _ in range(20):
-            assert (await world.ask("entry-2", "/list/1")).status == 200
+        await ask_at_once(world, "/list/1", 20)
         assert len(world.workers["diary-0"].seen) == before
 
     in_direct_world(scenario, ENTRIES)
--- a/tests/direct/test_streams.py
+++ b/tests/direct/test_streams.py
@@ -121,3 +121,31 @@
         assert sum(worker.broken_off for worker in world.workers.values()) == 1
 
     in_direct_world(scenario)
+
+
+def test_event_that_a_resumed_run_repeats_is_passed_on_once() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        for worker in world.workers.values():
+            worker.rewinds = True
+        for _ in range(12):
+            world.workers["rank-0"].faults = [WorkerFault.CUT_EVENT]
+            reply = await world.ask("entry-1", "/chat/1", SIZE)
+            assert (reply.event_ids, reply.whole) == (WHOLE, True)
+        assert any(
+            "last-event-id" in seen
+            for worker in world.workers.values()
+            for seen in worker.seen
+        )
+
+    in_direct_world(scenario)
+
+
+def test_stream_that_ends_within_an_event_never_looks_complete() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        for worker in world.workers.values():
+            worker.faults = [WorkerFault.TORN_END]
+        reply = await world.ask("entry-1", "/chat/1", SIZE)
+        assert (reply.event_ids, reply.whole) == ([1, 2], False)
+
+    row = build_route_row("/chat/", "model", "stream", maxAttempts=2)
+    in_direct_world(scenario, config=build_config(routes=[row]))
