--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/final_error.py
@@ -0,0 +1,69 @@
+"""What a caller is told once no attempt at its request is left."""
+
+from collections.abc import Sequence
+
+from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.core.exceptions import RequestError
+from briarthread_common.core.outcome import Outcome
+from briarthread_entry.direct.admission_rule import return_after
+from briarthread_entry.direct.attempt_outcome import (
+    DirectOutcome,
+    LeftSlowRank,
+    MayHaveRun,
+    ProvedNotRun,
+)
+
+SLOW_RANK = "slow-rank"
+"""Reason of a repeat that no failure caused, beside the kinds of errors."""
+
+
+def final_error(
+    failures: Sequence[DirectOutcome], caller_left: float, pick: float
+) -> RequestError:
+    """
+    Return the last failure, as not run only if no attempt may have run.
+
+    ``caller_left`` is how many seconds the caller still waits; ``pick`` from 0
+    to 1 spreads the returns of those who are told to come back.
+
+    >>> failed = MayHaveRun(RequestError(ErrorKind.TARGET_FAILED, "reset"))
+    >>> refused = ProvedNotRun(RequestError(ErrorKind.OVERLOADED, "full"))
+    >>> final_error([refused], 6.0, 1.0).retry_after
+    2.0
+    >>> final_error([failed, refused], 6.0, 1.0).outcome
+    <Outcome.UNKNOWN: 'unknown'>
+    """
+    if not failures:
+        pause = return_after(ErrorKind.NO_TARGET, caller_left, pick)
+        return RequestError(
+            ErrorKind.NO_TARGET, "no target is listed", retry_after=pause
+        )
+    last = failures[-1]
+    certain = all(isinstance(failure, ProvedNotRun) for failure in failures)
+    if isinstance(last, ProvedNotRun) and certain:
+        pause = return_after(last.error.kind, caller_left, pick)
+        return RequestError(last.error.kind, last.error.detail, retry_after=pause)
+    return RequestError(
+        ErrorKind.TARGET_FAILED, _describe(last), outcome=Outcome.UNKNOWN
+    )
+
+
+def repeat_reason(outcome: DirectOutcome) -> str:
+    """Return under which reason a repeat after an outcome is counted."""
+    match outcome:
+        case ProvedNotRun(error=error) | MayHaveRun(error=error):
+            return str(error.kind)
+        case LeftSlowRank():
+            return SLOW_RANK
+        case _:
+            return str(ErrorKind.TARGET_FAILED)
+
+
+def _describe(outcome: DirectOutcome) -> str:
+    match outcome:
+        case ProvedNotRun(error=error) | MayHaveRun(error=error):
+            return error.detail
+        case LeftSlowRank():
+            return "no other rank took over from a slow one"
+        case _:
+            return "the target answered with a failure"
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -8,16 +8,13 @@
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.core.exceptions import RequestError
 from briarthread_common.core.metrics import Metrics
-from briarthread_common.core.outcome import Outcome
 from briarthread_common.http.app import AnswerAborted
 from briarthread_common.http.call import Call
-from briarthread_entry.direct.admission_rule import return_after
 from briarthread_entry.direct.answer_relay import AnswerRelay
 from briarthread_entry.direct.attempt_notes import SERVER_ERROR, AttemptNotes
 from briarthread_entry.direct.attempt_outcome import (
     DirectOutcome,
     LeftSlowRank,
-    MayHaveRun,
     ProvedNotRun,
     StreamPassedOn,
     TargetAnswer,
@@ -25,6 +22,7 @@
 from briarthread_entry.direct.attempt_sender import AttemptSender
 from briarthread_entry.direct.choose_target import choose_plain, choose_rank
 from briarthread_entry.direct.direct_request import DirectRequest
+from briarthread_entry.direct.final_error import final_error, repeat_reason
 from briarthread_entry.direct.group_gate import GroupGate
 from briarthread_entry.direct.running_board import RunningBoard
 from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
@@ -32,8 +30,6 @@
 from briarthread_entry.direct.target_book import TargetBook
 from briarthread_entry.direct.target_state import DirectTargetState
 
-SLOW_RANK = "slow-rank"
-"""Reason of a repeat that no failure caused, beside the kinds of errors."""
 UNWRITTEN_TRIES = 3
 """Targets tried in a row that did not even take the connection."""
 
@@ -172,8 +168,9 @@
         left: list[LeftSlowRank] = []
 
         def leave(factor: float) -> None:
-            if self._spend_repeat(request, SLOW_RANK):
-                left.append(LeftSlowRank(factor))
+            outcome = LeftSlowRank(factor)
+            if self._spend_repeat(request, repeat_reason(outcome)):
+                left.append(outcome)
                 scope.cancel()
 
         service = request.service.name
@@ -198,7 +195,7 @@
             return True
         if not isinstance(outcome, ProvedNotRun) and not request.route.repeatable:
             return False
-        return self._spend_repeat(request, _reason(outcome))
+        return self._spend_repeat(request, repeat_reason(outcome))
 
     def _spend_repeat(self, request: DirectRequest, reason: str) -> bool:
         """Take a repeat out of the budget and count it; tell whether there was one."""
@@ -219,36 +216,12 @@
 
     def _final(
         self, request: DirectRequest, failures: list[DirectOutcome]
-    ) -> RequestError:
-        """Return the last failure, as not run only if no attempt may have run."""
-        if not failures:
-            return self._refusal(request, ErrorKind.NO_TARGET, "no target is listed")
-        last = failures[-1]
-        certain = all(isinstance(failure, ProvedNotRun) for failure in failures)
-        if isinstance(last, ProvedNotRun) and certain:
-            return self._refusal(request, last.error.kind, last.error.detail)
-        detail = "the target answered with a failure"
-        if isinstance(last, ProvedNotRun | MayHaveRun):
-            detail = last.error.detail
-        return RequestError(ErrorKind.TARGET_FAILED, detail, outcome=Outcome.UNKNOWN)
-
-    def _refusal(
-        self, request: DirectRequest, kind: ErrorKind, detail: str
     ) -> RequestError:
         left = request.caller_left(anyio.current_time())
-        pause = return_after(kind, left, self.rng.random())
-        return RequestError(kind, detail, retry_after=pause)
+        return final_error(failures, left, self.rng.random())
 
 
 async def _reply(call: Call, answer: TargetAnswer) -> None:
     if call.started:
         raise AnswerAborted("a stream cannot go on with a whole answer")
     await call.reply(answer.status, answer.body, answer.headers)
-
-
-def _reason(outcome: DirectOutcome) -> str:
-    match outcome:
-        case ProvedNotRun(error=error) | MayHaveRun(error=error):
-            return str(error.kind)
-        case _:
-            return str(ErrorKind.TARGET_FAILED)
