--- a/packages/agent/src/briarthread_agent/main.py
+++ b/packages/agent/src/briarthread_agent/main.py
@@ -19,7 +19,7 @@
 from briarthread_common.http.server import HttpServer, open_listener
 from briarthread_common.utils.clock import Clock
 
-VERSION = "briarthread-agent 0.1.0"
+VERSION = "briarthread-agent 0.3.0"
 
 USAGE = """
 Stand before one target: run each attempt at most once, in fair order. Or stand
--- a/packages/agent/src/briarthread_agent/ranks/rank_planner.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_planner.py
@@ -23,6 +23,9 @@
 thousand choices of experts are counted."""
 IDLE_SECONDS = 1.0
 """The same while the group makes no passes, or cannot be changed."""
+SETTLING_SECONDS = 0.1
+"""The same while the change made last waits for its pass: the next one can be
+planned as soon as it is in force, and demand may have shifted meanwhile."""
 COUNTED_NUMBERS = 8000
 """Counts read at one look, all ranks together: some 25 KB, which the link of a
 target's instance carries in a few hundredths of a second."""
@@ -66,24 +69,24 @@
                 await anyio.sleep(IDLE_SECONDS)
                 continue
             fence = await self.seat.wait(state.group, list(self.peers.agents()))
-            busy = await self._look(state.group, service, fence)
-            await anyio.sleep(LOOK_SECONDS if busy else IDLE_SECONDS)
+            await anyio.sleep(await self._look(state.group, service, fence))
 
-    async def _look(self, group: str, service: DirectService, fence: int) -> bool:
-        """Look at the group once; tell whether it is worth looking soon."""
+    async def _look(self, group: str, service: DirectService, fence: int) -> float:
+        """Look at the group once; return the pause until the next look."""
         query = RankQuery(fence, slow=self.slow)
         view = await self.peers.view(group, query, self._counted(service))
         if view.fault:
-            return False
+            return IDLE_SECONDS
         self._note_slow(group, view)
         if view.unsettled:
-            await self.finisher.finish(group)
-            return True
+            if not self._is_own_change(view):
+                await self.finisher.finish(group)
+            return SETTLING_SECONDS
         if not await self._know_map(group, service, view, fence):
-            return False
+            return IDLE_SECONDS
         passes = self.watch.observe(view, anyio.current_time())
         if passes is None:
-            return False
+            return IDLE_SECONDS
         layers, loads, saved = await self._improve(service, view, passes)
         if loads:
             self.events.add(
@@ -93,7 +96,17 @@
                 f"{passes * 1000:.0f} ms a pass",
             )
             await self._place(view, fence, layers, passes)
-        return True
+        return LOOK_SECONDS
+
+    def _is_own_change(self, view: GroupView) -> bool:
+        """Tell whether all that is unsettled is the change made last."""
+        own = None if self.placed is None else self.placed[1]
+        if any(member.state.held is not None for member in view.members):
+            return False
+        return all(
+            own == (state.map_version if state.armed is None else state.armed.version)
+            for state in (member.state for member in view.members)
+        )
 
     def _counted(self, service: DirectService) -> list[str]:
         """Return the agents that are asked for counts at this look, in turn."""
--- a/packages/entry/src/briarthread_entry/main.py
+++ b/packages/entry/src/briarthread_entry/main.py
@@ -21,7 +21,7 @@
 from briarthread_entry.commands.show import ShowCommand
 from briarthread_entry.commands.status import StatusCommand
 
-VERSION = "briarthread 0.1.0"
+VERSION = "briarthread 0.3.0"
 
 USAGE = """
 Balance load before expert-parallel model groups, and operate it.
