Keep probing a group that an agent says is away; keep entries in their blocks

One entry more or less moved nearly all entries to other blocks, so that all streams were opened anew and sums were missing for a second; a hash of the name decides now. The state of the own rank was unknown while it was read, which sent a line each time; a stopping agent left its streams to time out.

--- a/packages/agent/src/briarthread_agent/ranks/direct_agent.py
+++ b/packages/agent/src/briarthread_agent/ranks/direct_agent.py
@@ -101,6 +101,7 @@
     async def drain(self) -> None:
         """Stop at once: nobody waits for an agent beside its target."""
         logger.info("agent: stopping")
+        self.keeper.reporter.close()
 
     async def _run_when_started(self) -> None:
         await self.spreader.started.wait()
--- a/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
@@ -156,8 +156,11 @@
         }
 
     async def _read_state(self) -> RankState:
-        self.serving = None
-        state = await self.engine.state()
+        try:
+            state = await self.engine.state()
+        except RankError:
+            self.serving = None
+            raise
         self.serving = state.serving
         return state
 
--- a/packages/entry/src/briarthread_entry/direct/group_gate.py
+++ b/packages/entry/src/briarthread_entry/direct/group_gate.py
@@ -160,11 +160,17 @@
         )
 
     def _serves(self, service: DirectService, now: float) -> bool:
-        """Tell whether a request may go to the group, by all that is known."""
+        """
+        Tell whether a request may go to the group, by all that is known.
+
+        An agent's word may be wrong: its own rank may be leaving the group. So
+        it never keeps the probes of a group away that is taken to be broken.
+        """
         name, health = service.name, self.health(service.name)
         said = self.slow_ranks.groups.serving(name, now)
         flowing = now - self.meter(service).last_event <= FLOWING_SECONDS
-        if said is False and not flowing and health.note_broken(now):
+        if said is False and not flowing and not health.broken:
+            health.note_broken(now)
             logger.warning("group: {} is not serving, says an agent", name)
         if said is True and health.note_said_serving(now):
             logger.info("group: {} serves again, says an agent", name)
--- a/packages/entry/src/briarthread_entry/direct/report_blocks.py
+++ b/packages/entry/src/briarthread_entry/direct/report_blocks.py
@@ -1,35 +1,38 @@
 """Which other entries each entry follows."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection
+
+from briarthread_common.utils.hashing import stable_hash
 
 LEAST_BLOCK = 12
 """Entries up to which everyone follows everyone: the users' small sites have
 nine, and reports that take no detour are a tenth of a second fresher."""
 
 
-def blocks_of(names: Iterable[str]) -> list[tuple[str, ...]]:
+def blocks_of(names: Collection[str]) -> dict[int, tuple[str, ...]]:
     """
     Return the entries in blocks, alike in every process that knows the same.
 
     Everyone follows the entries of its own block, and one of each other block
     for the sum of that, so that the calls an entry holds grow with the root of
-    the number of entries.
+    the number of entries. One that comes or goes moves no other, but where the
+    number of blocks changes.
 
-    >>> [len(block) for block in blocks_of(f"e{n}" for n in range(9))]
+    >>> [len(block) for block in blocks_of([f"e{n}" for n in range(9)]).values()]
     [9]
-    >>> [len(block) for block in blocks_of(f"e{n:02}" for n in range(45))]
-    [12, 11, 11, 11]
-    >>> blocks = blocks_of(f"e{n:03}" for n in range(490))
-    >>> len(blocks), max(len(block) for block in blocks)
-    (22, 23)
+    >>> blocks = blocks_of([f"e{n}" for n in range(490)])
+    >>> len(blocks), max(len(block) for block in blocks.values())
+    (22, 32)
     """
-    ordered = sorted(names)
-    size = max(LEAST_BLOCK, math.ceil(math.sqrt(len(ordered))))
-    number = math.ceil(len(ordered) / size)
-    return [tuple(ordered[index::number]) for index in range(number)]
+    size = max(LEAST_BLOCK, math.ceil(math.sqrt(len(names))))
+    number = math.ceil(len(names) / size)
+    blocks: dict[int, list[str]] = {}
+    for name in sorted(names):
+        blocks.setdefault(stable_hash("block", name) % number, []).append(name)
+    return {index: tuple(blocks[index]) for index in sorted(blocks)}
 
 
-def block_of(name: str, blocks: list[tuple[str, ...]]) -> tuple[str, ...]:
-    """Return the block of an entry; one that is not listed is one by itself."""
-    return next((block for block in blocks if name in block), (name,))
+def block_of(name: str, blocks: dict[int, tuple[str, ...]]) -> int | None:
+    """Return the block of an entry, ``None`` for one that is not listed."""
+    return next((index for index, block in blocks.items() if name in block), None)
--- a/packages/entry/src/briarthread_entry/direct/running_watcher.py
+++ b/packages/entry/src/briarthread_entry/direct/running_watcher.py
@@ -1,6 +1,7 @@
 """The tasks that follow what other entries have running."""
 
 import random
+from dataclasses import dataclass
 
 import anyio
 from anyio.abc import TaskGroup
@@ -24,9 +25,22 @@
 RETRY_SECONDS = 1.0
 """Mean pause before a lost entry is called again, or another of its block."""
 
-Followed = tuple[str, ...]
-"""The entries of which one is followed: one of the own block, or another block
-as a whole."""
+
+@dataclass(frozen=True, slots=True)
+class EntryFollowed:
+    """An entry of the own block."""
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class BlockFollowed:
+    """Another block, by any one of its entries."""
+
+    index: int
+
+
+Followed = EntryFollowed | BlockFollowed
 
 
 class RunningWatcher:
@@ -56,19 +70,19 @@
 
     def block(self) -> list[str]:
         """Return the other entries of this entry's block."""
-        own = block_of(self.name, blocks_of(self._entries()))
+        blocks = blocks_of(self._entries())
+        own = blocks.get(block_of(self.name, blocks), ())
         return [name for name in own if name != self.name]
 
     def _entries(self) -> dict[str, Instance]:
         rows = self.directory.all()
         return {n: row for n, row in rows.items() if row.role is InstanceRole.ENTRY}
 
-    def _wanted(self) -> dict[Followed, str]:
-        """Return whom to follow, and by which path."""
+    def _wanted(self) -> set[Followed]:
         blocks = blocks_of(self._entries())
         own = block_of(self.name, blocks)
-        wanted = {(name,): RUNNING_PATH for name in own if name != self.name}
-        return wanted | {block: BLOCK_PATH for block in blocks if block != own}
+        wanted: set[Followed] = {EntryFollowed(name) for name in self.block()}
+        return wanted | {BlockFollowed(index) for index in blocks if index != own}
 
     def _refresh(self, tasks: TaskGroup) -> None:
         wanted = self._wanted()
@@ -76,30 +90,44 @@
             if followed not in wanted:
                 self.followed.pop(followed).cancel()
                 self.board.drop(_label(followed))
-        for followed, path in wanted.items():
+        for followed in wanted:
             if followed not in self.followed:
                 scope = self.followed[followed] = anyio.CancelScope()
-                tasks.start_soon(self._keep_following, followed, path, scope)
+                tasks.start_soon(self._keep_following, followed, scope)
 
     async def _keep_following(
-        self, followed: Followed, path: str, scope: anyio.CancelScope
+        self, followed: Followed, scope: anyio.CancelScope
     ) -> None:
         with scope:
             while True:
-                row = self._entries().get(self.rng.choice(followed))
+                row = self._choose(followed)
                 if row is not None:
-                    await self._follow_quietly(_label(followed), row, path)
+                    await self._follow_quietly(followed, row)
                 await anyio.sleep(RETRY_SECONDS * self.rng.uniform(0.5, 1.5))
 
-    async def _follow_quietly(self, label: str, row: Instance, path: str) -> None:
+    def _choose(self, followed: Followed) -> Instance | None:
+        entries = self._entries()
+        match followed:
+            case EntryFollowed(name):
+                return entries.get(name)
+            case BlockFollowed(index):
+                block = blocks_of(entries).get(index, ())
+                return entries[self.rng.choice(block)] if block else None
+
+    async def _follow_quietly(self, followed: Followed, row: Instance) -> None:
+        path = RUNNING_PATH if isinstance(followed, EntryFollowed) else BLOCK_PATH
         reports = follow_reports(self.channel, row.address, path, RunningReport)
         try:
             async for report in reports:
-                self.board.put(label, report, anyio.current_time())
+                self.board.put(_label(followed), report, anyio.current_time())
         except ChannelError as error:
             logger.debug("running: {} lost: {}", row.name, error)
 
 
 def _label(followed: Followed) -> str:
     """Return the name under which the board keeps what was heard."""
-    return followed[0] if len(followed) == 1 else f"block of {followed[0]}"
+    match followed:
+        case EntryFollowed(name):
+            return name
+        case BlockFollowed(index):
+            return f"block {index}"
