Take no answer that does not name its request

A target that sends second answers sent one on a kept connection where the answer to the next request was due; it named no request, and the entry refused only those that named another. The rule has been broken since the direct path exists; it takes a request within milliseconds of another on the same connection. Change: an answer has to name its request, refusals as well. Test: no-id in tests/direct/test_attempts.py, failed before. Stand-ins name the request in refusals, as targets do.

--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -60,8 +60,8 @@
     ) -> DirectOutcome:
         names = self.names
         headers = response.headers
-        if headers.get(names.request_id) not in (None, request.id):
-            raise BrokenCallError("the answer is to another request")
+        if headers.get(names.request_id, "") != request.id:
+            raise BrokenCallError("the answer is to another request, or names none")
         if names.not_run in headers or response.status == REPLACED:
             await read_bounded(response.body, MAX_ANSWER_BYTES)
             faulty = headers.get(names.faulty_target, "")
--- a/packages/standins/src/briarthread_standins/direct_group.py
+++ b/packages/standins/src/briarthread_standins/direct_group.py
@@ -1,13 +1,13 @@
 """A stand-in for a lock-step group of the users' platform, with an oracle."""
 
 import random
-from dataclasses import dataclass, field
 
 import anyio
 
 from briarthread_common.http.app import App, Route
 from briarthread_common.http.call import Call
 from briarthread_common.messages.expert_map import even_map
+from briarthread_standins.direct_rank import DirectRank
 
 MAX_BODY = 4 * 1024 * 1024
 COPY_SECONDS = 0.2
@@ -16,23 +16,6 @@
 """Choices of experts that each rank counts in a pass, in each set."""
 
 
-@dataclass(eq=False)
-class Rank:
-    """Hold one rank's side of the group."""
-
-    number: int
-    placed: list[list[int]]
-    map_version: int = 0
-    had: int = 0
-    prepared: int | None = None
-    prepared_layers: list[list[list[int]]] = field(default_factory=list)
-    copying: bool = False
-    armed: tuple[int, int] | None = None
-    held: int | None = None
-    counts: list[int] = field(default_factory=list)
-    pace: float = 1.0
-
-
 class DirectGroup:
     """
     Make passes in which all ranks must have the same map.
@@ -64,7 +47,7 @@
         layer = even_map(0, 1, experts, ranks).layers[0]
         self.even = [[list(layer[r]) for _ in range(sets)] for r in range(ranks)]
         self.ranks = [
-            Rank(r, [list(e) for e in self.even[r]], counts=[0] * sets * experts)
+            DirectRank(r, [list(e) for e in self.even[r]], counts=[0] * sets * experts)
             for r in range(ranks)
         ]
 
@@ -111,10 +94,7 @@
         """Break the group and form it in a new epoch, with the first map."""
         self.epoch += 1
         for rank in self.ranks:
-            rank.placed = [list(experts) for experts in self.even[rank.number]]
-            rank.map_version = 0
-            rank.prepared, rank.armed, rank.held = None, None, None
-            rank.copying = False
+            rank.form_anew(self.even[rank.number])
 
     def work(self, number: int) -> float:
         """Return a rank's work with experts over that of an even share."""
@@ -148,17 +128,14 @@
     def _begin_pass(self) -> None:
         self.step += 1
         for rank in self.ranks:
-            if rank.armed is not None and rank.armed[1] == self.step:
-                rank.map_version = rank.armed[0]
-                rank.placed = [layer[rank.number] for layer in rank.prepared_layers]
-                rank.armed = None
+            rank.begin_pass(self.step)
         versions = {rank.map_version for rank in self.ranks}
         if len(versions) > 1:
             self.violations.append(f"pass {self.step}: maps {sorted(versions)}")
         for rank in self.ranks:
             self._count(rank)
 
-    def _count(self, rank: Rank) -> None:
+    def _count(self, rank: DirectRank) -> None:
         for number, demand in enumerate(self.demand):
             total = sum(demand)
             for expert, share in enumerate(demand):
@@ -166,7 +143,7 @@
                     PICKS * share / total
                 )
 
-    def _report(self, rank: Rank) -> dict[str, object]:
+    def _report(self, rank: DirectRank) -> dict[str, object]:
         armed = rank.armed and {"version": rank.armed[0], "step": rank.armed[1]}
         return {
             "group": {
@@ -185,7 +162,7 @@
             "held": rank.held,
         }
 
-    async def _order(self, rank: Rank, call: Call) -> None:
+    async def _order(self, rank: DirectRank, call: Call) -> None:
         order = await call.read_json(dict, MAX_BODY)
         if self._stays_unanswered(order["op"]):
             await anyio.sleep(self.late)
@@ -204,55 +181,38 @@
             return True
         return False
 
-    async def _carry_out(self, rank: Rank, order: dict) -> int:
+    async def _carry_out(self, rank: DirectRank, order: dict) -> int:
         self.orders.append(order["op"])
         if order["epoch"] != self.epoch:
             return 409
         match order["op"]:
             case "prepare":
-                return self._prepare(rank, order)
+                return self._prepare(rank, order["version"], order["map"])
             case "arm":
-                return self._arm(rank, order)
+                taken = rank.arm(order["version"], order["step"], self.step)
+                return 200 if taken else 409
             case "hold":
-                return self._hold(rank, order["step"])
+                return 200 if rank.hold(order["step"], self.step) else 409
             case "go":
-                if rank.held == order["step"]:
-                    rank.held = None
+                rank.go(order["step"])
                 return 200
         return 400
 
-    def _prepare(self, rank: Rank, order: dict) -> int:
-        version, layers = order["version"], order["map"]
-        new = [
-            len(set(layer[rank.number]) - set(placed))
-            for layer, placed in zip(layers, rank.placed, strict=True)
-        ]
-        if version <= rank.had or rank.armed or rank.copying or max(new) > self.spare:
+    def _prepare(
+        self, rank: DirectRank, version: int, layers: list[list[list[int]]]
+    ) -> int:
+        loads = rank.prepare(version, layers, self.spare)
+        if loads is None:
             return 409
-        rank.had = version
-        rank.prepared = None
-        rank.prepared_layers = layers
-        rank.copying = True
-        loop_time = COPY_SECONDS if any(new) else 0.0
-        self.tasks.start_soon(self._copy, rank, version, loop_time, self.epoch)
+        seconds = COPY_SECONDS if loads else 0.0
+        self.tasks.start_soon(self._copy, rank, version, seconds, self.epoch)
         return 202
 
-    async def _copy(self, rank: Rank, version: int, seconds: float, epoch: int) -> None:
+    async def _copy(
+        self, rank: DirectRank, version: int, seconds: float, epoch: int
+    ) -> None:
         await anyio.sleep(seconds)
-        if epoch == self.epoch and rank.had == version:
-            rank.copying = False
-            rank.prepared = version
-
-    def _arm(self, rank: Rank, order: dict) -> int:
-        if rank.prepared != order["version"] or order["step"] <= self.step:
-            return 409
-        rank.armed = (order["version"], order["step"])
-        return 200
-
-    def _hold(self, rank: Rank, step: int) -> int:
-        if step <= self.step or rank.held is not None:
-            return 409
-        rank.held = step
-        return 200
+        if epoch == self.epoch:
+            rank.finish_copy(version)
 
     tasks: anyio.abc.TaskGroup
--- a/packages/standins/src/briarthread_standins/direct_worker.py
+++ b/packages/standins/src/briarthread_standins/direct_worker.py
@@ -21,6 +21,7 @@
     LOSE_ANSWER = "lose-answer"
     MUTE = "mute"
     OTHER_ID = "other-id"
+    NO_ID = "no-id"
     NO_STAMP = "no-stamp"
     ENCODED = "encoded"
     CUT_EVENT = "cut-event"
@@ -56,14 +57,15 @@
         headers = call.headers
         self.seen.append(headers)
         self.bodies.append(await call.read_body(MAX_BODY))
+        echoed = ("x-request-id", headers["x-request-id"])
         if headers.get("x-expect-instance", self.name) != self.name:
-            await call.reply(421, b"", [("x-instance-id", self.name)])
+            await call.reply(421, b"", [("x-instance-id", self.name), echoed])
             return
         fault = self.faults.pop(0) if self.faults else None
         if fault in (WorkerFault.REFUSE, WorkerFault.GROUP_BROKEN):
             named = [("at-server", "10.9.9.9:1")]
             more = named if fault is WorkerFault.GROUP_BROKEN else []
-            await call.reply(503, b"", [("x-not-executed", "1"), *more])
+            await call.reply(503, b"", [("x-not-executed", "1"), echoed, *more])
             return
         self.runs[headers["x-request-id"]] += 1
         self.working += 1
@@ -97,6 +99,8 @@
                 await anyio.sleep_forever()
             case WorkerFault.OTHER_ID:
                 await call.reply(200, b"other", [STAMP, ("x-request-id", "other")])
+            case WorkerFault.NO_ID:
+                await call.reply(200, b"other", [STAMP])
             case WorkerFault.NO_STAMP:
                 await call.reply(200, b"forged", [echoed])
             case WorkerFault.ENCODED:
--- a/packages/standins/src/briarthread_standins/fake_network.py
+++ b/packages/standins/src/briarthread_standins/fake_network.py
@@ -7,7 +7,6 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 from loguru import logger
 
 from briarthread_common.core.exceptions import (
@@ -17,10 +16,10 @@
 )
 from briarthread_common.http.app import AnswerAborted
 from briarthread_common.http.channel import ChannelRequest, ChannelResponse
+from briarthread_standins.fake_exchange import Exchange
 
 CONNECT_TIMEOUT = 1.0
 LATENCY = 0.001
-BUFFERED_MESSAGES = 1000
 
 
 @dataclass(eq=False, slots=True)
@@ -116,22 +115,22 @@
         while not self.is_open(address, site, node):
             await self.changed.wait()
 
-    def start_call(self, node: Node, exchange: "Exchange") -> None:
+    def start_call(self, node: Node, exchange: Exchange) -> None:
         """Let a node serve a call in a task of its own."""
         self.messages += 1
         self.tasks.start_soon(self._serve, node, exchange)
 
-    def start_late_call(self, node: Node, exchange: "Exchange") -> None:
+    def start_late_call(self, node: Node, exchange: Exchange) -> None:
         """Let a copy of a call arrive late, if somebody then takes it."""
         self.tasks.start_soon(self._serve_late, node, exchange)
 
-    async def _serve_late(self, sent_to: Node, exchange: "Exchange") -> None:
+    async def _serve_late(self, sent_to: Node, exchange: Exchange) -> None:
         await anyio.sleep(self.late)
         node = self.nodes.get(sent_to.address)
         if node is sent_to or (node is not None and node.takes_late):
             await self._serve(node, exchange)
 
-    async def _serve(self, node: Node, exchange: "Exchange") -> None:
+    async def _serve(self, node: Node, exchange: Exchange) -> None:
         with anyio.CancelScope() as scope:
             node.calls.add(scope)
             try:
@@ -147,60 +146,6 @@
         event.set()
 
 
-BODY = "http.response.body"
-
-
-class Exchange:
-    """Join the two ends of one call."""
-
-    def __init__(self, request: ChannelRequest, caller: str = "") -> None:
-        self.request = request
-        self.disconnected = anyio.Event()
-        self.body_given = False
-        self.sender: MemoryObjectSendStream[dict[str, Any]]
-        self.receiver: MemoryObjectReceiveStream[dict[str, Any]]
-        self.sender, self.receiver = anyio.create_memory_object_stream(
-            BUFFERED_MESSAGES
-        )
-        path, _, query = request.path.partition("?")
-        self.scope = {
-            "type": "http",
-            "method": request.method,
-            "path": path,
-            "raw_path": path.encode("latin-1"),
-            "query_string": query.encode(),
-            "client": (caller, 0),
-            "headers": [(k.encode(), v.encode()) for k, v in request.headers],
-        }
-
-    async def receive(self) -> dict[str, Any]:
-        """Give the server its next message."""
-        if not self.body_given:
-            self.body_given = True
-            return {"type": "http.request", "body": self.request.body or b""}
-        await self.disconnected.wait()
-        return {"type": "http.disconnect"}
-
-    async def send(self, message: dict[str, Any]) -> None:
-        """
-        Take a message of the server; drop it if the client is gone.
-
-        Once the answer is complete the server is told that the client is gone,
-        as uvicorn tells it.
-        """
-        try:
-            await self.sender.send(message)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-            return
-        if message["type"] == BODY and not message.get("more_body", False):
-            self.disconnected.set()
-
-    def end(self) -> None:
-        """Hang up."""
-        self.disconnected.set()
-        self.receiver.close()
-
-
 class FakeChannel:
     """Call nodes of the fake network from one address."""
 
--- a/packages/standins/src/briarthread_standins/loaded_group.py
+++ b/packages/standins/src/briarthread_standins/loaded_group.py
@@ -76,7 +76,11 @@
         headers = call.headers
         await call.read_body(MAX_BODY)
         if self.broken:
-            refusal = [("x-not-executed", "1"), ("at-server", "10.9.9.9:1")]
+            refusal = [
+                ("x-not-executed", "1"),
+                ("at-server", "10.9.9.9:1"),
+                ("x-request-id", headers["x-request-id"]),
+            ]
             await call.reply(503, b"", refusal)
             return
         generation = Generation(self.events)
--- a/tests/direct/test_attempts.py
+++ b/tests/direct/test_attempts.py
@@ -10,6 +10,7 @@
 SPOILT = [
     WorkerFault.LOSE_ANSWER,
     WorkerFault.OTHER_ID,
+    WorkerFault.NO_ID,
     WorkerFault.NO_STAMP,
     WorkerFault.ENCODED,
 ]
