Start the demonstration once every entry knows the holders

Change: the stand-in waits until all processes have the same version of the shares. Stand-ins only; no shipped code.

--- a/packages/standins/src/briarthread_standins/deployment.py
+++ b/packages/standins/src/briarthread_standins/deployment.py
@@ -112,16 +112,25 @@
             wait_until(lambda row=row: self._is_ready(row.address), row.name)
 
     def wait_shares(self, services: list[str], shares: int) -> None:
-        """Wait until every share of some services has a holder."""
+        """
+        Wait until every share of some services has a holder, and all know it.
 
-        def all_held() -> bool:
+        Entries of other data centres hear of the holders some seconds later,
+        and tell callers of a key that its holder is unreachable until then.
+        """
+
+        def all_known() -> bool:
             held = 0
+            versions = set()
             for row in self.instances:
+                status = self.get(row.address, "/status")
+                versions.add(status["versions"]["shares"])
                 if row.service in services:
-                    held += len(self.get(row.address, "/status")["shares"])
-            return held >= shares * len(services) * len(self.data_centres)
+                    held += len(status["shares"])
+            wanted = shares * len(services) * len(self.data_centres)
+            return held >= wanted and len(versions) == 1
 
-        wait_until(all_held, "shares")
+        wait_until(all_known, "shares")
 
     def stop(self) -> None:
         """Stop all processes gracefully, entries first."""
