Order a rank again that missed its order to load and one look

Cause: found on reading the change once more. MapStager kept as still to be ordered only ranks that a view showed without the map. Ruled out: harm to any rule, since nothing is held or armed before all ranks say that they have loaded. Change: only ranks that say they have the map are left out; best_set_change, which nothing but its own example called, is gone and its example stands at set_changes. Test: tests/ranks/test_map_stager.py, failed before. Run on this commit: tests/ranks, tests/fuzz/test_rank_maps.py, doctests of agent/ranks and of placement, formatter and linter, all passed.

--- a/packages/agent/src/briarthread_agent/ranks/map_stager.py
+++ b/packages/agent/src/briarthread_agent/ranks/map_stager.py
@@ -57,7 +57,8 @@
             lacking = self._lacking(current)
             if not lacking and not current.fault:
                 return True
-            if any(self.tries[address] >= STAGE_TRIES for address in self.missing):
+            self._forget_loaded(current)
+            if any(self.tries[one] >= STAGE_TRIES for one in lacking & self.missing):
                 return False
             await anyio.sleep(pause)
 
@@ -83,11 +84,14 @@
         return any(tries > 1 for tries in self.tries.values())
 
     def _lacking(self, view: GroupView) -> set[str]:
-        """Return the addresses of ranks that have not loaded the map."""
-        lacking = {
+        """Return the addresses of ranks that say they have not loaded the map."""
+        return {
             member.address
             for member in view.members
             if member.state.prepared != self.change.version
         }
-        self.missing &= lacking
-        return lacking
+
+    def _forget_loaded(self, view: GroupView) -> None:
+        """Order those no more that have loaded the map, answered or not."""
+        seen = {member.address for member in view.members}
+        self.missing -= seen - self._lacking(view)
--- a/packages/common/src/briarthread_common/placement/quick_change.py
+++ b/packages/common/src/briarthread_common/placement/quick_change.py
@@ -60,27 +60,6 @@
     saved: float
 
 
-def best_set_change(
-    layer: Layer,
-    counts: list[float],
-    others: float,
-    figures: ExpertFigures,
-    length: PassLength,
-    slowdown: Sequence[float] = (),
-) -> SetChange:
-    """
-    Return the last of the changes that set_changes gives.
-
-    >>> figures = ExpertFigures(1, 4, 3, 3)
-    >>> busy = PassLength(0.1, 0.03)
-    >>> best_set_change([[0, 1], [2, 3]], [90.0, 90.0, 5.0, 5.0], 0.0,
-    ...     figures, busy).layer
-    [[1, 2], [3, 0]]
-    """
-    *_, best = set_changes(layer, counts, others, figures, length, slowdown)
-    return best
-
-
 def set_changes(
     layer: Layer,
     counts: list[float],
@@ -98,6 +77,13 @@
     other sets together, so that the pass can be shared out over the sets.
     ``slowdown`` is how many times longer each rank takes for a token; left out,
     all take the same time.
+
+    >>> figures = ExpertFigures(1, 4, 3, 3)
+    >>> busy = PassLength(0.1, 0.03)
+    >>> *_, best = set_changes([[0, 1], [2, 3]], [90.0, 90.0, 5.0, 5.0], 0.0,
+    ...     figures, busy)
+    >>> best.layer
+    [[1, 2], [3, 0]]
     """
     slowest = slowest_load(layer, counts, slowdown)
     best, best_gain = SetChange(layer, 0, 0.0), 0.0
