Plan at once for a group that opens anew

Ruled out: loading (0.1 to 0.4 s) and the change itself (0.3 s ahead). Change: looks each 0.2 s while the group is broken; what was chosen before an outage keeps a quarter of its weight, and the first view of a group that opens is planned for as a full one; an agent asks the others for when they heard a planner before it takes the seat; a new planner does not use versions again that ranks had.

--- a/packages/agent/src/briarthread_agent/ranks/direct_agent.py
+++ b/packages/agent/src/briarthread_agent/ranks/direct_agent.py
@@ -77,7 +77,7 @@
             self.routes,
             self.keeper,
             self.peers,
-            PlannerSeat(settings.name, self.store, self.keeper),
+            PlannerSeat(settings.name, self.store, self.keeper, self.peers),
             self.events,
         )
         pages = StatusPages(Metrics(), self.events, self._ready, self._status)
--- a/packages/agent/src/briarthread_agent/ranks/group_view.py
+++ b/packages/agent/src/briarthread_agent/ranks/group_view.py
@@ -57,6 +57,11 @@
             for member in self.members
         )
 
+    @property
+    def broken(self) -> bool:
+        """Tell whether some rank says that the group does not serve."""
+        return not all(member.state.serving for member in self.members)
+
     def slow(self) -> dict[str, float]:
         """Return the ranks that are clearly slow by their host, see GroupReport."""
         return {
--- a/packages/agent/src/briarthread_agent/ranks/planner_seat.py
+++ b/packages/agent/src/briarthread_agent/ranks/planner_seat.py
@@ -4,9 +4,10 @@
 from loguru import logger
 
 from briarthread_agent.ranks.rank_keeper import RankKeeper
+from briarthread_agent.ranks.rank_peers import RankPeers
 from briarthread_common.core.exceptions import PlatformError
 from briarthread_common.direct.platform_adapter import PlatformStore
-from briarthread_common.messages.rank_messages import NO_FENCE
+from briarthread_common.messages.rank_messages import NO_FENCE, RankQuery
 from briarthread_common.utils.hashing import rendezvous_order
 
 SILENCE_SECONDS = 3.0
@@ -23,13 +24,17 @@
 
     The seat is one row of the platform's store, taken by compare-and-set. It
     has no expiry: its holder keeps it while the platform is away, and whoever
-    takes it over has a higher fencing number, which every agent checks.
+    takes it over has a higher fencing number, which every agent checks. An
+    agent that was cut off has heard nothing either, so it asks others first.
     """
 
-    def __init__(self, name: str, store: PlatformStore, keeper: RankKeeper) -> None:
+    def __init__(
+        self, name: str, store: PlatformStore, keeper: RankKeeper, peers: RankPeers
+    ) -> None:
         self.name = name
         self.store = store
         self.keeper = keeper
+        self.peers = peers
         self.fence = NO_FENCE
         self.started = anyio.current_time()
 
@@ -41,11 +46,18 @@
         """Return the fencing number once the seat is this agent's."""
         while not self.held():
             if self._silence() > self._patience(group, names):
-                await self._take(group)
+                await self._take_unless_heard(group)
             if not self.held():
                 await anyio.sleep(LOOK_SECONDS)
         return self.fence
 
+    async def _take_unless_heard(self, group: str) -> None:
+        view = await self.peers.view(group, RankQuery())
+        if any(m.answer.planner_silence < SILENCE_SECONDS for m in view.members):
+            self.keeper.planner_heard = anyio.current_time()
+            return
+        await self._take(group)
+
     async def _take(self, group: str) -> None:
         try:
             fence = await self.store.take_seat(f"maps/{group}", self.name)
--- a/packages/agent/src/briarthread_agent/ranks/rank_demand.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_demand.py
@@ -5,6 +5,10 @@
 HALF_LIFE = 0.8
 """Seconds after which a choice counts half: demand shifts every few seconds,
 and some ten thousand choices are made in one."""
+IDLE_HALVINGS = 2.0
+"""How often choices are halved at most while the rank makes no new ones: what
+was liked before an outage is the best guess of what is liked after it, and a
+rank without requests must not outweigh those that have some."""
 
 
 class RankDemand:
@@ -12,7 +16,8 @@
     Turn a rank's running totals into recent choices of experts.
 
     A rank counts from its start, so a total that fell is that of a new start.
-    Times are the runtime's seconds.
+    A rank that chooses nothing keeps a part of what it chose before. Times are
+    the runtime's seconds.
 
     >>> demand = RankDemand()
     >>> demand.take(1.0, [5, 100])
@@ -20,11 +25,15 @@
     >>> demand.take(2.2, [25, 110])
     >>> demand.recent()
     [10, 10]
+    >>> demand.take(62.2, [25, 110])
+    >>> demand.recent()
+    [2, 2]
     """
 
     def __init__(self) -> None:
         self.totals: list[int] = []
         self.popularity = Popularity(1, 0, HALF_LIFE)
+        self.idle_seconds = 0.0
 
     def take(self, now: float, totals: list[int]) -> None:
         """Take in the totals that the rank gives now."""
@@ -36,8 +45,19 @@
         if sum(totals) < sum(before):
             before = [0] * len(totals)
         fresh = [max(n - o, 0) for n, o in zip(totals, before, strict=True)]
+        self._age(now, idle=not any(fresh))
         self.popularity.add(now, [fresh])
 
+    def _age(self, now: float, idle: bool) -> None:
+        """Let a long time without choices count as a short one."""
+        if not idle:
+            self.idle_seconds = 0.0
+            return
+        passed = now - self.popularity.updated
+        counted = min(passed, IDLE_HALVINGS * HALF_LIFE - self.idle_seconds)
+        self.idle_seconds += counted
+        self.popularity.updated = now - counted
+
     def recent(self) -> list[int]:
         """Return how often each expert was chosen of late, set by set."""
         return [round(count) for count in self.popularity.counts[0]]
--- a/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
@@ -31,6 +31,8 @@
 MAX_BODY = 4 * 1024 * 1024
 """Largest message from a planner; a map of 63 ranks takes some 20 KB."""
 NEVER = float("-inf")
+LONG_SILENCE = 3600.0
+"""What is said of a planner that was never heard; JSON has no infinity."""
 REPORT_SECONDS = 0.1
 """Shortest time between two reports to an entry: some passes."""
 COUNT_SECONDS = 0.5
@@ -50,7 +52,9 @@
     highest that has asked it. What the rank says of itself, not the answer to
     an order, tells whether the order was carried out. ``own_hold`` is the pass
     that this agent's own planner holds now; any other that the rank holds is
-    the work of a late order or of a process that died.
+    the work of a late order or of a process that died. ``newest_version`` is
+    the highest version of a map that any planner has sent; a rank may refuse
+    those up to it even after its group has formed anew.
     """
 
     def __init__(self, engine: RankClient) -> None:
@@ -58,6 +62,7 @@
         self.fence = NO_FENCE
         self.planner_heard = NEVER
         self.own_hold: int | None = None
+        self.newest_version = 0
         self.demand = RankDemand()
         self.maps: dict[tuple[int, int], Layers] = {}
         self.slow: dict[str, float] = {}
@@ -93,12 +98,14 @@
         except RankError as error:
             logger.debug("rank: {}", error)
             return RankAnswer(True)
-        return RankAnswer(True, state, counts, experts)
+        silence = min(anyio.current_time() - self.planner_heard, LONG_SILENCE)
+        return RankAnswer(True, state, counts, experts, silence)
 
     async def stage(self, asked: StageRequest) -> OrderAnswer:
         """Have the rank load what it lacks for a map."""
         if not self._obeys(asked.fence):
             return OrderAnswer(False)
+        self.newest_version = max(self.newest_version, asked.version)
         base = self.maps.get((asked.epoch, asked.base))
         layers = asked.layers
         if not layers and base is not None:
--- a/packages/agent/src/briarthread_agent/ranks/rank_planner.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_planner.py
@@ -15,14 +15,24 @@
 from briarthread_common.direct.rank_client import Layers
 from briarthread_common.direct.route_view import RouteView
 from briarthread_common.messages.rank_messages import RankQuery
-from briarthread_common.placement.quick_change import PassLength, SetChange, set_changes
+from briarthread_common.placement.quick_change import (
+    FULL_PASS,
+    PassLength,
+    SetChange,
+    set_changes,
+)
 from briarthread_common.placement.rank_loads import slowest_load
 
 LOOK_SECONDS = 0.35
 """Pause between two looks at a busy group: a few passes, in which some ten
 thousand choices of experts are counted."""
 IDLE_SECONDS = 1.0
-"""The same while the group makes no passes, or cannot be changed."""
+"""The same while the group makes no passes."""
+BROKEN_SECONDS = 0.2
+"""The same while the group is broken: it opens with the first map, and callers
+have been waiting for it."""
+BROKEN_RANK_SECONDS = 0.005
+"""The same for each rank, so that looks at a large group leave its link free."""
 SETTLING_SECONDS = 0.1
 """The same while the change made last waits for its pass: the next one can be
 planned as soon as it is in force, and demand may have shifted meanwhile."""
@@ -59,6 +69,7 @@
         self.version = 0
         self.slow: dict[str, float] = {}
         self.counted_from = 0
+        self.opens = False
 
     async def run(self) -> None:
         """Plan whenever the seat is this agent's, until cancelled."""
@@ -72,19 +83,27 @@
             await anyio.sleep(await self._look(state.group, service, fence))
 
     async def _look(self, group: str, service: DirectService, fence: int) -> float:
-        """Look at the group once; return the pause until the next look."""
+        """
+        Look at the group once; return the pause until the next look.
+
+        A group that has just opened counts as fully loaded, since callers have
+        waited for it, and what its ranks chose before as its demand.
+        """
         query = RankQuery(fence, slow=self.slow)
         view = await self.peers.view(group, query, self._counted(service))
+        self.opens = self.opens or view.broken
         if view.fault:
-            return IDLE_SECONDS
+            return max(BROKEN_SECONDS, len(view.members) * BROKEN_RANK_SECONDS)
         self._note_slow(group, view)
         if view.unsettled:
             if not self._is_own_change(view):
                 await self.finisher.finish(group)
             return SETTLING_SECONDS
         if not await self._know_map(group, service, view, fence):
-            return IDLE_SECONDS
+            return LOOK_SECONDS
         passes = self.watch.observe(view, anyio.current_time())
+        if self.opens:
+            self.opens, passes = False, FULL_PASS
         if passes is None:
             return IDLE_SECONDS
         layers, loads, saved = await self._improve(service, view, passes)
@@ -128,7 +147,8 @@
     async def _place(
         self, view: GroupView, fence: int, layers: Layers, passes: float
     ) -> None:
-        self.version = max(self.version, view.newest_version()) + 1
+        known = max(self.version, self.keeper.newest_version)
+        self.version = max(known, view.newest_version()) + 1
         change = MapChange(self.version, layers, self.placed[1], self.layers)
         placed = await self.mover.place(view, fence, change, passes)
         if placed:
--- a/packages/common/src/briarthread_common/messages/rank_messages.py
+++ b/packages/common/src/briarthread_common/messages/rank_messages.py
@@ -35,13 +35,15 @@
     Give a rank's state; ``accepted`` is off for an outdated planner.
 
     ``counts`` tells how often each expert was chosen of late, set by set;
-    ``experts`` which the rank holds, by set.
+    ``experts`` which the rank holds, by set; ``planner_silence`` for how many
+    seconds the agent has heard no planner.
     """
 
     accepted: bool
     state: RankState | None = None
     counts: list[int] = field(default_factory=list)
     experts: list[list[int]] = field(default_factory=list)
+    planner_silence: float = 3600.0
 
 
 @dataclass(frozen=True, slots=True)
