Check settings of direct entries and their adapter; say why no routes are in force

Cause: `briarthread check` read a settings file with [direct] as a services text and did not try the adapter; a start before there is a configuration logged "routes: 0 kept in force" as a warning without a reason. Change: a file with [instance] is settings; with [direct] those of `briarthread direct`, whose adapter is loaded (conf.E006). One log message a state, with its reason. No decision is touched.

--- a/packages/agent/src/briarthread_agent/ranks/direct_agent.py
+++ b/packages/agent/src/briarthread_agent/ranks/direct_agent.py
@@ -1,6 +1,5 @@
 """The agent beside a direct target, put together."""
 
-import importlib
 import random
 from pathlib import Path
 
@@ -21,6 +20,7 @@
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.core.logs import set_up_logs
 from briarthread_common.core.metrics import Metrics
+from briarthread_common.direct.load_adapter import load_adapter
 from briarthread_common.direct.platform_adapter import PlatformAdapter
 from briarthread_common.direct.route_view import RouteView
 from briarthread_common.feeds.feed_set import DIRECT_FEEDS, FeedSet
@@ -135,7 +135,7 @@
 
 async def serve_direct(settings: DirectAgentSettings, path: Path) -> None:
     """Run the agent until a signal stops it; SIGHUP reads its file anew."""
-    adapter = importlib.import_module(settings.adapter).ADAPTER
+    adapter = load_adapter(settings.adapter)
     listener = open_listener(settings.listen)
     agent = DirectAgent(
         settings,
--- a/packages/common/src/briarthread_common/direct/route_view.py
+++ b/packages/common/src/briarthread_common/direct/route_view.py
@@ -42,12 +42,23 @@
         except DecodeError as error:
             logger.error("routes: {} kept in force: {}", self._version(), error)
             return
-        if found is None or found.version < self._version():
-            logger.warning("routes: {} kept in force", self._version())
+        if found is None:
+            self._note_none()
+            return
+        if found.version < self._version():
+            reason = f"{found.version} is older"
+            logger.warning("routes: {} kept in force: {}", self._version(), reason)
             return
         if found.version > self._version():
             logger.info("routes: version {} is in force", found.version)
         self.routes = found
 
+    def _note_none(self) -> None:
+        """Log that the platform lists no configuration."""
+        if self.routes is None:
+            logger.info("routes: no configuration is listed yet")
+        else:
+            logger.warning("routes: {} kept in force: none is listed", self._version())
+
     def _version(self) -> int:
         return self.routes.version if self.routes else 0
--- a/packages/entry/src/briarthread_entry/commands/direct.py
+++ b/packages/entry/src/briarthread_entry/commands/direct.py
@@ -1,6 +1,5 @@
 """``briarthread direct``."""
 
-import importlib
 import random
 from pathlib import Path
 
@@ -10,6 +9,7 @@
 from briarthread_common.conf.reload import reload_on_signal
 from briarthread_common.core.exit_code import ExitCode
 from briarthread_common.core.logs import set_up_logs
+from briarthread_common.direct.load_adapter import load_adapter
 from briarthread_common.http.channel_options import ChannelOptions
 from briarthread_common.http.http_channel import HttpChannel
 from briarthread_common.http.port_app import PortApp
@@ -71,7 +71,7 @@
         return ExitCode.DONE
 
     def _build(self, settings: DirectSettings) -> DirectEntry:
-        adapter = importlib.import_module(settings.adapter).ADAPTER
+        adapter = load_adapter(settings.adapter)
         return DirectEntry(
             settings,
             adapter,
--- a/tests/entry/test_commands.py
+++ b/tests/entry/test_commands.py
@@ -47,6 +47,39 @@
         assert expected in printed
 
 
+DIRECT_SETTINGS = """
+[instance]
+name = a
+data_centre = palermo
+listen = 127.0.0.1:1
+[callers]
+listen = 127.0.0.1:2
+ready_listen = 127.0.0.1:3
+[direct]
+adapter = {adapter}
+address = 127.0.0.1:4
+[peers]
+seeds = 127.0.0.1:1
+"""
+
+
+@pytest.mark.parametrize("option", [[], ["--settings"]])
+def test_check_knows_the_settings_of_an_entry_before_direct_targets(
+    option: list[str], tmp_path: Path
+) -> None:
+    good = DIRECT_SETTINGS.format(adapter="briarthread_platform.adapter")
+    assert run_command(["check", *option, write(tmp_path, good)]) is ExitCode.DONE
+
+
+@pytest.mark.parametrize("adapter", ["nowhere", "json", ".x"])
+def test_check_reports_an_adapter_that_cannot_be_loaded(
+    adapter: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    faulty = write(tmp_path, DIRECT_SETTINGS.format(adapter=adapter))
+    assert run_command(["check", faulty]) is ExitCode.FAULTS
+    assert "[direct] adapter: cannot be loaded" in capsys.readouterr().err
+
+
 def test_missing_file_is_a_fault() -> None:
     assert run_command(["check", "/no/such/file"]) is ExitCode.FAULTS
 
