Play loads from the stand-ins; leave mechanisms of admission out one by one

The play of tests/direct/test_load.py moves to briarthread_standins.play_load, so that a measurement command can play it too; the tests and their bounds are unchanged. briarthread_measure.ablation_run leaves out one mechanism of admission after the other and tells what callers get, beside two baselines.

--- /dev/null
+++ b/packages/measure/src/briarthread_measure/left_out.py
@@ -0,0 +1,128 @@
+"""Mechanisms of admission, each of which can be left out of a play."""
+
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, field, replace
+from unittest import mock
+
+from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.core.exceptions import RequestError
+from briarthread_entry.direct import admission_rule, group_gate, group_health
+from briarthread_entry.direct.direct_entry import DirectEntry
+from briarthread_entry.direct.direct_request import DirectRequest
+from briarthread_standins.play_load import ENTRIES
+
+FIXED_STREAMS = 36
+"""Streams that the fixed limit allows, all entries together: every slot."""
+ALWAYS = float("inf")
+
+
+def keep(entry: DirectEntry) -> None:
+    """Leave an entry as it is."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeftOut:
+    """
+    Name a way to play without a mechanism.
+
+    ``patches`` replace names of modules or classes while it is played, and
+    ``prepare`` changes each entry.
+    """
+
+    name: str
+    patches: tuple[tuple[object, str, object], ...] = ()
+    prepare: Callable[[DirectEntry], None] = field(default=keep)
+
+    @contextmanager
+    def applied(self) -> Iterator[None]:
+        """Have the patches in force."""
+        with ExitStack() as stack:
+            for owner, name, value in self.patches:
+                stack.enter_context(mock.patch.object(owner, name, value))
+            yield
+
+
+def no_limit(entry: DirectEntry) -> None:
+    """Start every request at once."""
+
+    async def enter(request: DirectRequest) -> None:
+        return
+
+    entry.gate.enter = enter
+
+
+def fixed_limit(entry: DirectEntry) -> None:
+    """Let an entry run its part of a fixed number of streams."""
+
+    async def enter(request: DirectRequest) -> None:
+        running = sum(state.running for state in entry.book.states.values())
+        if running >= FIXED_STREAMS // len(ENTRIES):
+            raise RequestError(ErrorKind.OVERLOADED, "full", retry_after=1.0)
+
+    entry.gate.enter = enter
+
+
+def all_slots(entry: DirectEntry) -> None:
+    """Take every slot for room, however long passes get."""
+    room_of = entry.gate._room
+
+    def room(request: DirectRequest, now: float) -> admission_rule.GroupRoom:
+        return replace(room_of(request, now), most=FIXED_STREAMS)
+
+    entry.gate._room = room
+
+
+def no_wait(entry: DirectEntry) -> None:
+    """Let nobody wait for room who can still be in time."""
+    entry.gate._patience = lambda request: 0.0
+
+
+def short_wait(entry: DirectEntry) -> None:
+    """Let those who came back wait no longer than others."""
+
+    def wait_until(request: DirectRequest, place: object, patience: float) -> float:
+        return request.arrived + patience
+
+    entry.gate._wait_until = wait_until
+
+
+def no_returns(entry: DirectEntry) -> None:
+    """Tell nobody who came back from a new caller."""
+    entry.gate.returns.is_return = lambda route, time_left: False
+
+
+def own_sums(entry: DirectEntry) -> None:
+    """Count what runs from this entry only."""
+    entry.board.elsewhere = lambda target, now: 0
+
+
+def at_once(time_left: float, pick: float) -> float:
+    """Have everyone come back after the shortest pause."""
+    return min(admission_rule.EARLIEST_RETURN, max(time_left, 0.0))
+
+
+def always_send(health: group_health.GroupHealth, now: float) -> bool:
+    """Send requests to a group that is away as to any other."""
+    return True
+
+
+VARIANTS = (
+    LeftOut("as shipped"),
+    LeftOut("baseline: no limit", prepare=no_limit),
+    LeftOut("baseline: fixed limit", prepare=fixed_limit),
+    LeftOut("without the predicted pass", prepare=all_slots),
+    LeftOut("without waiting for room", prepare=no_wait),
+    LeftOut("without room for new callers", ((admission_rule, "YIELDED_SHARE", 0.0),)),
+    LeftOut("without telling who came back", prepare=no_returns),
+    LeftOut("without waits of those who came back", prepare=short_wait),
+    LeftOut("without spread returns", ((admission_rule, "spread_return", at_once),)),
+    LeftOut("without sums of all entries", prepare=own_sums),
+    LeftOut(
+        "without refusing for a group that is away",
+        ((group_health.GroupHealth, "may_send", always_send),),
+    ),
+    LeftOut("outage expected to end at once", ((group_health, "USUAL_OUTAGE", 0.0),)),
+    LeftOut("outage expected never to end", ((group_health, "USUAL_OUTAGE", ALWAYS),)),
+    LeftOut("longest wait for room 0.1 s", ((group_gate, "LONGEST_WAIT", 0.1),)),
+)
--- /dev/null
+++ b/packages/standins/src/briarthread_standins/play_load.py
@@ -0,0 +1,139 @@
+"""
+Playing of a load on a group, through real entries and in virtual time.
+
+Callers come at random to three entries, wait for the pauses that they were
+told and come back once.
+"""
+
+import random
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import TaskGroup
+
+from briarthread_common.core.exceptions import ChannelError
+from briarthread_common.http.channel import ChannelRequest
+from briarthread_entry.direct.direct_entry import DirectEntry
+from briarthread_standins.caller_tally import CallerTally
+from briarthread_standins.direct_config import MODEL, build_config, build_engine_row
+from briarthread_standins.direct_world import CLIENT, DirectWorld
+from briarthread_standins.load_day import LoadDay
+from briarthread_standins.loaded_group import LoadedGroup
+from briarthread_standins.virtual_time import run_virtual
+
+ENTRIES = ("entry-1", "entry-2", "entry-3")
+UNEVEN = (0.5, 0.3, 0.2)
+"""Callers' shares of the entries; a platform spreads them unevenly."""
+SETTLE_SECONDS = 3.0
+AIM, PAUSE, GIVE_UP, BUDGET = 0.4, 0.12, 2.0, 8.0
+"""The callers' first-event aim, longest pause, patience and whole time, s."""
+HONOURED_SHARE = 1 / 3
+"""Part of the time left within which callers come back as told."""
+
+Prepare = Callable[[DirectEntry], None]
+
+
+def play_load(day: LoadDay, prepare: Prepare = lambda _: None) -> CallerTally:
+    """Play a day and return what callers got; ``prepare`` may change entries."""
+    tally = CallerTally()
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            world = DirectWorld(tasks, day.seed)
+            group = _start_group(world, tasks, day)
+            for name in ENTRIES:
+                prepare(world.add_entry(name))
+            await anyio.sleep(SETTLE_SECONDS)
+            if day.outage_seconds:
+                tasks.start_soon(_break_for_a_while, group, day)
+            async with anyio.create_task_group() as callers:
+                await _arrive(world, callers, day, tally)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+    return tally
+
+
+def _start_group(world: DirectWorld, tasks: TaskGroup, day: LoadDay) -> LoadedGroup:
+    group = LoadedGroup(day.ranks, fixed=day.fixed, each=day.each, events=day.events)
+    tasks.start_soon(group.run)
+    engine = {"name": MODEL, "engine": build_engine_row()}
+    world.store.put("op", "config", build_config(services=[engine]))
+    for number in range(day.ranks):
+        world.add_worker(f"rank-{number}", MODEL)
+        address = world.addresses[f"rank-{number}"]
+        world.network.listen(address, "palermo", group.app(number))
+    return group
+
+
+async def _break_for_a_while(group: LoadedGroup, day: LoadDay) -> None:
+    await anyio.sleep(day.outage_at)
+    group.broken = True
+    await anyio.sleep(day.outage_seconds)
+    group.broken = False
+
+
+async def _arrive(
+    world: DirectWorld, callers: TaskGroup, day: LoadDay, tally: CallerTally
+) -> None:
+    rng = random.Random(day.seed)
+    start = anyio.current_time()
+    while (passed := anyio.current_time() - start) < day.seconds:
+        now = day.rate * day.burst if passed < day.burst_seconds else day.rate
+        await anyio.sleep(rng.expovariate(now))
+        entry = rng.choices(ENTRIES, UNEVEN)[0]
+        tally.asked += 1
+        callers.start_soon(_be_served, world, entry, rng, tally)
+
+
+async def _be_served(
+    world: DirectWorld, entry: str, rng: random.Random, tally: CallerTally
+) -> None:
+    """Ask, come back once when refused, and note what came of it."""
+    started = anyio.current_time()
+    first = await _ask(world, entry, started, started, tally)
+    if first is None:
+        return
+    tally.refused += 1
+    await anyio.sleep(min(first, BUDGET * HONOURED_SHARE))
+    elsewhere = rng.choice(ENTRIES)
+    if await _ask(world, elsewhere, started, anyio.current_time(), tally) is not None:
+        tally.refused_twice += 1
+
+
+async def _ask(
+    world: DirectWorld, entry: str, started: float, now: float, tally: CallerTally
+) -> float | None:
+    """Return the pause that a refused caller is told, ``None`` otherwise."""
+    world.requests += 1
+    fields = (
+        ("host", "salon.example"),
+        ("x-request-id", f"request-{world.requests}"),
+        ("x-credential", "key-1"),
+        ("x-deadline-ms", str(int((started + BUDGET - now) * 1000))),
+        ("x-token-count", "800,100"),
+    )
+    front = world.entries[entry].settings.callers_listen
+    call = ChannelRequest("POST", front, "/chat/1", fields, None)
+    channel = world.network.channel(CLIENT, "clients")
+    events: list[float] = []
+    try:
+        with anyio.move_on_after(GIVE_UP) as patience:
+            async with channel.stream(call) as response:
+                if response.status != 200:
+                    took = anyio.current_time() - now
+                    tally.slowest_refusal = max(tally.slowest_refusal, took)
+                    return float(response.headers["retry-after"])
+                async for _ in response.body:
+                    events.append(anyio.current_time())
+                    patience.deadline = anyio.current_time() + GIVE_UP
+    except ChannelError:
+        events.clear()
+    if patience.cancelled_caught or not events:
+        tally.lost += 1
+        return None
+    pauses = [b - a for a, b in zip(events, events[1:], strict=False)]
+    in_time = events[0] - started <= AIM and max(pauses) <= PAUSE
+    tally.in_time += in_time
+    tally.late += not in_time
+    return None
--- a/tests/direct_builders.py
+++ b/tests/direct_builders.py
@@ -12,68 +12,18 @@
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.target_state import DirectTargetState
 from briarthread_standins.direct_agents import GroupWorld
+from briarthread_standins.direct_config import (
+    DIARY,
+    MODEL,
+    build_config,
+    build_engine_row,
+    build_route_row,
+)
 from briarthread_standins.direct_group import DirectGroup
 from briarthread_standins.direct_world import START_SECONDS, DirectWorld
 from briarthread_standins.virtual_time import run_virtual
 
-MODEL, DIARY = "model", "diary"
-
-
-def build_config(version: int = 1, **changes: object) -> dict[str, object]:
-    """Return an operator's config with a stream, an unsafe and a safe route."""
-    config: dict[str, object] = {
-        "version": version,
-        "routes": [
-            build_route_row("/chat/", MODEL, "stream", resumable=True, maxAttempts=2),
-            build_route_row("/book/", DIARY, "unsafe"),
-            build_route_row("/list/", DIARY, "safe", maxAttempts=2),
-        ],
-        "services": [
-            {"name": MODEL, "maxConns": 100, "engine": build_engine_row()},
-            {"name": DIARY, "maxConns": 100},
-        ],
-        "limits": {
-            "maxHeaderBytes": 16384,
-            "maxBodyBytes": 1000,
-            "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-        },
-        "tenants": [{"name": "salon", "apiKeys": ["key-1", "key-2"]}],
-    }
-    return {**config, **changes}
-
-
-def build_route_row(
-    prefix: str, service: str, kind: str, **changes: object
-) -> dict[str, object]:
-    """Return one route of a config."""
-    row = {
-        "name": f"r{prefix}",
-        "host": "salon.example",
-        "pathPrefix": prefix,
-        "type": kind,
-        "timeoutMs": 4000,
-        "sloMs": 400,
-        "priority": 1,
-        "service": service,
-        "maxAttempts": 1,
-        "gapTargetMs": 120,
-    }
-    return {**row, **changes}
-
-
-def build_engine_row() -> dict[str, object]:
-    """Return the figures of an engine without experts."""
-    return {
-        "slots": 6,
-        "step_ms": 5.85,
-        "per_seq_ms": 0.71,
-        "context_per_k": 0.07,
-        "read_per_s": 61200.0,
-        "pairs_per_m": 0.3,
-        "chunk": 512,
-        "stride": 5,
-    }
+__all__ = ["DIARY", "MODEL", "build_config", "build_engine_row", "build_route_row"]
 
 
 def build_engine() -> EngineFigures:
