--- a/tests/ranks/test_reformed_groups.py
+++ b/tests/ranks/test_reformed_groups.py
@@ -50,6 +50,20 @@
     in_group_world(scenario)
 
 
+@pytest.mark.parametrize("ranks", [3, 6, 8])
+def test_groups_of_other_sizes_are_planned_for_at_once_as_well(ranks: int) -> None:
+    async def scenario(world: GroupWorld) -> None:
+        await anyio.sleep(5)
+        settled = world.group.skew()
+        await break_group(world, 2.0)
+        assert world.group.skew() > 1.2 * settled
+        await anyio.sleep(SOON)
+        assert world.group.skew() <= 1.1 * settled
+        assert world.group.violations == []
+
+    in_group_world(scenario, ranks)
+
+
 def test_planner_that_takes_over_in_an_outage_knows_the_demand() -> None:
     async def scenario(world: GroupWorld) -> None:
         await anyio.sleep(5)
