Ask one agent, tell a broken group and take the baselines by one piece each

Cause: on reading the change again, four things stood twice. Calls to a single agent were wrapped in a map and taken out of one in four places; the test for a broken group stood in GroupView and in its builder; the value of LONG_SILENCE was repeated in RankAnswer; the baselines of tests/direct/test_load.py were written again for the ablation, and the fixture long_passes in a third file of tests/ranks. No bound or assertion is touched, no behaviour changes.

--- a/packages/agent/src/briarthread_agent/ranks/group_view.py
+++ b/packages/agent/src/briarthread_agent/ranks/group_view.py
@@ -60,7 +60,7 @@
     @property
     def broken(self) -> bool:
         """Tell whether some rank says that the group does not serve."""
-        return not all(member.state.serving for member in self.members)
+        return _is_broken(self.members)
 
     def slow(self) -> dict[str, float]:
         """Return the ranks that are clearly slow by their host, see GroupReport."""
@@ -95,6 +95,10 @@
     return GroupView(members, _fault(members, answers), silent)
 
 
+def _is_broken(members: tuple[Member, ...]) -> bool:
+    return not all(member.state.serving for member in members)
+
+
 def _fault(members: tuple[Member, ...], answers: dict[str, RankAnswer]) -> str:
     if not all(answer.accepted for answer in answers.values()):
         return "a newer planner was heard"
@@ -105,6 +109,6 @@
         return f"{len(members)} of {size} ranks answered"
     if len({member.state.epoch for member in members}) > 1:
         return "the group is forming"
-    if not all(member.state.serving for member in members):
+    if _is_broken(members):
         return "the group is broken"
     return ""
--- a/packages/agent/src/briarthread_agent/ranks/map_finisher.py
+++ b/packages/agent/src/briarthread_agent/ranks/map_finisher.py
@@ -70,8 +70,9 @@
         while True:
             await anyio.sleep(LOOK_SECONDS)
             state = await self.keeper.own_state()
-            if state is not None and HeldPass.of(state) is not None:
-                state = await self._drop_unpromised(HeldPass.of(state))
+            held = None if state is None else HeldPass.of(state)
+            if held is not None:
+                state = await self._drop_unpromised(held)
             now = _pending(state)
             looks = looks + 1 if now and now == before else 0
             holds = state is not None and state.held is not None
@@ -157,7 +158,7 @@
             await engine.arm(epoch, armed.version, armed.step)
             return
         request = ArmRequest(self.keeper.fence, epoch, armed.version, armed.step)
-        await self.peers.call(ARM_PATH, {member.address: request}, OrderAnswer)
+        await self.peers.ask(member.address, ARM_PATH, request, OrderAnswer)
 
     async def _let_go(self, view: GroupView) -> None:
         for member in view.members:
@@ -171,7 +172,7 @@
             await engine.go(epoch, step)
             return
         request = GoRequest(epoch, step)
-        await self.peers.call(GO_PATH, {member.address: request}, OrderAnswer)
+        await self.peers.ask(member.address, GO_PATH, request, OrderAnswer)
 
     def _engine_of_silent(self, member: Member, view: GroupView) -> RankClient | None:
         """Return the engine to order in the place of an agent without an answer."""
--- a/packages/agent/src/briarthread_agent/ranks/map_mover.py
+++ b/packages/agent/src/briarthread_agent/ranks/map_mover.py
@@ -138,10 +138,9 @@
         request = AcceptRequest(fence, view.epoch, step)
         with anyio.move_on_after(HOLD_SECONDS):
             while self.keeper.fence <= fence:
-                answers = await self.peers.call(
-                    ACCEPT_PATH, {holder.address: request}, OrderAnswer
+                answer = await self.peers.ask(
+                    holder.address, ACCEPT_PATH, request, OrderAnswer
                 )
-                answer = answers.get(holder.address)
                 if answer is not None and answer.taken:
                     return holder
                 if answer is not None and _is_past(answer.state, view.epoch, step):
@@ -179,10 +178,9 @@
         request = GoRequest(epoch, step)
         with anyio.move_on_after(SETTLE_SECONDS):
             while True:
-                answers = await self.peers.call(
-                    GO_PATH, {holder.address: request}, OrderAnswer
+                answer = await self.peers.ask(
+                    holder.address, GO_PATH, request, OrderAnswer
                 )
-                answer = answers.get(holder.address)
                 if answer is not None and answer.taken:
                     return
                 self._note_lost()
--- a/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
@@ -19,6 +19,7 @@
     ACCEPT_PATH,
     ARM_PATH,
     GO_PATH,
+    LONG_SILENCE,
     NO_FENCE,
     QUERY_PATH,
     STAGE_PATH,
@@ -34,8 +35,6 @@
 MAX_BODY = 4 * 1024 * 1024
 """Largest message from a planner; a map of 63 ranks takes some 20 KB."""
 NEVER = float("-inf")
-LONG_SILENCE = 3600.0
-"""What is said of a planner that was never heard; JSON has no infinity."""
 REPORT_SECONDS = 0.1
 """Shortest time between two reports to an entry: some passes."""
 COUNT_SECONDS = 0.5
--- a/packages/agent/src/briarthread_agent/ranks/rank_peers.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_peers.py
@@ -65,6 +65,12 @@
         """Send each address its message; return the answers that came."""
         return await call_many(self.channel, path, messages, answer, seconds)
 
+    async def ask(
+        self, address: str, path: str, message: object, answer: type[T]
+    ) -> T | None:
+        """Send one address a message; return the answer, ``None`` without one."""
+        return (await self.call(path, {address: message}, answer)).get(address)
+
     def addresses(self) -> list[str]:
         """Return where the agents of the service are called."""
         return [row.address for row in self.agents().values()]
--- a/packages/common/src/briarthread_common/messages/rank_messages.py
+++ b/packages/common/src/briarthread_common/messages/rank_messages.py
@@ -12,6 +12,9 @@
 GO_PATH = "/peer/v1/rank/go"
 NO_FENCE = 0
 """The number of a question that is no planner's."""
+LONG_SILENCE = 3600.0
+"""Seconds that are said of a planner that was never heard, or not for longer;
+JSON has no infinity."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +47,7 @@
     state: RankState | None = None
     counts: list[int] = field(default_factory=list)
     experts: list[list[int]] = field(default_factory=list)
-    planner_silence: float = 3600.0
+    planner_silence: float = LONG_SILENCE
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/direct/test_load.py
+++ b/tests/direct/test_load.py
@@ -7,13 +7,10 @@
 
 import pytest
 
-from briarthread_common.core.error_kind import ErrorKind
-from briarthread_common.core.exceptions import RequestError
-from briarthread_entry.direct.direct_entry import DirectEntry
-from briarthread_entry.direct.direct_request import DirectRequest
+from briarthread_measure.left_out import fixed_limit, keep, no_limit
 from briarthread_standins.caller_tally import CallerTally
 from briarthread_standins.load_day import LoadDay
-from briarthread_standins.play_load import ENTRIES, play_load
+from briarthread_standins.play_load import play_load
 
 CAPACITY = 16.0
 """Requests a second that the stand-in's group serves in time: 32 streams make
@@ -28,20 +25,11 @@
 ) -> CallerTally:
     """Play a load of so many requests a second and return what callers got."""
     day = LoadDay(rate, SECONDS, burst, outage_seconds=OUTAGES[trouble], seed=seed)
-    return play_load(day, lambda entry: set_limit(entry, limit))
+    return play_load(day, LIMITS[limit])
 
 
-def set_limit(entry: DirectEntry, limit: str) -> None:
-    """Put a baseline in the place of the group's limit."""
-    if limit == "group":
-        return
-
-    async def enter(request: DirectRequest) -> None:
-        running = sum(state.running for state in entry.book.states.values())
-        if limit == "fixed" and running >= 36 // len(ENTRIES):
-            raise RequestError(ErrorKind.OVERLOADED, "full", retry_after=1.0)
-
-    entry.gate.enter = enter
+LIMITS = {"group": keep, "none": no_limit, "fixed": fixed_limit}
+"""The group's own limit and the baselines."""
 
 
 def test_load_within_capacity_is_served_in_time_and_nobody_is_refused() -> None:
--- a/tests/ranks/test_map_changes.py
+++ b/tests/ranks/test_map_changes.py
@@ -11,13 +11,6 @@
 """Skew under which a group of the tests counts as well placed."""
 
 
-@pytest.fixture(autouse=True)
-def long_passes(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Let the stand-in's passes count as those of a fully loaded group."""
-    monkeypatch.setattr("briarthread_common.placement.quick_change.CALM_PASS", 0.01)
-    monkeypatch.setattr("briarthread_common.placement.quick_change.FULL_PASS", 0.02)
-
-
 def held(world: GroupWorld) -> list[int | None]:
     return [rank.held for rank in world.group.ranks]
 
--- a/tests/ranks/test_reformed_groups.py
+++ b/tests/ranks/test_reformed_groups.py
@@ -14,13 +14,6 @@
 lies 0.3 ahead."""
 
 
-@pytest.fixture(autouse=True)
-def long_passes(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Let the stand-in's passes count as those of a fully loaded group."""
-    monkeypatch.setattr("briarthread_common.placement.quick_change.CALM_PASS", 0.01)
-    monkeypatch.setattr("briarthread_common.placement.quick_change.FULL_PASS", 0.02)
-
-
 async def break_group(world: GroupWorld, seconds: float = OUTAGE_SECONDS) -> None:
     """Break the group, and have it open with the first map after some time."""
     world.group.serving = False
--- a/tests/ranks/test_slow_ranks.py
+++ b/tests/ranks/test_slow_ranks.py
@@ -9,13 +9,6 @@
 SLOW = 5.0
 
 
-@pytest.fixture(autouse=True)
-def long_passes(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Let the stand-in's passes count as those of a fully loaded group."""
-    monkeypatch.setattr("briarthread_common.placement.quick_change.CALM_PASS", 0.01)
-    monkeypatch.setattr("briarthread_common.placement.quick_change.FULL_PASS", 0.02)
-
-
 def usable(world: GroupWorld) -> list[str]:
     """Return the ranks that an entry sends new requests to."""
     slow_ranks = world.world.entries["entry-1"].slow_ranks
