Let one entry of a block add up what runs, and tell it to the others

Ruled out: agents telling what runs. One agent before 99 readers of 129 figures fills its link of 3 Mbit/s, and by way of its peers the figures are older than entries' own. Longer pauses alone: counts grow older and callers meet at the same ranks.

Change: up to 12 entries everyone follows everyone, as before. Beyond, a block lies in one data centre; its first entry collects, follows the sums of the other collectors, and sends each of its own one line four times a second: what all others have running. One that cannot reach its collector turns to the next, which collects while it is asked, and keeps the last sums for 4 s meanwhile.

--- a/packages/common/src/briarthread_common/http/report_stream.py
+++ b/packages/common/src/briarthread_common/http/report_stream.py
@@ -26,6 +26,7 @@
 
     ``current`` gives the report, ``same`` tells whether a newer one is worth a
     line, and ``every`` is the shortest time between two lines in seconds.
+    ``closed`` can be shared by several that end together.
     """
 
     def __init__(
@@ -33,11 +34,12 @@
         current: Callable[[], T],
         same: Callable[[T, T], bool],
         every: float,
+        closed: anyio.Event | None = None,
     ) -> None:
         self.current = current
         self.same = same
         self.every = every
-        self.closed = anyio.Event()
+        self.closed = closed or anyio.Event()
 
     def close(self) -> None:
         """End all streams, so that the server's stop need not wait for them."""
--- a/packages/common/src/briarthread_common/messages/running_report.py
+++ b/packages/common/src/briarthread_common/messages/running_report.py
@@ -7,7 +7,9 @@
 RUNNING_PATH = "/peer/v1/running"
 """Where an entry sends its reports."""
 BLOCK_PATH = "/peer/v1/running-block"
-"""Where an entry sends the sums of its block's reports."""
+"""Where a collector sends the sum of its block's reports."""
+OTHERS_PATH = "/peer/v1/running-others"
+"""Where a collector sends an entry, by its name, the sum of all others."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -14,15 +14,8 @@
 from briarthread_common.feeds.feed_set import DIRECT_FEEDS, FeedSet
 from briarthread_common.http.app import App, Route
 from briarthread_common.http.channel import Channel
-from briarthread_common.http.report_stream import ReportStream
 from briarthread_common.http.status_pages import StatusPages
 from briarthread_common.messages.instance import Instance, InstanceRole
-from briarthread_common.messages.running_report import (
-    BLOCK_PATH,
-    RUNNING_PATH,
-    RunningReport,
-    sum_of,
-)
 from briarthread_common.spread.directory import Directory
 from briarthread_common.spread.following_spreader import FollowingSpreader
 from briarthread_common.spread.list_itself import list_itself
@@ -36,19 +29,13 @@
 from briarthread_entry.direct.request_handler import RequestHandler
 from briarthread_entry.direct.request_runner import RequestRunner
 from briarthread_entry.direct.running_board import RunningBoard
+from briarthread_entry.direct.running_teller import RunningTeller
 from briarthread_entry.direct.running_watcher import RunningWatcher
 from briarthread_entry.direct.settings import DirectSettings
 from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
 from briarthread_entry.direct.slow_ranks import SlowRanks
 from briarthread_entry.direct.target_book import TargetBook
 
-REPORT_SECONDS = 0.1
-"""Shortest time between two reports of what runs: three requests come in a
-tenth of a second at the users' sites, so that the entries' counts are that far
-apart at most."""
-BLOCK_REPORT_SECONDS = 0.25
-"""The same for the sums of a block; each is read by the entries of all others."""
-
 
 class DirectEntry:
     """
@@ -85,13 +72,10 @@
         self.groups = GroupBoard()
         self.slow_ranks = SlowRanks(self.book, self.groups)
         self.gate = GroupGate(self.book, self.board, self.slow_ranks, rng)
-        self.reporter = ReportStream(self.gate.report, _same_running, REPORT_SECONDS)
-        self.block_reporter = ReportStream(
-            self._block_report, _same_running, BLOCK_REPORT_SECONDS
-        )
         self.watcher = RunningWatcher(
             settings.name, self.directory, self.board, peer_channel, rng
         )
+        self.teller = RunningTeller(self.gate.report, self.board, self.watcher)
         self.group_watcher = GroupWatcher(
             settings.data_centre, self.directory, self.groups, peer_channel, rng
         )
@@ -121,8 +105,7 @@
         self.peer_app = App(
             [
                 Route("POST", EXCHANGE_PATH, self.spreader.handle_exchange),
-                Route("GET", RUNNING_PATH, self.reporter.handle),
-                Route("GET", BLOCK_PATH, self.block_reporter.handle),
+                *self.teller.routes(),
                 *self.pages.routes(),
             ]
         )
@@ -147,8 +130,7 @@
         logger.info("entry: stopping")
         self.draining = True
         await anyio.sleep(self.settings.drain_notice)
-        self.reporter.close()
-        self.block_reporter.close()
+        self.teller.close()
 
     def ready(self) -> str:
         """Return why the entry is not ready, or nothing."""
@@ -160,11 +142,6 @@
             return "no targets known yet"
         return ""
 
-    def _block_report(self) -> RunningReport:
-        now = anyio.current_time()
-        others = self.board.reports(self.watcher.block(), now)
-        return sum_of([self.gate.report(), *others])
-
     async def _list_itself(self) -> None:
         await self.spreader.started.wait()
         row = Instance(
@@ -199,7 +176,3 @@
             },
             "ready": self.ready() or "yes",
         }
-
-
-def _same_running(sent: RunningReport, current: RunningReport) -> bool:
-    return sent.running == current.running
--- a/packages/entry/src/briarthread_entry/direct/report_blocks.py
+++ b/packages/entry/src/briarthread_entry/direct/report_blocks.py
@@ -1,38 +1,62 @@
-"""Which other entries each entry follows."""
+"""
+Which entries tell each other what they have running, and by way of whom.
+
+It answers deployments of dozens to hundreds of entries. Where everyone follows
+everyone, or one of each block, an entry holds as many streams as there are
+entries or blocks, and reading ever more of them took most of its processor time
+before 129 ranks. So beyond a few entries each block has a collector: it follows
+the entries of its block and the sums of the other collectors, and tells each of
+its own what all others have running. An entry then holds one stream and is
+asked for one, however many entries there are.
+"""
 
 import math
-from collections.abc import Collection
+from collections.abc import Mapping
 
-from briarthread_common.utils.hashing import stable_hash
+from briarthread_common.messages.instance import Instance
+from briarthread_common.utils.hashing import rendezvous_order, stable_hash
 
-LEAST_BLOCK = 12
-"""Entries up to which everyone follows everyone: the users' small sites have
-nine, and reports that take no detour are a tenth of a second fresher."""
+MESH = 12
+"""Entries up to which everyone follows everyone: reports that take no detour
+are a quarter of a second fresher, and a dozen streams cost little."""
+MOST_IN_BLOCK = 24
+"""Entries of one block at most: its collector reads some three lines a second
+from each and sends each four, which is a few hundredths of a core."""
 
 
-def blocks_of(names: Collection[str]) -> dict[int, tuple[str, ...]]:
+def blocks_of(entries: Mapping[str, Instance]) -> dict[str, tuple[str, ...]]:
     """
     Return the entries in blocks, alike in every process that knows the same.
 
-    Everyone follows the entries of its own block, and one of each other block
-    for the sum of that, so that the calls an entry holds grow with the root of
-    the number of entries. One that comes or goes moves no other, but where the
-    number of blocks changes.
-
-    >>> [len(block) for block in blocks_of([f"e{n}" for n in range(9)]).values()]
-    [9]
-    >>> blocks = blocks_of([f"e{n}" for n in range(490)])
-    >>> len(blocks), max(len(block) for block in blocks.values())
-    (22, 32)
+    The first of a block is its collector, the next takes its place. A block
+    lies within one data centre, so that one that is cut off counts on. Up to
+    ``MESH`` entries make one block without a collector.
+
+    >>> from briarthread_common.messages.instance import InstanceRole
+    >>> def row(number):
+    ...     centre = f"dc-{number % 8}"
+    ...     return Instance(f"e{number}", centre, "", InstanceRole.ENTRY)
+    >>> blocks = blocks_of({f"e{n}": row(n) for n in range(490)})
+    >>> len(blocks), max(len(block) for block in blocks.values()) < 40
+    (24, True)
     """
-    size = max(LEAST_BLOCK, math.ceil(math.sqrt(len(names))))
-    number = math.ceil(len(names) / size)
-    blocks: dict[int, list[str]] = {}
-    for name in sorted(names):
-        blocks.setdefault(stable_hash("block", name) % number, []).append(name)
-    return {index: tuple(blocks[index]) for index in sorted(blocks)}
-
-
-def block_of(name: str, blocks: dict[int, tuple[str, ...]]) -> int | None:
+    if len(entries) <= MESH:
+        return {"all": tuple(sorted(entries))}
+    centres: dict[str, list[str]] = {}
+    for name, row in entries.items():
+        centres.setdefault(row.data_centre, []).append(name)
+    blocks: dict[str, list[str]] = {}
+    for centre, names in centres.items():
+        number = math.ceil(len(names) / MOST_IN_BLOCK)
+        for name in names:
+            label = f"{centre}/{stable_hash('block', name) % number}"
+            blocks.setdefault(label, []).append(name)
+    return {
+        label: tuple(rendezvous_order("collector", blocks[label]))
+        for label in sorted(blocks)
+    }
+
+
+def block_of(name: str, blocks: Mapping[str, tuple[str, ...]]) -> str | None:
     """Return the block of an entry, ``None`` for one that is not listed."""
-    return next((index for index, block in blocks.items() if name in block), None)
+    return next((label for label, block in blocks.items() if name in block), None)
--- a/packages/entry/src/briarthread_entry/direct/running_board.py
+++ b/packages/entry/src/briarthread_entry/direct/running_board.py
@@ -16,7 +16,7 @@
 @dataclass(frozen=True, slots=True)
 class _Heard:
     report: RunningReport
-    at: float
+    until: float
 
 
 class RunningBoard:
@@ -36,10 +36,16 @@
         self.totals: Counter[str] = Counter()
         self.checked = float("-inf")
 
-    def put(self, entry: str, report: RunningReport, now: float) -> None:
-        """Take over a report of another entry."""
+    def put(
+        self,
+        entry: str,
+        report: RunningReport,
+        now: float,
+        kept: float = SILENCE_SECONDS,
+    ) -> None:
+        """Take over a report, which counts for ``kept`` seconds without a newer one."""
         self.drop(entry)
-        self.heard[entry] = _Heard(report, now)
+        self.heard[entry] = _Heard(report, now + kept)
         self.totals.update(report.running)
 
     def drop(self, entry: str) -> None:
@@ -58,6 +64,26 @@
         self._forget_stale(now)
         return self.totals[target]
 
+    def without(self, entry: str, own: RunningReport, now: float) -> RunningReport:
+        """
+        Return what all others than one entry have running, with ``own`` among them.
+
+        >>> board = RunningBoard()
+        >>> board.put("entry-2", RunningReport({"t-1": 3, "t-2": 1}), now=10.0)
+        >>> board.put("entry-3", RunningReport({"t-1": 2}), now=10.0)
+        >>> board.without("entry-2", RunningReport({"t-1": 1}), now=10.0).running
+        {'t-1': 3}
+        """
+        self._forget_stale(now)
+        heard = self.heard.get(entry)
+        running = self.totals.copy()
+        running.update(own.running)
+        if heard is not None:
+            running.subtract(heard.report.running)
+        services = {name for one in self.heard.values() for name in one.report.each}
+        each = {name: self.each(name, now) or 0.0 for name in services} | own.each
+        return RunningReport(dict(+running), each)
+
     def each(self, service: str, now: float) -> float | None:
         """Return what others see that a running request adds to a pass."""
         self._forget_stale(now)
@@ -74,5 +100,5 @@
             return
         self.checked = now
         for entry, heard in list(self.heard.items()):
-            if now - heard.at > SILENCE_SECONDS:
+            if now > heard.until:
                 self.drop(entry)
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/running_teller.py
@@ -0,0 +1,94 @@
+"""What an entry tells other entries of what is running."""
+
+from collections.abc import Callable
+
+import anyio
+
+from briarthread_common.http.app import Route
+from briarthread_common.http.call import Call
+from briarthread_common.http.report_stream import ReportStream
+from briarthread_common.messages.running_report import (
+    BLOCK_PATH,
+    OTHERS_PATH,
+    RUNNING_PATH,
+    RunningReport,
+    sum_of,
+)
+from briarthread_entry.direct.running_board import RunningBoard
+from briarthread_entry.direct.running_watcher import RunningWatcher
+
+REPORT_SECONDS = 0.1
+"""Shortest time between two reports of what runs: three requests come in a
+tenth of a second at the users' sites, so that the entries' counts are that far
+apart at most."""
+SUM_SECONDS = 0.25
+"""The same for sums over many entries, which change with every request of each:
+streams last some ten times as long."""
+COLLECT_SECONDS = 0.4
+"""How long one that is taken for a collector gathers reports before it tells a
+sum: calls to the entries of its block take some hundredths of a second."""
+
+
+class RunningTeller:
+    """
+    Answer those who follow what runs at this entry, its block or all entries.
+
+    ``own`` gives what this entry has running itself.
+    """
+
+    def __init__(
+        self,
+        own: Callable[[], RunningReport],
+        board: RunningBoard,
+        watcher: RunningWatcher,
+    ) -> None:
+        self.own = own
+        self.board = board
+        self.watcher = watcher
+        self.closed = anyio.Event()
+        self.reporter = ReportStream(own, _same, REPORT_SECONDS, self.closed)
+        self.block_reporter = ReportStream(self._block, _same, SUM_SECONDS, self.closed)
+
+    def routes(self) -> list[Route]:
+        """Return the routes of those who follow."""
+        return [
+            Route("GET", RUNNING_PATH, self.reporter.handle),
+            Route("GET", BLOCK_PATH, self._handle_block),
+            Route("GET", f"{OTHERS_PATH}/", self._handle_others),
+        ]
+
+    def close(self) -> None:
+        """End all streams, so that the server's stop need not wait for them."""
+        self.closed.set()
+
+    def _block(self) -> RunningReport:
+        now = anyio.current_time()
+        return sum_of([self.own(), *self.board.reports(self.watcher.members(), now)])
+
+    async def _handle_block(self, call: Call) -> None:
+        await self._collect_for(self.block_reporter, call)
+
+    async def _handle_others(self, call: Call) -> None:
+        reader = call.path.removeprefix(f"{OTHERS_PATH}/")
+
+        def others() -> RunningReport:
+            return self.board.without(reader, self.own(), anyio.current_time())
+
+        reporter = ReportStream(others, _same, SUM_SECONDS, self.closed)
+        await self._collect_for(reporter, call)
+
+    async def _collect_for(
+        self, reporter: ReportStream[RunningReport], call: Call
+    ) -> None:
+        ready = self.watcher.collects()
+        self.watcher.note_reader(1)
+        try:
+            if not ready:
+                await anyio.sleep(COLLECT_SECONDS)
+            await reporter.handle(call)
+        finally:
+            self.watcher.note_reader(-1)
+
+
+def _same(sent: RunningReport, current: RunningReport) -> bool:
+    return sent.running == current.running
--- a/packages/entry/src/briarthread_entry/direct/running_watcher.py
+++ b/packages/entry/src/briarthread_entry/direct/running_watcher.py
@@ -1,7 +1,6 @@
 """The tasks that follow what other entries have running."""
 
 import random
-from dataclasses import dataclass
 
 import anyio
 from anyio.abc import TaskGroup
@@ -9,42 +8,39 @@
 
 from briarthread_common.core.exceptions import ChannelError
 from briarthread_common.http.channel import Channel
-from briarthread_common.http.report_stream import follow_reports
+from briarthread_common.http.report_stream import SILENCE_SECONDS, follow_reports
 from briarthread_common.messages.instance import Instance, InstanceRole
-from briarthread_common.messages.running_report import (
-    BLOCK_PATH,
-    RUNNING_PATH,
-    RunningReport,
-)
+from briarthread_common.messages.running_report import RunningReport
 from briarthread_common.spread.directory import Directory
-from briarthread_entry.direct.report_blocks import block_of, blocks_of
+from briarthread_entry.direct.followed import (
+    BlockFollowed,
+    EntryFollowed,
+    Followed,
+    OthersFollowed,
+    label_of,
+    path_to,
+    whom_to_follow,
+)
+from briarthread_entry.direct.report_blocks import blocks_of
 from briarthread_entry.direct.running_board import RunningBoard
 
 REFRESH_SECONDS = 1.0
 """How often the list of entries is looked at for new ones."""
 RETRY_SECONDS = 1.0
-"""Mean pause before a lost entry is called again, or another of its block."""
-
-
-@dataclass(frozen=True, slots=True)
-class EntryFollowed:
-    """An entry of the own block."""
-
-    name: str
-
-
-@dataclass(frozen=True, slots=True)
-class BlockFollowed:
-    """Another block, by any one of its entries."""
-
-    index: int
-
-
-Followed = EntryFollowed | BlockFollowed
+"""Mean pause before a lost entry is called again."""
+NEXT_SECONDS = 0.1
+"""Mean pause before the next entry of a block is called in the place of its
+collector: until then nothing new is heard of any other entry."""
+PASSED_OVER_SECONDS = 5.0
+"""How long one that did not answer is passed over for the next of its block."""
+KEPT_SECONDS = 4.0
+"""How long the sum of many entries counts without a newer one: a lost collector
+is noticed and replaced in less, and without its word a loaded group would look
+empty meanwhile."""
 
 
 class RunningWatcher:
-    """Hold a stream of reports from each entry of the own block and each block."""
+    """Hold a stream of reports from each entry or block that is followed."""
 
     def __init__(
         self,
@@ -60,36 +56,44 @@
         self.channel = channel
         self.rng = rng
         self.followed: dict[Followed, anyio.CancelScope] = {}
+        self.readers = 0
+        self.lost: dict[str, float] = {}
+        self.asked = anyio.Event()
 
     async def run(self) -> None:
         """Follow the listed entries until cancelled."""
         async with anyio.create_task_group() as tasks:
             while True:
                 self._refresh(tasks)
-                await anyio.sleep(REFRESH_SECONDS)
+                with anyio.move_on_after(REFRESH_SECONDS):
+                    await self.asked.wait()
+                self.asked = anyio.Event()
 
-    def block(self) -> list[str]:
-        """Return the other entries of this entry's block."""
-        blocks = blocks_of(self._entries())
-        own = blocks.get(block_of(self.name, blocks), ())
-        return [name for name in own if name != self.name]
+    def note_reader(self, change: int) -> None:
+        """Record that one more, or one less, takes this entry for a collector."""
+        self.readers += change
+        if change > 0 and self.readers == 1:
+            self.asked.set()
+
+    def collects(self) -> bool:
+        """Tell whether this entry adds up what the others have running."""
+        return not any(isinstance(one, OthersFollowed) for one in self.followed)
+
+    def members(self) -> list[str]:
+        """Return the entries that are followed for what they have running."""
+        return [one.name for one in self.followed if isinstance(one, EntryFollowed)]
 
     def _entries(self) -> dict[str, Instance]:
         rows = self.directory.all()
         return {n: row for n, row in rows.items() if row.role is InstanceRole.ENTRY}
 
-    def _wanted(self) -> set[Followed]:
-        blocks = blocks_of(self._entries())
-        own = block_of(self.name, blocks)
-        wanted: set[Followed] = {EntryFollowed(name) for name in self.block()}
-        return wanted | {BlockFollowed(index) for index in blocks if index != own}
-
     def _refresh(self, tasks: TaskGroup) -> None:
-        wanted = self._wanted()
+        blocks = blocks_of(self._entries())
+        wanted = whom_to_follow(self.name, blocks, asked=self.readers > 0)
         for followed in list(self.followed):
             if followed not in wanted:
                 self.followed.pop(followed).cancel()
-                self.board.drop(_label(followed))
+                self.board.drop(label_of(followed))
         for followed in wanted:
             if followed not in self.followed:
                 scope = self.followed[followed] = anyio.CancelScope()
@@ -103,31 +107,41 @@
                 row = self._choose(followed)
                 if row is not None:
                     await self._follow_quietly(followed, row)
-                await anyio.sleep(RETRY_SECONDS * self.rng.uniform(0.5, 1.5))
+                pause = NEXT_SECONDS if self._sound(followed) else RETRY_SECONDS
+                await anyio.sleep(pause * self.rng.uniform(0.5, 1.5))
 
     def _choose(self, followed: Followed) -> Instance | None:
+        """Return the entry to call; of a block the first that did not fail lately."""
         entries = self._entries()
+        names = self._sound(followed) or self._candidates(followed)
+        return entries.get(names[0]) if names else None
+
+    def _candidates(self, followed: Followed) -> list[str]:
+        """Return the entries that can tell what is wanted, in the order of asking."""
         match followed:
             case EntryFollowed(name):
-                return entries.get(name)
-            case BlockFollowed(index):
-                block = blocks_of(entries).get(index, ())
-                return entries[self.rng.choice(block)] if block else None
+                return [name]
+            case BlockFollowed(label) | OthersFollowed(label):
+                block = blocks_of(self._entries()).get(label, ())
+                return [name for name in block if name != self.name]
+
+    def _sound(self, followed: Followed) -> list[str]:
+        now = anyio.current_time()
+        return [
+            name
+            for name in self._candidates(followed)
+            if self.lost.get(name, now) <= now
+        ]
 
     async def _follow_quietly(self, followed: Followed, row: Instance) -> None:
-        path = RUNNING_PATH if isinstance(followed, EntryFollowed) else BLOCK_PATH
+        path = path_to(followed, self.name)
+        alone = isinstance(followed, EntryFollowed)
+        kept = SILENCE_SECONDS if alone else KEPT_SECONDS
         reports = follow_reports(self.channel, row.address, path, RunningReport)
         try:
             async for report in reports:
-                self.board.put(_label(followed), report, anyio.current_time())
+                now = anyio.current_time()
+                self.board.put(label_of(followed), report, now, kept)
         except ChannelError as error:
-            logger.debug("running: {} lost: {}", row.name, error)
-
-
-def _label(followed: Followed) -> str:
-    """Return the name under which the board keeps what was heard."""
-    match followed:
-        case EntryFollowed(name):
-            return name
-        case BlockFollowed(index):
-            return f"block {index}"
+            self.lost[row.name] = anyio.current_time() + PASSED_OVER_SECONDS
+            logger.info("running: {} at {} lost: {}", followed, row.name, error)
--- a/tests/direct/test_running_reports.py
+++ b/tests/direct/test_running_reports.py
@@ -8,6 +8,7 @@
 from briarthread_entry.direct.running_board import RunningBoard
 from briarthread_standins.direct_world import DirectWorld
 
+CENTRES = ("palermo", "catania", "messina", "siracusa", "trapani")
 SIZE = {"x-token-count": "100,200"}
 
 
@@ -19,13 +20,14 @@
     return sum(s.running + entry.board.elsewhere(s.target.name, now) for s in states)
 
 
-@pytest.mark.parametrize("number", [3, 30])
-def test_every_entry_counts_the_streams_of_all(number: int) -> None:
+@pytest.mark.parametrize(("number", "centres"), [(3, 1), (30, 1), (99, 5)])
+def test_every_entry_counts_the_streams_of_all(number: int, centres: int) -> None:
     names = tuple(f"entry-{n}" for n in range(number))
 
     async def scenario(world: DirectWorld) -> None:
         for worker in world.workers.values():
             worker.event_pause, worker.pieces = 0.2, 30
+        await anyio.sleep(2)
         async with anyio.create_task_group() as tasks:
             for name in names[: number // 2]:
                 tasks.start_soon(world.ask, name, "/chat/1", SIZE)
@@ -35,17 +37,47 @@
         await anyio.sleep(2)
         assert {running_total(world, name) for name in names} == {0}
 
-    in_direct_world(scenario, entries=names)
+    in_direct_world(scenario, names, ranks=20, data_centres=CENTRES[:centres])
+
+
+def test_only_collectors_follow_more_than_one_however_many_entries_there_are() -> None:
+    names = tuple(f"entry-{n}" for n in range(99))
+
+    async def scenario(world: DirectWorld) -> None:
+        await anyio.sleep(2)
+        held = sorted(len(entry.watcher.followed) for entry in world.entries.values())
+        assert held[: 99 - len(CENTRES)] == [1] * (99 - len(CENTRES))
+        assert max(held) <= 24 + len(CENTRES)
+
+    in_direct_world(scenario, names, data_centres=CENTRES)
 
 
-def test_calls_that_an_entry_holds_grow_with_the_root_of_the_number() -> None:
+def test_streams_stay_counted_while_a_collector_is_replaced() -> None:
     names = tuple(f"entry-{n}" for n in range(30))
 
     async def scenario(world: DirectWorld) -> None:
-        held = [len(entry.watcher.followed) for entry in world.entries.values()]
-        assert max(held) <= 15
+        for worker in world.workers.values():
+            worker.event_pause, worker.pieces = 0.2, 100
+        await anyio.sleep(2)
+        collector = next(
+            name for name, one in world.entries.items() if len(one.watcher.followed) > 1
+        )
+        others = [name for name in names if name != collector]
+        async with anyio.create_task_group() as tasks:
+            for name in others[:12]:
+                tasks.start_soon(world.ask, name, "/chat/1", SIZE)
+            await anyio.sleep(1)
+            assert {running_total(world, name) for name in others} == {12}
+            world.kill_entry(collector)
+            short: set[str] = set()
+            for _ in range(30):
+                await anyio.sleep(0.1)
+                short |= {one for one in others if running_total(world, one) < 12}
+            assert {running_total(world, name) for name in others} == {12}
+            assert len(short) <= 1, "only the one that takes its place starts anew"
+            tasks.cancel_scope.cancel()
 
-    in_direct_world(scenario, entries=names)
+    in_direct_world(scenario, names, ranks=20, data_centres=CENTRES[:2])
 
 
 def test_board_adds_up_what_changes_and_forgets_who_falls_silent() -> None:
--- a/tests/direct_builders.py
+++ b/tests/direct_builders.py
@@ -85,8 +85,13 @@
     diaries: int = 3,
     ranks: int = 3,
     config: dict[str, object] | None = None,
+    data_centres: tuple[str, ...] = ("palermo",),
 ) -> None:
-    """Run a scenario in virtual time in a world that has come up."""
+    """
+    Run a scenario in virtual time in a world that has come up.
+
+    Entries are dealt out to the data centres in turn.
+    """
 
     async def run() -> None:
         async with anyio.create_task_group() as tasks:
@@ -96,8 +101,8 @@
                 world.add_worker(f"diary-{number}", DIARY)
             for number in range(ranks):
                 world.add_worker(f"rank-{number}", MODEL)
-            for name in entries:
-                world.add_entry(name)
+            for number, name in enumerate(entries):
+                world.add_entry(name, data_centres[number % len(data_centres)])
             await anyio.sleep(START_SECONDS)
             await scenario(world)
             tasks.cancel_scope.cancel()
