Call the agents of a large group by way of some of them

A look asked 129 agents one by one, a quarter of a second of the planner's processor and 90 KB; the first map of a forming went out whole, some 25 KB to each agent, near ten seconds over 3 Mbit/s, while the staging gives up after four. And each agent read its counts twice over.

Ruled out: a planner a set (129 agents still get every part); planning on entries (an order from another machine is priced).

Change: calls to more than 24 agents go in bundles of the root of their number, by way of one agent of each; one that does not pass them on is passed over, and its bundle called directly. The map that deals experts out in turn is not sent: differences against it suffice, since everyone can work it out. They are written as arrays. Counts of over 1,000 numbers are told in units. follow_counts is started once.

--- a/packages/agent/src/briarthread_agent/ranks/demand_watch.py
+++ b/packages/agent/src/briarthread_agent/ranks/demand_watch.py
@@ -4,6 +4,8 @@
 from briarthread_agent.ranks.rank_demand import HALF_LIFE
 from briarthread_common.direct.expert_figures import ExpertFigures
 
+FORGOTTEN_SECONDS = 6 * HALF_LIFE
+"""Age past which what a rank said counts for next to nothing."""
 LEAST_PASSES = 2
 """Passes between two looks under which their length says nothing."""
 
@@ -18,7 +20,7 @@
 
     def __init__(self, figures: ExpertFigures) -> None:
         self.figures = figures
-        self.said: dict[int, tuple[float, list[int]]] = {}
+        self.said: dict[int, tuple[float, list[float]]] = {}
         self.last: tuple[int, int, float] | None = None
 
     def observe(self, view: GroupView, now: float) -> float | None:
@@ -31,7 +33,9 @@
         size = self.figures.sets * self.figures.experts
         for member in view.members:
             if len(member.answer.counts) == size:
-                self.said[member.state.rank] = (now, member.answer.counts)
+                unit = member.answer.count_unit
+                counts = [count * unit for count in member.answer.counts]
+                self.said[member.state.rank] = (now, counts)
         last, self.last = self.last, (view.epoch, view.step, now)
         if last is None or last[0] != view.epoch:
             return None
@@ -42,7 +46,10 @@
         """Return how much each expert of each set is in demand."""
         experts = self.figures.experts
         flat = [0.0] * (self.figures.sets * experts)
+        newest = max((at for at, _ in self.said.values()), default=now)
         for at, counts in self.said.values():
+            if newest - at > FORGOTTEN_SECONDS:
+                continue
             weight = 0.5 ** ((now - at) / HALF_LIFE)
             for number, count in enumerate(counts):
                 flat[number] += count * weight
--- a/packages/agent/src/briarthread_agent/ranks/direct_agent.py
+++ b/packages/agent/src/briarthread_agent/ranks/direct_agent.py
@@ -85,6 +85,7 @@
             [
                 Route("POST", EXCHANGE_PATH, self.spreader.handle_exchange),
                 *self.keeper.routes(),
+                *self.peers.calls.routes(),
                 *pages.routes(),
             ]
         )
@@ -115,7 +116,6 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(list_itself, row, self.directory, self.store)
             tasks.start_soon(self.keeper.follow_counts)
-            tasks.start_soon(self.keeper.follow_counts)
             tasks.start_soon(self.finisher.run)
             tasks.start_soon(self.planner.run)
 
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/ranks/group_calls.py
@@ -0,0 +1,154 @@
+"""
+Calls to all agents of a group, by way of some of them.
+
+It answers groups of dozens to hundreds of ranks. A planner that calls each agent
+itself is kept busy by nothing else, and the link of its instance fills: before
+129 ranks one look took a quarter of a second of its processor and 90 KB. So the
+agents are taken in bundles, and one agent of each calls the others of its bundle
+and joins their answers. An agent that does not do that is passed over for a
+while, and those of its bundle are called directly.
+"""
+
+import math
+from collections.abc import Mapping
+from typing import TypeVar
+
+import anyio
+import msgspec
+from loguru import logger
+
+from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.core.exceptions import ChannelError, RequestError
+from briarthread_common.http.app import Route
+from briarthread_common.http.call import Call
+from briarthread_common.http.call_many import call_many
+from briarthread_common.http.channel import Channel
+from briarthread_common.http.channel_calls import call_json
+from briarthread_common.messages.rank_messages import (
+    RANK_PATHS,
+    RELAY_PATH,
+    RelayAnswer,
+    RelayedMessage,
+    RelayRequest,
+)
+
+T = TypeVar("T")
+MOST_DIRECT = 24
+"""Agents up to which each is called directly: so many calls take some hundredths
+of a second, and a detour would cost as much."""
+LEAST_BUNDLE = 3
+"""Agents under which a bundle is called directly."""
+INNER_SHARE = 0.6
+"""Part of the time for a call that those who are called by way of another have."""
+PASSED_OVER_SECONDS = 5.0
+"""How long an agent that did not pass calls on is passed over."""
+MAX_BODY = 4 * 1024 * 1024
+"""Largest message that is passed on; a whole map of 129 ranks takes some 30 KB."""
+
+
+class GroupCalls:
+    """Call the agents of one group and pass on the calls of others."""
+
+    def __init__(self, channel: Channel) -> None:
+        self.channel = channel
+        self.passed_over: dict[str, float] = {}
+
+    def routes(self) -> list[Route]:
+        """Return the routes of those who have calls passed on."""
+        return [Route("POST", RELAY_PATH, self._handle_relay)]
+
+    async def call(
+        self,
+        path: str,
+        messages: Mapping[str, object],
+        answer: type[T],
+        seconds: float,
+    ) -> dict[str, T]:
+        """Send each address its message; return the answers that came."""
+        if len(messages) <= MOST_DIRECT:
+            return await call_many(self.channel, path, messages, answer, seconds)
+        answers: dict[str, T] = {}
+
+        async def call_bundle(bundle: list[str]) -> None:
+            part = {address: messages[address] for address in bundle}
+            answers.update(await self._call_bundle(path, part, answer, seconds))
+
+        async with anyio.create_task_group() as tasks:
+            for bundle in bundles_of(messages):
+                tasks.start_soon(call_bundle, bundle)
+        return answers
+
+    async def _call_bundle(
+        self, path: str, messages: dict[str, object], answer: type[T], seconds: float
+    ) -> dict[str, T]:
+        head = self._head(list(messages))
+        if head is not None:
+            try:
+                return await self._relay(head, path, messages, answer, seconds)
+            except ChannelError as error:
+                logger.info("rank: {} does not pass calls on: {}", head, error)
+                self.passed_over[head] = anyio.current_time() + PASSED_OVER_SECONDS
+        return await call_many(self.channel, path, messages, answer, seconds)
+
+    def _head(self, bundle: list[str]) -> str | None:
+        """Return the agent that is to call the others of a bundle, if any."""
+        now = anyio.current_time()
+        sound = [a for a in bundle if self.passed_over.get(a, now) <= now]
+        return sound[0] if sound and len(bundle) >= LEAST_BUNDLE else None
+
+    async def _relay(
+        self,
+        head: str,
+        path: str,
+        messages: dict[str, object],
+        answer: type[T],
+        seconds: float,
+    ) -> dict[str, T]:
+        relayed = RelayRequest(path, _joined(messages), seconds * INNER_SHARE)
+        found = await call_json(
+            self.channel, head, "POST", RELAY_PATH, relayed, RelayAnswer, seconds
+        )
+        answers: dict[str, T] = {}
+        for address in messages.keys() & found.answers.keys():
+            try:
+                answers[address] = msgspec.json.decode(
+                    found.answers[address], type=answer
+                )
+            except msgspec.MsgspecError as error:
+                logger.info("rank: broken answer of {}: {}", address, error)
+        return answers
+
+    async def _handle_relay(self, call: Call) -> None:
+        asked = await call.read_json(RelayRequest, MAX_BODY)
+        if asked.path not in RANK_PATHS:
+            raise RequestError(ErrorKind.BAD_REQUEST, f"{asked.path} is not passed on")
+        messages = {
+            address: one.message for one in asked.messages for address in one.addresses
+        }
+        answers = await call_many(
+            self.channel, asked.path, messages, msgspec.Raw, asked.seconds
+        )
+        await call.reply_json(RelayAnswer(answers))
+
+
+def bundles_of(addresses: Mapping[str, object]) -> list[list[str]]:
+    """
+    Return addresses in about as many bundles as each has members.
+
+    >>> [len(bundle) for bundle in bundles_of({f"a{n:03}": 0 for n in range(129)})]
+    [12, 12, 12, 12, 12, 12, 12, 12, 12, 12, 9]
+    """
+    ordered = sorted(addresses)
+    size = math.ceil(math.sqrt(len(ordered)))
+    return [ordered[start : start + size] for start in range(0, len(ordered), size)]
+
+
+def _joined(messages: dict[str, object]) -> list[RelayedMessage]:
+    """Return messages with all addresses that get the same one."""
+    by_identity: dict[int, tuple[object, list[str]]] = {}
+    for address, message in messages.items():
+        by_identity.setdefault(id(message), (message, []))[1].append(address)
+    return [
+        RelayedMessage(addresses, msgspec.Raw(msgspec.json.encode(message)))
+        for message, addresses in by_identity.values()
+    ]
--- a/packages/agent/src/briarthread_agent/ranks/map_change.py
+++ b/packages/agent/src/briarthread_agent/ranks/map_change.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass
 
 from briarthread_common.direct.rank_client import Layers
-from briarthread_common.messages.rank_messages import RankExperts
+from briarthread_common.messages.expert_map import NO_MAP, even_map
+from briarthread_common.messages.rank_messages import DealtMap, RankExperts
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +24,13 @@
     base: int
     base_layers: Layers
 
+    def dealt(self) -> DealtMap | None:
+        """Describe the map in force if it deals experts out to ranks in turn."""
+        ranks = len(self.base_layers[0])
+        experts = len({expert for rank in self.base_layers[0] for expert in rank})
+        found = DealtMap(len(self.base_layers), experts, ranks)
+        return found if dealt_layers(found) == self.base_layers else None
+
     def differences(self) -> list[RankExperts]:
         """Return what each rank holds otherwise than before."""
         return [
@@ -35,6 +43,16 @@
         ]
 
 
+def dealt_layers(dealt: DealtMap) -> Layers:
+    """
+    Return the layers of a map that deals experts out to ranks in turn.
+
+    >>> dealt_layers(DealtMap(sets=1, experts=5, ranks=2))
+    [[[0, 2, 4], [1, 3]]]
+    """
+    return even_map(NO_MAP, dealt.sets, dealt.experts, dealt.ranks).layers
+
+
 def apply_differences(base: Layers, differences: list[RankExperts]) -> Layers:
     """Return the layers of a map from those that it changes."""
     layers = [[list(experts) for experts in layer] for layer in base]
--- a/packages/agent/src/briarthread_agent/ranks/map_stager.py
+++ b/packages/agent/src/briarthread_agent/ranks/map_stager.py
@@ -6,7 +6,7 @@
 
 from briarthread_agent.ranks.group_view import GroupView
 from briarthread_agent.ranks.map_change import MapChange
-from briarthread_agent.ranks.rank_peers import RankPeers
+from briarthread_agent.ranks.rank_peers import CALL_SECONDS, RankPeers
 from briarthread_common.messages.rank_messages import (
     STAGE_PATH,
     OrderAnswer,
@@ -21,8 +21,12 @@
 """Agents that are sent a whole map at a time: some 120 KB for a group of 63."""
 LOOK_SECONDS = 0.08
 """Pause between two looks at the ranks while they load."""
-LOOK_RANK_SECONDS = 0.003
+LOOK_RANK_SECONDS = 0.0015
 """The same for each rank, so that looks at a large group leave its link free."""
+ORDER_RANK_SECONDS = 0.015
+"""Time for the orders of one round, for each rank: before 129 ranks the changes of
+a map come to some 15 KB, which are sent to a dozen agents and by these to a dozen
+each, over links of 3 Mbit/s."""
 
 
 class MapStager:
@@ -39,7 +43,12 @@
         self.whole: set[str] = set()
         self.tries: Counter[str] = Counter()
         self.brief = StageRequest(
-            fence, view.epoch, change.version, change.base, change.differences()
+            fence,
+            view.epoch,
+            change.version,
+            change.base,
+            change.differences(),
+            dealt=change.dealt(),
         )
         self.full = StageRequest(
             fence, view.epoch, change.version, change.base, layers=change.layers
@@ -70,7 +79,8 @@
         if not messages:
             return
         self.tries.update(messages.keys())
-        answers = await self.peers.call(STAGE_PATH, messages, OrderAnswer)
+        seconds = max(CALL_SECONDS, len(messages) * ORDER_RANK_SECONDS)
+        answers = await self.peers.call(STAGE_PATH, messages, OrderAnswer, seconds)
         for address, answer in answers.items():
             if answer.taken:
                 self.missing.discard(address)
--- a/packages/agent/src/briarthread_agent/ranks/rank_demand.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_demand.py
@@ -9,6 +9,11 @@
 """How often choices are halved at most while the rank makes no new ones: what
 was liked before an outage is the best guess of what is liked after it, and a
 rank without requests must not outweigh those that have some."""
+EXACT_NUMBERS = 1000
+"""Numbers up to which counts are told as they are, in some 4 KB."""
+MEAN_COUNT = 8
+"""Mean of the counts that are told of more numbers, so that each takes two bytes;
+experts in demand, with many times the mean, are still told within some hundredths."""
 
 
 class RankDemand:
@@ -58,6 +63,14 @@
         self.idle_seconds += counted
         self.popularity.updated = now - counted
 
+    def unit(self) -> float:
+        """Return how many choices one of the recent counts stands for."""
+        counts = self.popularity.counts[0]
+        if len(counts) <= EXACT_NUMBERS:
+            return 1.0
+        return max(sum(counts) / (MEAN_COUNT * len(counts)), 1.0)
+
     def recent(self) -> list[int]:
-        """Return how often each expert was chosen of late, set by set."""
-        return [round(count) for count in self.popularity.counts[0]]
+        """Return how often each expert was chosen of late, set by set, in units."""
+        unit = self.unit()
+        return [round(count / unit) for count in self.popularity.counts[0]]
--- a/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from briarthread_agent.ranks.held_pass import HeldPass
-from briarthread_agent.ranks.map_change import apply_differences
+from briarthread_agent.ranks.map_change import apply_differences, dealt_layers
 from briarthread_agent.ranks.rank_demand import RankDemand
 from briarthread_common.core.exceptions import RankError
 from briarthread_common.direct.rank_client import Layers, RankClient
@@ -103,7 +103,8 @@
             logger.debug("rank: {}", error)
             return RankAnswer(True)
         silence = min(anyio.current_time() - self.planner_heard, LONG_SILENCE)
-        return RankAnswer(True, state, counts, experts, silence)
+        unit = self.demand.unit() if counts else 1.0
+        return RankAnswer(True, state, counts, experts, silence, unit)
 
     async def stage(self, asked: StageRequest) -> OrderAnswer:
         """Have the rank load what it lacks for a map."""
@@ -111,6 +112,8 @@
             return OrderAnswer(False)
         self.newest_version = max(self.newest_version, asked.version)
         base = self.maps.get((asked.epoch, asked.base))
+        if base is None and asked.dealt is not None:
+            base = dealt_layers(asked.dealt)
         layers = asked.layers
         if not layers and base is not None:
             layers = apply_differences(base, asked.differences)
--- a/packages/agent/src/briarthread_agent/ranks/rank_peers.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_peers.py
@@ -7,12 +7,12 @@
 import anyio
 from loguru import logger
 
+from briarthread_agent.ranks.group_calls import GroupCalls
 from briarthread_agent.ranks.group_view import GroupView, build_view
 from briarthread_common.core.exceptions import DecodeError, RankError
 from briarthread_common.direct.platform_adapter import PlatformAdapter
 from briarthread_common.direct.rank_client import RankClient
 from briarthread_common.feeds.feed import Feed
-from briarthread_common.http.call_many import call_many
 from briarthread_common.http.channel import Channel
 from briarthread_common.messages.instance import Instance, InstanceRole
 from briarthread_common.messages.rank_messages import (
@@ -46,6 +46,7 @@
         self.targets = targets
         self.adapter = adapter
         self.channel = channel
+        self.calls = GroupCalls(channel)
 
     def agents(self) -> dict[str, Instance]:
         """Return the listed agents of the service by name."""
@@ -63,7 +64,7 @@
         seconds: float = CALL_SECONDS,
     ) -> dict[str, T]:
         """Send each address its message; return the answers that came."""
-        return await call_many(self.channel, path, messages, answer, seconds)
+        return await self.calls.call(path, messages, answer, seconds)
 
     async def ask(
         self, address: str, path: str, message: object, answer: type[T]
--- a/packages/agent/src/briarthread_agent/ranks/rank_planner.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_planner.py
@@ -26,6 +26,8 @@
 LOOK_SECONDS = 0.35
 """Pause between two looks at a busy group: a few passes, in which some ten
 thousand choices of experts are counted."""
+LOOK_RANK_SECONDS = 0.006
+"""The same for each rank, so that looks at a large group leave its link free."""
 IDLE_SECONDS = 1.0
 """The same while the group makes no passes."""
 BROKEN_SECONDS = 0.2
@@ -99,8 +101,9 @@
             if not self._is_own_change(view):
                 await self.finisher.finish(group)
             return SETTLING_SECONDS
+        pause = max(LOOK_SECONDS, len(view.members) * LOOK_RANK_SECONDS)
         if not await self._know_map(group, service, view, fence):
-            return LOOK_SECONDS
+            return pause
         passes = self.watch.observe(view, anyio.current_time())
         if self.opens:
             self.opens, passes = False, FULL_PASS
@@ -115,7 +118,7 @@
                 f"{passes * 1000:.0f} ms a pass",
             )
             await self._place(view, fence, layers, passes)
-        return LOOK_SECONDS
+        return pause
 
     def _is_own_change(self, view: GroupView) -> bool:
         """Tell whether all that is unsettled is the change made last."""
@@ -128,15 +131,23 @@
         )
 
     def _counted(self, service: DirectService) -> list[str]:
-        """Return the agents that are asked for counts at this look, in turn."""
+        """
+        Return the agents that are asked for counts at this look, in turn.
+
+        Those asked at one look lie far apart in the list, so that no agent has
+        the counts of several to pass on.
+        """
         figures = service.experts
         addresses = sorted(self.peers.addresses())
         most = max(COUNTED_NUMBERS // (figures.sets * figures.experts), LEAST_COUNTED)
         if len(addresses) <= most:
             return addresses
-        first = self.counted_from % len(addresses)
-        self.counted_from = first + most
-        return [*addresses[first:], *addresses[:first]][:most]
+        stride = len(addresses) // most
+        self.counted_from += 1
+        return [
+            addresses[(self.counted_from + number * stride) % len(addresses)]
+            for number in range(most)
+        ]
 
     def _note_slow(self, group: str, view: GroupView) -> None:
         slow = view.slow()
--- a/packages/common/src/briarthread_common/messages/rank_messages.py
+++ b/packages/common/src/briarthread_common/messages/rank_messages.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
+
 from briarthread_common.direct.rank_client import Layers
 from briarthread_common.direct.rank_state import RankState
 
@@ -10,6 +12,9 @@
 ACCEPT_PATH = "/peer/v1/rank/accept"
 ARM_PATH = "/peer/v1/rank/arm"
 GO_PATH = "/peer/v1/rank/go"
+RELAY_PATH = "/peer/v1/rank/relay"
+RANK_PATHS = (QUERY_PATH, STAGE_PATH, ACCEPT_PATH, ARM_PATH, GO_PATH)
+"""The calls that an agent passes on to others of its group."""
 NO_FENCE = 0
 """The number of a question that is no planner's."""
 LONG_SILENCE = 3600.0
@@ -38,7 +43,8 @@
     """
     Give a rank's state; ``accepted`` is off for an outdated planner.
 
-    ``counts`` tells how often each expert was chosen of late, set by set;
+    ``counts`` tells how often each expert was chosen of late, set by set, in
+    units of ``count_unit`` choices;
     ``experts`` which the rank holds, by set; ``planner_silence`` for how many
     seconds the agent has heard no planner.
     """
@@ -48,11 +54,25 @@
     counts: list[int] = field(default_factory=list)
     experts: list[list[int]] = field(default_factory=list)
     planner_silence: float = LONG_SILENCE
+    count_unit: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
-class RankExperts:
-    """The experts that one rank holds of the set with a number."""
+class DealtMap:
+    """Describe a map that deals the experts of each set out to ranks in turn."""
+
+    sets: int
+    experts: int
+    ranks: int
+
+
+class RankExperts(msgspec.Struct, frozen=True, array_like=True):
+    """
+    The experts that one rank holds of the set with a number.
+
+    A change of a large group's map has hundreds of these and goes to every
+    rank, so they are written as arrays, in a third of the bytes.
+    """
 
     number: int
     rank: int
@@ -66,7 +86,9 @@
 
     The map is that of version ``base`` with some differences, or where the
     agent lacks that one, the whole of ``layers``: a whole map of a large group
-    would fill the link of the planner's instance.
+    would fill the link of the planner's instance. ``dealt`` tells how many
+    experts a set has where the base deals them out to the ranks in turn, so
+    that everyone can work it out.
     """
 
     fence: int
@@ -75,6 +97,7 @@
     base: int
     differences: list[RankExperts] = field(default_factory=list)
     layers: Layers = field(default_factory=list)
+    dealt: DealtMap | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,3 +143,31 @@
     taken: bool
     state: RankState | None = None
     lacks_base: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedMessage:
+    """One message, and the addresses of the agents that it is for."""
+
+    addresses: list[str]
+    message: msgspec.Raw
+
+
+@dataclass(frozen=True, slots=True)
+class RelayRequest:
+    """
+    Have an agent call others with a message each and join their answers.
+
+    ``seconds`` is how long it may wait for them.
+    """
+
+    path: str
+    messages: list[RelayedMessage]
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class RelayAnswer:
+    """The answers that came, by the address of the agent that gave them."""
+
+    answers: dict[str, msgspec.Raw]
--- a/tests/ranks/test_map_stager.py
+++ b/tests/ranks/test_map_stager.py
@@ -36,7 +36,9 @@
         self.views += 1
         return self.build(ADDRESSES[:1] if self.views == 1 else ADDRESSES)
 
-    async def call(self, path: str, messages: dict, answer: type) -> dict:
+    async def call(
+        self, path: str, messages: dict, answer: type, seconds: float
+    ) -> dict:
         """Lose the first order to the second agent."""
         self.orders += 1
         reached = [a for a in messages if a == ADDRESSES[0] or self.orders > 1]
