Fill an entry's own slots of the ranks first

Cause: entries that choose the least loaded rank all choose the same ones, since what they know of each other is 0.1 to 0.4 s old. The group waits for its fullest rank.

Change: the slots of a group's ranks are dealt out to the entries of their data centre; an entry fills its own first, then others by chance, the likelier the more is free.

--- a/packages/entry/src/briarthread_entry/direct/choose_target.py
+++ b/packages/entry/src/briarthread_entry/direct/choose_target.py
@@ -8,7 +8,7 @@
 """
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from briarthread_entry.direct.target_state import DirectTargetState
 
@@ -40,19 +40,33 @@
 def choose_rank(
     states: Sequence[DirectTargetState],
     elsewhere: Elsewhere,
+    home: Mapping[str, int],
     now: float,
     rng: random.Random,
 ) -> DirectTargetState | None:
-    """Return the rank with the least running, by chance among equals."""
+    """
+    Return the rank that a request goes to.
+
+    ``home`` gives the slots that are this entry's own, see HomeSlots. One of
+    those is taken where one is free; else a rank by chance, the likelier the more
+    slots it has free, since others choose at the same time and know no more; and
+    where all are full the one with the least running.
+    """
     usable = usable_first(states, now)
     if not usable:
         return None
-    keys = [
-        (state.running + elsewhere(state.target.name), state.prompt_tokens)
-        for state in usable
-    ]
+    running = {s.target.name: s.running + elsewhere(s.target.name) for s in usable}
+    free = [s for s in usable if running[s.target.name] < s.target.slots]
+    own = [s for s in free if s.running < home.get(s.target.name, 0)]
+    if free and not own:
+        weights = [(s.target.slots - running[s.target.name]) ** 2 for s in free]
+        return rng.choices(free, weights)[0]
+    candidates = own or usable
+    keys = [(running[s.target.name], s.prompt_tokens) for s in candidates]
     least = min(keys)
-    return rng.choice([s for s, key in zip(usable, keys, strict=True) if key == least])
+    return rng.choice(
+        [s for s, key in zip(candidates, keys, strict=True) if key == least]
+    )
 
 
 def choose_plain(
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -25,6 +25,7 @@
 from briarthread_entry.direct.group_board import GroupBoard
 from briarthread_entry.direct.group_gate import GroupGate
 from briarthread_entry.direct.group_watcher import GroupWatcher
+from briarthread_entry.direct.home_slots import HomeSlots
 from briarthread_entry.direct.read_request import RequestReader
 from briarthread_entry.direct.request_handler import RequestHandler
 from briarthread_entry.direct.request_runner import RequestRunner
@@ -88,6 +89,7 @@
             self.board,
             self.gate,
             self.slow_ranks,
+            HomeSlots(settings.name, self.directory),
             self.metrics,
             self.events,
             rng,
--- a/packages/entry/src/briarthread_entry/direct/group_board.py
+++ b/packages/entry/src/briarthread_entry/direct/group_board.py
@@ -48,6 +48,11 @@
         host = address.rpartition(":")[0]
         return 1.0 if report is None else report.slow.get(host, 1.0)
 
+    def any_slow(self, service: str, now: float) -> bool:
+        """Tell whether some rank of a service takes longer than usual."""
+        report = self._fresh(service, now)
+        return report is not None and bool(report.slow)
+
     def serving(self, service: str, now: float) -> bool | None:
         """Tell whether a group serves, ``None`` where no agent says so."""
         report = self._fresh(service, now)
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -24,6 +24,7 @@
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.final_error import final_error, repeat_reason
 from briarthread_entry.direct.group_gate import GroupGate
+from briarthread_entry.direct.home_slots import HomeSlots
 from briarthread_entry.direct.running_board import RunningBoard
 from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
 from briarthread_entry.direct.slow_ranks import SlowRanks
@@ -52,6 +53,7 @@
         board: RunningBoard,
         gate: GroupGate,
         slow_ranks: SlowRanks,
+        home: HomeSlots,
         metrics: Metrics,
         events: EventLog,
         rng: random.Random,
@@ -63,6 +65,7 @@
         self.board = board
         self.gate = gate
         self.slow_ranks = slow_ranks
+        self.home = home
         self.metrics = metrics
         self.notes = AttemptNotes(gate, events)
         self.rng = rng
@@ -131,7 +134,9 @@
 
         if request.service.engine is not None:
             ranks = untried(self.slow_ranks.usable(service, now))
-            return choose_rank(ranks, elsewhere, now, self.rng)
+            listed = self.book.of_service(service, now)
+            home = self.home.of(service, [state.target for state in listed])
+            return choose_rank(ranks, elsewhere, home, now, self.rng)
         fresh = untried(self.book.of_service(service, now))
         return choose_plain(fresh, elsewhere, self.data_centre, now, self.rng)
 
--- a/packages/entry/src/briarthread_entry/direct/slow_ranks.py
+++ b/packages/entry/src/briarthread_entry/direct/slow_ranks.py
@@ -34,8 +34,11 @@
 
     def usable(self, service: str, now: float) -> list[DirectTargetState]:
         """Return the ranks of a service that new requests may go to."""
+        states = self.book.of_service(service, now)
+        if not self.groups.any_slow(service, now):
+            return states
         return without_slow(
-            self.book.of_service(service, now),
+            states,
             lambda address: self.groups.slowdown(service, address, now),
         )
 
