Compress large messages between our own processes

Cause: instances of targets have links of 3 to 10 Mbit/s, which carry their targets' streams too. A configuration with a thousand routes, counts of 4,128 numbers and the changes of a map of 129 ranks each take tenths of a second of them.

Engines, the platform and callers get what they got before. A body that is broken or grows past its limit is refused.

--- a/packages/agent/src/briarthread_agent/ranks/group_calls.py
+++ b/packages/agent/src/briarthread_agent/ranks/group_calls.py
@@ -66,7 +66,9 @@
     ) -> dict[str, T]:
         """Send each address its message; return the answers that came."""
         if len(messages) <= MOST_DIRECT:
-            return await call_many(self.channel, path, messages, answer, seconds)
+            return await call_many(
+                self.channel, path, messages, answer, seconds, packed=True
+            )
         answers: dict[str, T] = {}
 
         async def call_bundle(bundle: list[str]) -> None:
@@ -88,7 +90,9 @@
             except ChannelError as error:
                 logger.info("rank: {} does not pass calls on: {}", head, error)
                 self.passed_over[head] = anyio.current_time() + PASSED_OVER_SECONDS
-        return await call_many(self.channel, path, messages, answer, seconds)
+        return await call_many(
+            self.channel, path, messages, answer, seconds, packed=True
+        )
 
     def _head(self, bundle: list[str]) -> str | None:
         """Return the agent that is to call the others of a bundle, if any."""
@@ -106,7 +110,14 @@
     ) -> dict[str, T]:
         relayed = RelayRequest(path, _joined(messages), seconds * INNER_SHARE)
         found = await call_json(
-            self.channel, head, "POST", RELAY_PATH, relayed, RelayAnswer, seconds
+            self.channel,
+            head,
+            "POST",
+            RELAY_PATH,
+            relayed,
+            RelayAnswer,
+            seconds,
+            packed=True,
         )
         answers: dict[str, T] = {}
         for address in messages.keys() & found.answers.keys():
@@ -126,7 +137,12 @@
             address: one.message for one in asked.messages for address in one.addresses
         }
         answers = await call_many(
-            self.channel, asked.path, messages, msgspec.Raw, asked.seconds
+            self.channel,
+            asked.path,
+            messages,
+            msgspec.Raw,
+            asked.seconds,
+            packed=True,
         )
         await call.reply_json(RelayAnswer(answers))
 
--- a/packages/common/src/briarthread_common/http/call.py
+++ b/packages/common/src/briarthread_common/http/call.py
@@ -8,6 +8,7 @@
 
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.exceptions import RequestError
+from briarthread_common.http.packed import ENCODING, PACKED_HEADER, pack, unpack
 from briarthread_common.http.problem import problem_body, problem_headers
 
 T = TypeVar("T")
@@ -79,6 +80,9 @@
             raise RequestError(ErrorKind.BAD_REQUEST, "body has two lengths")
         return found
 
+    def _says(self, name: bytes, value: str) -> bool:
+        return (name, value.encode()) in self.scope["headers"]
+
     async def read_body(self, limit: int) -> bytes:
         """Return the whole body; raise RequestError past ``limit`` bytes."""
         parts: list[bytes] = []
@@ -100,6 +104,8 @@
     async def read_json(self, message_type: type[T], limit: int) -> T:
         """Return the body as a typed message; raise RequestError otherwise."""
         raw = await self.read_body(limit)
+        if self._says(b"content-encoding", ENCODING):
+            raw = unpack(raw, limit)
         try:
             return msgspec.json.decode(raw, type=message_type)
         except msgspec.MsgspecError as error:
@@ -125,9 +131,14 @@
             self.finished = True
 
     async def reply_json(self, message: object, status: int = 200) -> None:
-        """Send a message as JSON."""
+        """Send a message as JSON, compressed for a caller that takes that."""
         body = msgspec.json.encode(message)
-        await self.reply(status, body, [("content-type", "application/json")])
+        fields = [("content-type", "application/json")]
+        takes = self._says(b"accept-encoding", ENCODING)
+        packed = pack(body) if takes else None
+        if packed is not None:
+            body, fields = packed, [*fields, PACKED_HEADER]
+        await self.reply(status, body, fields)
 
     async def reply_error(
         self, error: RequestError, status: int, headers: Headers = ()
--- a/packages/common/src/briarthread_common/http/channel_calls.py
+++ b/packages/common/src/briarthread_common/http/channel_calls.py
@@ -6,8 +6,15 @@
 import anyio
 import msgspec
 
-from briarthread_common.core.exceptions import BrokenCallError
+from briarthread_common.core.exceptions import BrokenCallError, RequestError
 from briarthread_common.http.channel import Channel, ChannelRequest
+from briarthread_common.http.packed import (
+    ACCEPTS_HEADER,
+    ENCODING,
+    PACKED_HEADER,
+    pack,
+    unpack,
+)
 
 T = TypeVar("T")
 JSON_HEADERS = (("content-type", "application/json"),)
@@ -35,15 +42,16 @@
     message: object,
     answer_type: type[T],
     timeout: float,
+    packed: bool = False,
 ) -> T:
     """
     Send a message as JSON and return the typed answer.
 
     Raise ChannelError when the call fails, takes longer than ``timeout``
-    seconds or is answered with anything but the expected JSON.
+    seconds or is answered with anything but the expected JSON. Between our own
+    processes large bodies are ``packed``.
     """
-    body = b"" if message is None else msgspec.json.encode(message)
-    request = ChannelRequest(method, address, path, JSON_HEADERS, body)
+    request = _json_request(address, method, path, message, packed)
     try:
         with anyio.fail_after(timeout):
             async with channel.stream(request) as response:
@@ -53,6 +61,21 @@
     if response.status != 200:
         raise BrokenCallError(f"{address} answered {response.status} to {path}")
     try:
+        if response.headers.get("content-encoding") == ENCODING:
+            raw = unpack(raw, MAX_MESSAGE_BYTES)
         return msgspec.json.decode(raw, type=answer_type)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RequestError) as error:
         raise BrokenCallError(f"{address} sent broken JSON: {error}") from error
+
+
+def _json_request(
+    address: str, method: str, path: str, message: object, packed: bool
+) -> ChannelRequest:
+    body = b"" if message is None else msgspec.json.encode(message)
+    if not packed:
+        return ChannelRequest(method, address, path, JSON_HEADERS, body)
+    headers = (*JSON_HEADERS, ACCEPTS_HEADER)
+    small = pack(body)
+    if small is not None:
+        body, headers = small, (*headers, PACKED_HEADER)
+    return ChannelRequest(method, address, path, headers, body)
--- a/packages/common/src/briarthread_common/spread/spreader.py
+++ b/packages/common/src/briarthread_common/spread/spreader.py
@@ -191,6 +191,7 @@
             message,
             Exchange,
             EXCHANGE_TIMEOUT,
+            packed=True,
         )
 
     def _message_for(self, versions: dict[str, int]) -> Exchange:
--- /dev/null
+++ b/tests/common/test_packed.py
@@ -0,0 +1,94 @@
+"""Large bodies between our own processes are compressed."""
+
+import zlib
+
+import anyio
+import pytest
+
+from briarthread_common.core.exceptions import BrokenCallError, RequestError
+from briarthread_common.http.app import App, Route
+from briarthread_common.http.call import Call
+from briarthread_common.http.channel import ChannelRequest
+from briarthread_common.http.channel_calls import call_json, read_bounded
+from briarthread_common.http.packed import LEAST_BYTES, PACKED_HEADER, pack, unpack
+from briarthread_standins.fake_network import FakeNetwork
+from briarthread_standins.virtual_time import run_virtual
+
+LIMIT = 100_000
+ADDRESS = "10.1.0.1:9"
+
+
+class Doubling:
+    """Answer a list with twice its items, and keep what the bodies looked like."""
+
+    def __init__(self, network: FakeNetwork) -> None:
+        self.encodings: list[str | None] = []
+        app = App([Route("POST", "/double", self.handle)])
+        network.listen(ADDRESS, "palermo", app)
+
+    async def handle(self, call: Call) -> None:
+        self.encodings.append(call.headers.get("content-encoding"))
+        await call.reply_json(2 * await call.read_json(list[int], LIMIT))
+
+
+def in_network(scenario: object) -> None:
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            network = FakeNetwork(tasks)
+            await scenario(Doubling(network), network.channel("10.1.0.2:9", "palermo"))
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
+@pytest.mark.parametrize(
+    ("items", "packed", "encoding"),
+    [(3, True, None), (5000, True, "deflate"), (5000, False, None)],
+)
+def test_message_and_answer_come_whole_however_they_travel(
+    items: int, packed: bool, encoding: str | None
+) -> None:
+    async def scenario(server: Doubling, channel: object) -> None:
+        message = list(range(items))
+        answer = await call_json(
+            channel, ADDRESS, "POST", "/double", message, list[int], 1.0, packed
+        )
+        assert answer == 2 * message
+        assert server.encodings == [encoding]
+
+    in_network(scenario)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"no zlib", zlib.compress(b"[1]")[:-3], zlib.compress(b"[" + b"1," * LIMIT)],
+)
+def test_body_that_is_broken_or_grows_past_the_limit_is_refused(body: bytes) -> None:
+    async def scenario(_: Doubling, channel: object) -> None:
+        request = ChannelRequest("POST", ADDRESS, "/double", (PACKED_HEADER,), body)
+        async with channel.stream(request) as response:
+            await read_bounded(response.body, LIMIT)
+        assert response.status in (400, 413)
+
+    in_network(scenario)
+
+
+def test_answer_that_cannot_be_unpacked_is_a_broken_call() -> None:
+    async def scenario(_: Doubling, channel: object) -> None:
+        async def broken(call: Call) -> None:
+            await call.reply(200, b"no zlib", [PACKED_HEADER])
+
+        app = App([Route("POST", "/broken", broken)])
+        channel.network.listen("10.1.0.3:9", "palermo", app)
+        with pytest.raises(BrokenCallError, match="broken body"):
+            await call_json(
+                channel, "10.1.0.3:9", "POST", "/broken", 1, list[int], 1.0, packed=True
+            )
+
+    in_network(scenario)
+
+
+def test_small_body_stays_as_it_is() -> None:
+    assert pack(b"x" * (LEAST_BYTES - 1)) is None
+    with pytest.raises(RequestError, match="over 10 bytes"):
+        unpack(zlib.compress(b"x" * 11), limit=10)
