Search on where many ranks are equally busy; test large groups over small links

Cause: the search for a better map ended six loads after its best find. Where a third of 63 ranks is equally busy, six loads gain nothing, so no map moved at all.

Change: it goes on for three tenths of the ranks' number. The pass of a change lies a millisecond a rank further ahead in groups that are called by way of others.

--- a/packages/agent/src/briarthread_agent/ranks/map_mover.py
+++ b/packages/agent/src/briarthread_agent/ranks/map_mover.py
@@ -25,6 +25,7 @@
 
 import anyio
 
+from briarthread_agent.ranks.group_calls import MOST_DIRECT
 from briarthread_agent.ranks.group_view import GroupView, Member
 from briarthread_agent.ranks.map_change import MapChange
 from briarthread_agent.ranks.map_stager import MapStager
@@ -50,6 +51,9 @@
 AHEAD_SECONDS = 0.3
 """How far ahead the pass of the change lies: holding it and arming every rank
 takes some ten calls of a few milliseconds, and one may have to be made anew."""
+AHEAD_RANK_SECONDS = 0.001
+"""The same for each rank: a large group is armed by way of some of its agents,
+which takes each of them and the planner some dozen calls more."""
 LOSSY_AHEAD_SECONDS = 0.8
 """The same while orders are lost: one that stays unanswered is made again after
 0.15 s, and a hold that lasts into its pass makes every stream late at once."""
@@ -91,13 +95,15 @@
         if current.fault or current.epoch != view.epoch or current.unsettled:
             self.events.add("map-dropped", group, current.fault or "it has changed")
             return False
-        step = current.step + self._passes_ahead(pass_seconds)
+        step = current.step + self._passes_ahead(pass_seconds, len(current.members))
         return await self._switch(current, fence, ArmedMap(version, step))
 
-    def _passes_ahead(self, pass_seconds: float) -> int:
+    def _passes_ahead(self, pass_seconds: float, ranks: int) -> int:
         """Return in how many passes the change is to be in force."""
         lossy = anyio.current_time() - self.lost_at < LOSSY_SECONDS
         seconds = LOSSY_AHEAD_SECONDS if lossy else AHEAD_SECONDS
+        if ranks > MOST_DIRECT:
+            seconds += ranks * AHEAD_RANK_SECONDS
         return max(LEAST_AHEAD, math.ceil(seconds / max(pass_seconds, 0.001)))
 
     def _note_lost(self) -> None:
--- a/packages/common/src/briarthread_common/placement/quick_change.py
+++ b/packages/common/src/briarthread_common/placement/quick_change.py
@@ -39,6 +39,9 @@
 PATIENCE_LOADS = 6
 """Loads beyond the best change found so far after which the search ends: the
 first steps gain most, and a long search would delay the change."""
+PATIENCE_SHARE = 0.3
+"""The same as a part of the ranks, for large groups: where many are as busy as the
+busiest, nothing is gained before the last of them has given something up."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,12 +103,13 @@
     worth /= slowest + others
     each = LOAD_SECONDS * min(LOAD_RANKS / len(layer), 1.0)
     most = MOST_RANK_LOADS * len(layer)
+    patience = max(PATIENCE_LOADS, PATIENCE_SHARE * len(layer))
     steps = improve_steps(layer, counts, figures.places, most, figures.spare, slowdown)
     for better, loads in steps:
         saved = (slowest - slowest_load(better, counts, slowdown)) * worth
         gain = saved - loads * each
         if gain > best_gain:
             best, best_gain = SetChange(better, loads, saved), gain
-        elif loads > best.loads + PATIENCE_LOADS:
+        elif loads > best.loads + patience:
             return
         yield best
--- a/packages/standins/src/briarthread_standins/fake_network.py
+++ b/packages/standins/src/briarthread_standins/fake_network.py
@@ -1,5 +1,6 @@
 """A network inside one process, with faults."""
 
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -20,6 +21,8 @@
 
 CONNECT_TIMEOUT = 1.0
 LATENCY = 0.001
+HEAD_BYTES = 250
+"""Bytes of a message besides its body, about what our own calls have."""
 
 
 @dataclass(eq=False, slots=True)
@@ -48,7 +51,9 @@
     be lost after the call took effect; ``duplicate`` likewise counts calls
     that arrive twice, the second time ``late`` seconds after the first, and
     ``delay`` those that break for the caller and arrive only then. A count
-    can be kept for a path at one address, as ``path@address``.
+    can be kept for a path at one address, as ``path@address``. ``link_rate`` is
+    how many bytes a second each address can send, 0 for any number; what it sends
+    goes out one after the other.
     """
 
     def __init__(self, tasks: TaskGroup) -> None:
@@ -59,6 +64,9 @@
         self.duplicate: dict[str, int] = {}
         self.delay: dict[str, int] = {}
         self.late = 0.0
+        self.link_rate = 0.0
+        self.link_free: dict[str, float] = {}
+        self.sent_bytes: Counter[str] = Counter()
         self.changed = anyio.Event()
         self.messages = 0
 
@@ -115,6 +123,17 @@
         while not self.is_open(address, site, node):
             await self.changed.wait()
 
+    async def carry(self, sender: str, size: int) -> None:
+        """Return once a message has gone out over its sender's link."""
+        size += HEAD_BYTES
+        self.sent_bytes[sender] += size
+        if not self.link_rate:
+            return
+        now = anyio.current_time()
+        free = max(self.link_free.get(sender, now), now) + size / self.link_rate
+        self.link_free[sender] = free
+        await anyio.sleep(free - now)
+
     def start_call(self, node: Node, exchange: Exchange) -> None:
         """Let a node serve a call in a task of its own."""
         self.messages += 1
@@ -159,6 +178,7 @@
         """Send a call; see Channel."""
         node = await self._connect(request)
         exchange = Exchange(request, self.address)
+        await self.network.carry(self.address, len(request.body or b""))
         if self.network.take_fault(self.network.delay, request):
             self.network.start_late_call(node, exchange)
             raise BrokenCallError(f"{request.path} was held up")
@@ -198,6 +218,8 @@
             message = await exchange.receiver.receive()
         except anyio.EndOfStream as error:
             raise BrokenCallError(f"{node.address} hung up") from error
+        if message.get("body"):
+            await self.network.carry(node.address, len(message["body"]))
         await anyio.sleep(LATENCY)
         await self.network.wait_open(self.address, self.site, node)
         return message
--- a/tests/direct_builders.py
+++ b/tests/direct_builders.py
@@ -114,12 +114,20 @@
     scenario: Callable[[GroupWorld], Awaitable[None]],
     ranks: int = 4,
     skewed: bool = True,
+    sets: int = 2,
+    experts: int = 12,
+    link_rate: float = 0.0,
 ) -> None:
-    """Run a scenario in virtual time with a group whose agents have started."""
+    """
+    Run a scenario in virtual time with a group whose agents have started.
+
+    ``link_rate`` is what each instance can send, in bytes a second; 0 is any.
+    """
 
     async def run() -> None:
         async with anyio.create_task_group() as tasks:
-            world = GroupWorld(tasks, ranks)
+            world = GroupWorld(tasks, ranks, sets, experts)
+            world.network.link_rate = link_rate
             world.store.put("op", "config", build_group_config(world))
             if skewed:
                 prefer(world.group, hot=0)
