Do not let all agents of a large group ask when it stands still

Agents whose group makes no passes ask all others, a quarter of them at a time: 32 agents, each calling 128 agents and 25 engines that nobody reaches.

Ruled out: the planner; it alone makes three looks a second then.

Change: beyond 24 ranks no two agents have the same patience; one that finds ranks missing waits a second; a group that says it is broken is left alone, since it opens with nothing armed or held.

--- a/packages/agent/src/briarthread_agent/ranks/map_finisher.py
+++ b/packages/agent/src/briarthread_agent/ranks/map_finisher.py
@@ -3,6 +3,7 @@
 import anyio
 from loguru import logger
 
+from briarthread_agent.ranks.group_calls import MOST_DIRECT
 from briarthread_agent.ranks.group_view import GroupView, Member
 from briarthread_agent.ranks.held_pass import HeldPass
 from briarthread_agent.ranks.map_mover import all_armed
@@ -40,7 +41,11 @@
 AGAIN_SECONDS = 0.05
 """Pause before the ranks that were ordered are looked at again."""
 STAGGER = 4
-"""Ranks by which agents differ in patience, lest all of them ask all others."""
+"""Ranks by which agents differ in patience, lest all of them ask all others. In
+groups of more than ``MOST_DIRECT`` ranks no two are alike: before 129 ranks 32 of
+them asked all others at a time, thousands of calls a second while it stood still."""
+FAULT_SECONDS = 1.0
+"""Pause after ranks were found missing: nothing can be finished without them."""
 
 
 class MapFinisher:
@@ -102,13 +107,15 @@
         if state.held is not None and held_looks > HELD_LOOKS:
             return True
         patience = OVERDUE_LOOKS if state.armed is not None else STUCK_LOOKS
-        return looks >= patience + state.rank % STAGGER
+        steps = STAGGER if state.size <= MOST_DIRECT else state.size
+        return looks >= patience + state.rank % steps
 
     async def finish(self, group: str) -> None:
         """Finish the change of a group, as far as its ranks can be reached."""
         view = await self.peers.view_with_engines(group)
         if view.fault:
             logger.info("rank: {} is not finished now: {}", group, view.fault)
+            await anyio.sleep(FAULT_SECONDS)
             return
         if not view.unsettled:
             return
@@ -188,8 +195,12 @@
 
 
 def _pending(state: RankState | None) -> tuple[object, ...]:
-    """Return what marks a group that makes no passes though it has reason to."""
-    if state is None:
+    """
+    Return what marks a group that makes no passes though it has reason to.
+
+    One that is broken has none: it opens anew with nothing armed or held.
+    """
+    if state is None or not state.serving:
         return ()
     due = state.held
     if due is None and state.armed is not None:
--- a/tests/ranks/test_large_groups.py
+++ b/tests/ranks/test_large_groups.py
@@ -8,6 +8,9 @@
 
 LINK_RATE = 375_000.0
 """Bytes a second: the 3 Mbit/s of the instances of 129 ranks."""
+STANDING_CALLS = 40.0
+"""Calls a second and rank in a group that stands still, of which each agent makes
+six to its own rank anyway."""
 MAP_SECONDS = 6.0
 """Time from the start of all agents in which a better map has to be in force."""
 
@@ -40,3 +43,17 @@
     in_group_world(
         scenario, ranks, False, sets=sets, experts=3 * ranks, link_rate=LINK_RATE
     )
+
+
+def test_large_group_that_stands_still_is_not_asked_by_all_of_its_agents() -> None:
+    async def scenario(world: GroupWorld) -> None:
+        await anyio.sleep(1)
+        world.group.ranks[5].held = world.group.step + 1
+        world.kill_agent(5)
+        world.network.freeze(world.engine_address(5), True)
+        before = world.network.messages
+        await anyio.sleep(6)
+        assert (world.network.messages - before) / 6 < STANDING_CALLS * 40
+        assert world.group.violations == []
+
+    in_group_world(scenario, 40, False, sets=1, experts=80)
