--- a/packages/common/src/briarthread_common/spread/following_spreader.py
+++ b/packages/common/src/briarthread_common/spread/following_spreader.py
@@ -45,10 +45,10 @@
 call that is held open ends before, and then one more answer is due."""
 WATCH_TRIES = 2
 """Followers asked in a row; a third would come too late where both are silent."""
-SEED_TRIES = 4
-"""How often the seeds are asked before the platform by one that does not follow.
+SEED_PATIENCE = 2.0
+"""How long one that does not follow asks the seeds before it asks the platform, s.
 Every call to the platform is paid for, and agents are more than half of all who
-start; their first seconds serve nobody."""
+start; their first seconds serve nobody, but stale seeds must not hold them up."""
 SEED_SECONDS = 0.4
 """Pause between two such tries; entries that start at the same time have read the
 platform by then."""
@@ -123,12 +123,14 @@
 
     async def _start_from_seed(self) -> bool:
         """Tell whether some entry gave all feeds, and the platform need not."""
-        for _ in range(SEED_TRIES):
-            for address in self.rng.sample(self.options.seeds, len(self.options.seeds)):
-                await self._exchange_quietly(address)
-                if all(feed.number for feed in self.feeds.all()):
-                    return True
-            await anyio.sleep(SEED_SECONDS)
+        seeds = self.options.seeds
+        with anyio.move_on_after(SEED_PATIENCE):
+            while seeds:
+                for address in self.rng.sample(seeds, len(seeds)):
+                    await self._exchange_quietly(address)
+                    if all(feed.number for feed in self.feeds.all()):
+                        return True
+                await anyio.sleep(SEED_SECONDS)
         return False
 
     async def _poll_loop(self) -> None:
