Read a rank's counts at most each quarter of a millisecond a number

Twice a second it took in 4,128 counts, 2.7 ms of Python each time.

Change: the time between two reads grows with the numbers (1.03 s at 4,128, 0.5 s up to 2,000), and the difference is taken by map. A rank that started again is known by any total that fell, not only by their sum.

--- a/packages/agent/src/briarthread_agent/ranks/rank_demand.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_demand.py
@@ -1,5 +1,7 @@
 """What one rank's requests chose of late."""
 
+import operator
+
 from briarthread_common.placement.popularity import Popularity
 
 HALF_LIFE = 0.8
@@ -20,7 +22,7 @@
     """
     Turn a rank's running totals into recent choices of experts.
 
-    A rank counts from its start, so a total that fell is that of a new start.
+    A rank counts from its start, so where one total fell all are of a new start.
     A rank that chooses nothing keeps a part of what it chose before. Times are
     the runtime's seconds.
 
@@ -47,9 +49,9 @@
             self.popularity = Popularity(1, len(totals), HALF_LIFE)
             self.popularity.updated = now
             return
-        if sum(totals) < sum(before):
-            before = [0] * len(totals)
-        fresh = [max(n - o, 0) for n, o in zip(totals, before, strict=True)]
+        fresh = list(map(operator.sub, totals, before))
+        if min(fresh, default=0) < 0:
+            fresh = totals
         self._age(now, idle=not any(fresh))
         self.popularity.add(now, [fresh])
 
--- a/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
@@ -40,6 +40,9 @@
 COUNT_SECONDS = 0.5
 """How often the counts are read where no planner asks for them; it is free at
 the rank's own agent, and older choices would count as recent otherwise."""
+COUNT_NUMBER_SECONDS = 0.00025
+"""The same for each number read: before 129 ranks, with 4,128 numbers each, a read
+takes a millisecond or two of an agent, and few ranks are asked at a look."""
 PLANNER_SECONDS = 3.0
 """Age past which a planner's word on slow ranks counts no more. It asks each
 second at least, and more often while the group is busy."""
@@ -173,7 +176,8 @@
     async def follow_counts(self) -> None:
         """Take in the rank's counts now and then, until cancelled."""
         while True:
-            await anyio.sleep(COUNT_SECONDS)
+            numbers = len(self.demand.totals)
+            await anyio.sleep(max(COUNT_SECONDS, numbers * COUNT_NUMBER_SECONDS))
             try:
                 await self._read_counts()
             except RankError as error:
