Let one agent take the seat when a whole deployment starts, and few entries follow

At a start no agent knows the others yet, so that each takes the planner's seat (two calls each), and no entry is listed yet, so that each follows all three feeds.

Change: an agent that knows less than four fifths of its group waits as if a planner had been heard. Unlisted entries begin to follow at drawn moments within two seconds.

--- a/packages/agent/src/briarthread_agent/ranks/planner_seat.py
+++ b/packages/agent/src/briarthread_agent/ranks/planner_seat.py
@@ -16,6 +16,9 @@
 STAGGER_SECONDS = 1.0
 """Additional silence for each place further back in the order."""
 LOOK_SECONDS = 0.5
+KNOWN_SHARE = 0.8
+"""Part of a group's agents that are known to one that takes its seat at once; the
+rest may be dead."""
 
 
 class PlannerSeat:
@@ -42,10 +45,10 @@
         """Tell whether this agent plans and no newer planner was heard."""
         return self.fence != NO_FENCE and self.keeper.fence <= self.fence
 
-    async def wait(self, group: str, names: list[str]) -> int:
-        """Return the fencing number once the seat is this agent's."""
+    async def wait(self, group: str, size: int) -> int:
+        """Return the fencing number once the seat of a group is this agent's."""
         while not self.held():
-            if self._silence() > self._patience(group, names):
+            if self._silence() > self._patience(group, size):
                 await self._take_unless_heard(group)
             if not self.held():
                 await anyio.sleep(LOOK_SECONDS)
@@ -71,8 +74,16 @@
     def _silence(self) -> float:
         return anyio.current_time() - max(self.keeper.planner_heard, self.started)
 
-    def _patience(self, group: str, names: list[str]) -> float:
+    def _patience(self, group: str, size: int) -> float:
+        """
+        Return the silence after which this agent takes the seat.
+
+        One that knows but a part of its peers may not be the first of them, and
+        when a whole deployment starts that is so of all.
+        """
+        names = list(self.peers.agents())
         order = rendezvous_order(f"maps/{group}", names)
         place = order.index(self.name) if self.name in order else len(order)
-        first = 0.0 if self.keeper.fence == NO_FENCE else SILENCE_SECONDS
+        first_ever = self.keeper.fence == NO_FENCE and len(names) >= size * KNOWN_SHARE
+        first = 0.0 if first_ever else SILENCE_SECONDS
         return first + STAGGER_SECONDS * (place + 1)
--- a/packages/agent/src/briarthread_agent/ranks/rank_planner.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_planner.py
@@ -81,7 +81,7 @@
             if service is None or service.experts is None or state is None:
                 await anyio.sleep(IDLE_SECONDS)
                 continue
-            fence = await self.seat.wait(state.group, list(self.peers.agents()))
+            fence = await self.seat.wait(state.group, state.size)
             await anyio.sleep(await self._look(state.group, service, fence))
 
     async def _look(self, group: str, service: DirectService, fence: int) -> float:
--- a/packages/common/src/briarthread_common/spread/following_spreader.py
+++ b/packages/common/src/briarthread_common/spread/following_spreader.py
@@ -49,6 +49,9 @@
 """How long one that does not follow asks the seeds before it asks the platform, s.
 Every call to the platform is paid for, and agents are more than half of all who
 start; their first seconds serve nobody, but stale seeds must not hold them up."""
+UNLISTED_SECONDS = 2.0
+"""Time over which entries that start begin to follow without being listed. Where a
+whole deployment starts, those who come first read the list and tell the others."""
 SEED_SECONDS = 0.4
 """Pause between two such tries; entries that start at the same time have read the
 platform by then."""
@@ -84,6 +87,7 @@
         self.followed = source
         self.health = SourceHealth()
         self.standing_in_until = 0.0
+        self.unlisted_until = 0.0
         self.peers_well = SourceHealth()
 
     def source_age(self) -> float:
@@ -120,6 +124,9 @@
             self.started.set()
             return
         await super().catch_up()
+        if self.platform_up:
+            pause = self.rng.uniform(0.0, UNLISTED_SECONDS)
+            self.unlisted_until = anyio.current_time() + pause
 
     async def _start_from_seed(self) -> bool:
         """Tell whether some entry gave all feeds, and the platform need not."""
@@ -244,6 +251,8 @@
     def _on_poll_duty(self) -> bool:
         if anyio.current_time() < self.standing_in_until:
             return True
+        if anyio.current_time() < self.unlisted_until:
+            return self.options.name in self._duty()
         return self.follows and super()._on_poll_duty()
 
     def _note_down(self, feed: Feed, error: PlatformError) -> None:
