Tell an entry that is not listed yet what runs elsewhere

An entry follows its block; one that is in no block yet followed nobody and took a loaded group for empty until the list named it.

Change: it asks the collector of any block. The new test failed before: 0 of 12.

--- a/packages/entry/src/briarthread_entry/direct/followed.py
+++ b/packages/entry/src/briarthread_entry/direct/followed.py
@@ -8,6 +8,7 @@
     OTHERS_PATH,
     RUNNING_PATH,
 )
+from briarthread_common.utils.hashing import stable_hash
 from briarthread_entry.direct.report_blocks import MESH, block_of
 
 
@@ -42,26 +43,34 @@
     Return whom an entry follows.
 
     ``asked`` tells that others take it for their collector: one that cannot
-    reach the first of its block turns to the next.
+    reach the first of its block turns to the next. One that is not listed yet
+    asks the collector of any block.
 
     >>> blocks = {"x": ("a", "b", "c"), "y": tuple("defghijklm")}
     >>> whom_to_follow("b", blocks, asked=False)
     {OthersFollowed(label='x')}
     >>> len(whom_to_follow("a", blocks, asked=False))
     3
+    >>> len(whom_to_follow("new", blocks, asked=False))
+    1
     """
-    own = block_of(name, blocks)
+    own = block_of(name, blocks) or _any_block(name, blocks)
     if own is None:
         return set()
     block = blocks[own]
     members: set[Followed] = {EntryFollowed(other) for other in block if other != name}
     if sum(len(others) for others in blocks.values()) <= MESH:
         return members
-    if block[0] != name and not asked:
+    if name not in block or (block[0] != name and not asked):
         return {OthersFollowed(own)}
     return members | {BlockFollowed(label) for label in blocks if label != own}
 
 
+def _any_block(name: str, blocks: Mapping[str, tuple[str, ...]]) -> str | None:
+    labels = sorted(blocks)
+    return labels[stable_hash("block", name) % len(labels)] if labels else None
+
+
 def label_of(followed: Followed) -> str:
     """Return the name under which the board keeps what was heard."""
     match followed:
--- a/tests/direct/test_running_reports.py
+++ b/tests/direct/test_running_reports.py
@@ -52,6 +52,27 @@
     in_direct_world(scenario, names, data_centres=CENTRES)
 
 
+def test_entry_that_is_new_knows_what_runs_before_it_is_listed() -> None:
+    names = tuple(f"entry-{n}" for n in range(30))
+
+    async def scenario(world: DirectWorld) -> None:
+        for worker in world.workers.values():
+            worker.event_pause, worker.pieces = 0.2, 100
+        await anyio.sleep(2)
+        async with anyio.create_task_group() as tasks:
+            for name in names[:12]:
+                tasks.start_soon(world.ask, name, "/chat/1", SIZE)
+            await anyio.sleep(1)
+            world.store.turned_away.add("10.1.0.31:9")
+            world.add_entry("entry-30")
+            await anyio.sleep(1.5)
+            assert "entry-30" not in world.entries["entry-0"].directory.all()
+            assert running_total(world, "entry-30") == 12
+            tasks.cancel_scope.cancel()
+
+    in_direct_world(scenario, names, ranks=20, data_centres=CENTRES[:2])
+
+
 def test_streams_stay_counted_while_a_collector_is_replaced() -> None:
     names = tuple(f"entry-{n}" for n in range(30))
 
