Let no rank promise a pass after another was asked to hold one

A rank's agent that gets the question for its promise late may say yes when the planner has turned to another rank. Two changes for two passes would then be brought to their ends by two of them, and a pass might begin with part of the ranks armed for the other one.

Change: before the next rank is asked, the first one's agent says that it will never promise that pass; where it has, or gives no answer, the planner gives up as before.

Test: a promise and its taking back exclude each other, in both orders.

--- a/packages/agent/src/briarthread_agent/ranks/map_mover.py
+++ b/packages/agent/src/briarthread_agent/ranks/map_mover.py
@@ -38,11 +38,13 @@
     ACCEPT_PATH,
     ARM_PATH,
     GO_PATH,
+    WITHDRAW_PATH,
     AcceptRequest,
     ArmRequest,
     GoRequest,
     OrderAnswer,
     RankQuery,
+    WithdrawRequest,
 )
 
 STAGE_SECONDS = 4.0
@@ -101,10 +103,15 @@
                 return False
             ahead = self._passes_ahead(pass_seconds, len(current.members))
             armed = ArmedMap(version, current.step + ahead)
-            holder = await self._hold(current, fence, armed.step, skipped)
-            if holder is not None:
+            holder, engine = await self._holder(current, skipped)
+            if holder is None or engine is None or self.keeper.fence > fence:
+                return False
+            request = AcceptRequest(fence, current.epoch, armed.step)
+            if await self._hold(holder, engine, request):
                 return await self._switch(current, fence, armed, holder)
             self.events.add("map-not-held", group, f"version {version}")
+            if not await self._withdraw(holder, request):
+                return False
         return False
 
     def _passes_ahead(self, pass_seconds: float, ranks: int) -> int:
@@ -142,30 +149,39 @@
         return staged
 
     async def _hold(
-        self, view: GroupView, fence: int, step: int, skipped: int
-    ) -> Member | None:
-        """
-        Have a pass held; return the rank that does, once its agent promises.
-
-        ``skipped`` ranks were asked in vain before.
-        """
-        holder, engine = await self._holder(view, skipped)
-        if holder is None or engine is None or self.keeper.fence > fence:
-            return None
-        if not await engine.hold(view.epoch, step):
+        self, holder: Member, engine: RankClient, request: AcceptRequest
+    ) -> bool:
+        """Have a rank hold a pass; tell whether its agent promises that it does."""
+        if not await engine.hold(request.epoch, request.step):
             self._note_lost()
-        request = AcceptRequest(fence, view.epoch, step)
         with anyio.move_on_after(HOLD_SECONDS):
-            while self.keeper.fence <= fence:
+            while self.keeper.fence <= request.fence:
                 answer = await self.peers.ask(
                     holder.address, ACCEPT_PATH, request, OrderAnswer
                 )
                 if answer is not None and answer.taken:
-                    return holder
-                if answer is not None and _is_past(answer.state, view.epoch, step):
-                    return None
+                    return True
+                if answer is not None and _is_past(
+                    answer.state, request.epoch, request.step
+                ):
+                    return False
                 await anyio.sleep(RETRY_SECONDS)
-        return None
+        return False
+
+    async def _withdraw(self, holder: Member, request: AcceptRequest) -> bool:
+        """
+        Tell whether the agent of a rank that did not hold will never promise it.
+
+        The question may have come too late to be answered, and the hold may still
+        come; a change for another pass must not begin beside that.
+        """
+        answer = await self.peers.ask(
+            holder.address,
+            WITHDRAW_PATH,
+            WithdrawRequest(request.fence, request.epoch, request.step),
+            OrderAnswer,
+        )
+        return answer is not None and answer.taken
 
     async def _holder(
         self, view: GroupView, skipped: int
--- a/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
@@ -23,6 +23,7 @@
     NO_FENCE,
     QUERY_PATH,
     STAGE_PATH,
+    WITHDRAW_PATH,
     AcceptRequest,
     ArmRequest,
     GoRequest,
@@ -30,6 +31,7 @@
     RankAnswer,
     RankQuery,
     StageRequest,
+    WithdrawRequest,
 )
 
 MAX_BODY = 4 * 1024 * 1024
@@ -81,6 +83,7 @@
             Route("POST", QUERY_PATH, self._handle_query),
             Route("POST", STAGE_PATH, self._handle_stage),
             Route("POST", ACCEPT_PATH, self._handle_accept),
+            Route("POST", WITHDRAW_PATH, self._handle_withdraw),
             Route("POST", ARM_PATH, self._handle_arm),
             Route("POST", GO_PATH, self._handle_go),
             Route("GET", GROUP_PATH, self.reporter.handle),
@@ -224,6 +227,13 @@
         asked = await call.read_json(AcceptRequest, 1000)
         await call.reply_json(await self.accept(asked))
 
+    async def _handle_withdraw(self, call: Call) -> None:
+        asked = await call.read_json(WithdrawRequest, 1000)
+        held = HeldPass(asked.epoch, asked.step)
+        if self._obeys(asked.fence):
+            await self.withdraw(held)
+        await call.reply_json(OrderAnswer(self.withdrawn == held))
+
     async def _handle_arm(self, call: Call) -> None:
         asked = await call.read_json(ArmRequest, 1000)
         await call.reply_json(await self.arm(asked))
--- a/packages/common/src/briarthread_common/messages/rank_messages.py
+++ b/packages/common/src/briarthread_common/messages/rank_messages.py
@@ -10,6 +10,7 @@
 QUERY_PATH = "/peer/v1/rank/query"
 STAGE_PATH = "/peer/v1/rank/stage"
 ACCEPT_PATH = "/peer/v1/rank/accept"
+WITHDRAW_PATH = "/peer/v1/rank/withdraw"
 ARM_PATH = "/peer/v1/rank/arm"
 GO_PATH = "/peer/v1/rank/go"
 RELAY_PATH = "/peer/v1/rank/relay"
@@ -114,6 +115,19 @@
     step: int
 
 
+@dataclass(frozen=True, slots=True)
+class WithdrawRequest:
+    """
+    Have an agent never stand by a pass that its rank was ordered to hold.
+
+    It says no where it has promised that already.
+    """
+
+    fence: int
+    epoch: int
+    step: int
+
+
 @dataclass(frozen=True, slots=True)
 class ArmRequest:
     """Have a rank switch to a loaded map as a pass begins."""
--- a/tests/ranks/test_map_changes.py
+++ b/tests/ranks/test_map_changes.py
@@ -4,7 +4,15 @@
 import pytest
 from direct_builders import in_group_world, prefer
 
-from briarthread_common.messages.rank_messages import ArmRequest, RankQuery
+from briarthread_common.messages.rank_messages import (
+    ACCEPT_PATH,
+    WITHDRAW_PATH,
+    AcceptRequest,
+    ArmRequest,
+    OrderAnswer,
+    RankQuery,
+    WithdrawRequest,
+)
 from briarthread_standins.direct_agents import GroupWorld
 
 SETTLED = 1.5
@@ -295,3 +303,30 @@
         assert world.group.violations == []
 
     in_group_world(scenario)
+
+
+def test_agent_that_promised_a_pass_does_not_take_it_back_and_the_other_way() -> None:
+    async def scenario(world: GroupWorld) -> None:
+        await anyio.sleep(3)
+        group, fence = world.group, 10**6
+        peers = world.agents[0].peers
+        address = world.agent_address(2)
+
+        async def ask(path: str, request: object) -> bool:
+            answer = await peers.ask(address, path, request, OrderAnswer)
+            return answer is not None and answer.taken
+
+        for first, second in (
+            (ACCEPT_PATH, WITHDRAW_PATH),
+            (WITHDRAW_PATH, ACCEPT_PATH),
+        ):
+            step = group.step + 5
+            group.ranks[2].held = step
+            kinds = {ACCEPT_PATH: AcceptRequest, WITHDRAW_PATH: WithdrawRequest}
+            assert await ask(first, kinds[first](fence, group.epoch, step))
+            group.ranks[2].held = step
+            assert not await ask(second, kinds[second](fence, group.epoch, step))
+            group.ranks[2].held = None
+            await anyio.sleep(0.2)
+
+    in_group_world(scenario, skewed=False)
