--- a/tests/direct/test_attempts.py
+++ b/tests/direct/test_attempts.py
@@ -152,11 +152,11 @@
 def test_target_is_not_tried_again_at_a_replaced_address() -> None:
     async def scenario(world: DirectWorld) -> None:
         world.workers["diary-0"].name = "other"
-        for _ in range(12):
-            await world.ask("entry-1", "/list/1")
+        replies = [await world.ask("entry-1", "/list/1") for _ in range(12)]
         assert len(world.workers["diary-0"].seen) == 1
+        assert {reply.status for reply in replies} == {503}
 
-    in_direct_world(scenario)
+    in_direct_world(scenario, diaries=1)
 
 
 def test_caller_who_leaves_ends_the_work_at_the_target() -> None:
