Pause after a fault in large groups only

Found on reading again: the pause of a second after ranks were found missing also held up agents of small groups, whose held pass then waits a second longer for a planner that has woken. Small groups look again as before.

--- a/packages/agent/src/briarthread_agent/ranks/map_finisher.py
+++ b/packages/agent/src/briarthread_agent/ranks/map_finisher.py
@@ -45,7 +45,8 @@
 groups of more than ``MOST_DIRECT`` ranks no two are alike: before 129 ranks 32 of
 them asked all others at a time, thousands of calls a second while it stood still."""
 FAULT_SECONDS = 1.0
-"""Pause after ranks were found missing: nothing can be finished without them."""
+"""Pause of a large group's agent after ranks were found missing: nothing can be
+finished without them, and each try is a call to every other agent."""
 
 
 class MapFinisher:
@@ -115,7 +116,8 @@
         view = await self.peers.view_with_engines(group)
         if view.fault:
             logger.info("rank: {} is not finished now: {}", group, view.fault)
-            await anyio.sleep(FAULT_SECONDS)
+            if len(view.members) > MOST_DIRECT:
+                await anyio.sleep(FAULT_SECONDS)
             return
         if not view.unsettled:
             return
