--- a/packages/agent/src/briarthread_agent/main.py
+++ b/packages/agent/src/briarthread_agent/main.py
@@ -1,26 +1,23 @@
 """The ``briarthread-agent`` binary."""
 
-import random
+import importlib
 import sys
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-import anyio
 from docopt import docopt
-from loguru import logger
 
-from briarthread_agent.agent import Agent
-from briarthread_agent.ranks.direct_agent import serve_direct
 from briarthread_agent.ranks.settings import load_direct_agent_settings
-from briarthread_agent.settings import AgentSettings, load_agent_settings
+from briarthread_agent.settings import load_agent_settings
 from briarthread_common.core.exceptions import ChecksFailed, ListenError
 from briarthread_common.core.exit_code import ExitCode
 from briarthread_common.core.logs import set_up_logs
 from briarthread_common.core.run_loop import run_loop
-from briarthread_common.http.http_channel import HttpChannel
-from briarthread_common.http.server import HttpServer, open_listener
-from briarthread_common.utils.clock import Clock
 
 VERSION = "briarthread-agent 0.3.0"
+RUNNER = ("briarthread_agent.run_agent", "serve")
+DIRECT_RUNNER = ("briarthread_agent.ranks.direct_agent", "serve_direct")
+"""What runs each kind of agent, by module and function."""
 
 USAGE = """
 Stand before one target: run each attempt at most once, in fair order. Or stand
@@ -45,20 +42,14 @@
 """
 
 
-async def serve(settings: AgentSettings) -> None:
-    """Run the agent until a signal stops it."""
-    channel = HttpChannel()
-    listener = open_listener(settings.listen)
-    async with anyio.create_task_group() as tasks:
-        agent = Agent(
-            settings, channel, Clock.from_system(), tasks, random.SystemRandom()
-        )
-        agent.start()
-        server = HttpServer(agent.app, [listener], settings.drain_timeout)
-        logger.info("agent: {} listens on {}", settings.name, settings.listen)
-        await server.run(agent.drain)
-        tasks.cancel_scope.cancel()
-    logger.info("agent: stopped")
+def load_runner(module: str, function: str) -> Callable[..., Awaitable[None]]:
+    """
+    Return what runs a kind of agent, imported only now.
+
+    An agent is started anew whenever its instance is, and importing the other
+    kind as well takes a third of the time that its start does.
+    """
+    return getattr(importlib.import_module(module), function)
 
 
 def main() -> None:
@@ -79,9 +70,9 @@
     set_up_logs(settings.log_level, settings.log_json)
     try:
         if direct:
-            run_loop(serve_direct, settings, path)
+            run_loop(load_runner(*DIRECT_RUNNER), settings, path)
         else:
-            run_loop(serve, settings)
+            run_loop(load_runner(*RUNNER), settings)
     except ListenError as error:
         print(f"{error}; is it in use or not this machine's?", file=sys.stderr)
         sys.exit(ExitCode.FAILED)
--- /dev/null
+++ b/packages/agent/src/briarthread_agent/run_agent.py
@@ -0,0 +1,28 @@
+"""The agent that stands before a target, as a process."""
+
+import random
+
+import anyio
+from loguru import logger
+
+from briarthread_agent.agent import Agent
+from briarthread_agent.settings import AgentSettings
+from briarthread_common.http.http_channel import HttpChannel
+from briarthread_common.http.server import HttpServer, open_listener
+from briarthread_common.utils.clock import Clock
+
+
+async def serve(settings: AgentSettings) -> None:
+    """Run the agent until a signal stops it."""
+    channel = HttpChannel()
+    listener = open_listener(settings.listen)
+    async with anyio.create_task_group() as tasks:
+        agent = Agent(
+            settings, channel, Clock.from_system(), tasks, random.SystemRandom()
+        )
+        agent.start()
+        server = HttpServer(agent.app, [listener], settings.drain_timeout)
+        logger.info("agent: {} listens on {}", settings.name, settings.listen)
+        await server.run(agent.drain)
+        tasks.cancel_scope.cancel()
+    logger.info("agent: stopped")
--- a/packages/entry/src/briarthread_entry/main.py
+++ b/packages/entry/src/briarthread_entry/main.py
@@ -1,5 +1,6 @@
 """The ``briarthread`` binary."""
 
+import importlib
 import sys
 
 from docopt import docopt
@@ -12,14 +13,7 @@
 )
 from briarthread_common.core.exit_code import ExitCode
 from briarthread_common.core.run_loop import run_loop
-from briarthread_entry.commands.apply import ApplyCommand
 from briarthread_entry.commands.base import Command
-from briarthread_entry.commands.check import CheckCommand
-from briarthread_entry.commands.direct import DirectCommand
-from briarthread_entry.commands.explain import ExplainCommand
-from briarthread_entry.commands.serve import ServeCommand
-from briarthread_entry.commands.show import ShowCommand
-from briarthread_entry.commands.status import StatusCommand
 
 VERSION = "briarthread 0.3.0"
 
@@ -43,25 +37,38 @@
 ``briarthread COMMAND --help`` shows the help of a command.
 """
 
-COMMANDS: dict[str, type[Command]] = {
-    "serve": ServeCommand,
-    "direct": DirectCommand,
-    "check": CheckCommand,
-    "apply": ApplyCommand,
-    "show": ShowCommand,
-    "status": StatusCommand,
-    "explain": ExplainCommand,
+COMMANDS = {
+    "serve": "ServeCommand",
+    "direct": "DirectCommand",
+    "check": "CheckCommand",
+    "apply": "ApplyCommand",
+    "show": "ShowCommand",
+    "status": "StatusCommand",
+    "explain": "ExplainCommand",
 }
+"""The classes of the commands; each is in the module of its command's name."""
+
+
+def load_command(name: str) -> Command | None:
+    """
+    Return a command, imported only now, ``None`` for one that does not exist.
+
+    Importing all of them takes longer than all else that the start of an entry
+    does, and an entry is started anew whenever its instance is.
+    """
+    if name not in COMMANDS:
+        return None
+    module = importlib.import_module(f"briarthread_entry.commands.{name}")
+    return getattr(module, COMMANDS[name])()
 
 
 def run_command(argv: list[str]) -> ExitCode:
     """Run the command that the arguments name and return its exit code."""
     arguments = docopt(USAGE, argv=argv, version=VERSION, options_first=True)
-    command_type = COMMANDS.get(arguments["COMMAND"])
-    if command_type is None:
+    command = load_command(arguments["COMMAND"])
+    if command is None:
         print(f"no command {arguments['COMMAND']!r}; try --help", file=sys.stderr)
         return ExitCode.FAULTS
-    command = command_type()
     options = docopt(command.usage, argv=argv)
     try:
         return run_loop(command.handle, options)
