Count the ranks in use exactly, without keeping the sum of all

A request that waits counts the ranks in use, an event all of them; both took the sum that the other had kept up to 20 ms before. With a slow rank left out, what others have there counted as taken room, or was missing from what an event says of the pass.

Ruled out: one kept sum for each set of ranks, more state for what costs little.

Change: the sum is not kept. The board adds up many targets at once and looks for silent entries once for all of them, not once a target.

--- a/packages/entry/src/briarthread_entry/direct/group_gate.py
+++ b/packages/entry/src/briarthread_entry/direct/group_gate.py
@@ -39,9 +39,6 @@
 FLOWING_SECONDS = 0.4
 """Age of the last event of a stream up to which the group serves, whatever an
 agent says; its own rank may be leaving the group."""
-COUNT_SECONDS = 0.02
-"""Age up to which a sum of what others have running is used again: a part of a
-pass, and of the time that their reports take."""
 PASSES_TO_ANSWER = 2.0
 """Passes from the start to the first event: the one under way, and its own."""
 
@@ -69,7 +66,6 @@
         self.healths: dict[str, GroupHealth] = {}
         self.returns = ReturnDetector()
         self.waiting: list[WaitingPlace] = []
-        self.elsewhere: dict[str, tuple[float, int]] = {}
 
     def meter(self, service: DirectService) -> PassMeter:
         """Return the meter of a service's passes."""
@@ -158,7 +154,7 @@
             each = self.board.each(service.name, now)
         return GroupRoom(
             serving=self._serves(service, now),
-            running=self._running(service.name, states, now),
+            running=self._running(states, now),
             most=most_running(len(states), service.engine, request.route.gap_aim, each),
             back_in=self.health(service.name).expected_back(now),
         )
@@ -180,20 +176,9 @@
             logger.info("group: {} serves again, says an agent", name)
         return health.may_send(now)
 
-    def _running(
-        self, service: str, states: Sequence[DirectTargetState], now: float
-    ) -> int:
-        """
-        Return what runs on some ranks of a service, over all entries.
-
-        What others have there is added up now and then only: requests that wait
-        and events ask for it dozens of times in a tenth of a second.
-        """
-        at, elsewhere = self.elsewhere.get(service, (float("-inf"), 0))
-        if now - at > COUNT_SECONDS:
-            names = (state.target.name for state in states)
-            elsewhere = sum(self.board.elsewhere(name, now) for name in names)
-            self.elsewhere[service] = (now, elsewhere)
+    def _running(self, states: Sequence[DirectTargetState], now: float) -> int:
+        names = (state.target.name for state in states)
+        elsewhere = self.board.elsewhere_at(names, now)
         return elsewhere + sum(state.running for state in states)
 
     def _wait_until(
@@ -228,7 +213,6 @@
         """Record an event of one of this entry's streams."""
         now = anyio.current_time()
         states = self.book.of_service(service.name, now)
-        running = self._running(service.name, states, now)
-        self.meter(service).note_event(previous, now, running)
+        self.meter(service).note_event(previous, now, self._running(states, now))
         if self.health(service.name).note_serving(now):
             logger.info("group: {} serves again", service.name)
--- a/packages/entry/src/briarthread_entry/direct/running_board.py
+++ b/packages/entry/src/briarthread_entry/direct/running_board.py
@@ -64,6 +64,11 @@
         self._forget_stale(now)
         return self.totals[target]
 
+    def elsewhere_at(self, targets: Iterable[str], now: float) -> int:
+        """Return the attempts that other entries have running at some targets."""
+        self._forget_stale(now)
+        return sum(self.totals.get(target, 0) for target in targets)
+
     def without(self, entry: str, own: RunningReport, now: float) -> RunningReport:
         """
         Return what all others than one entry have running, with ``own`` among them.
--- a/packages/measure/src/briarthread_measure/left_out.py
+++ b/packages/measure/src/briarthread_measure/left_out.py
@@ -95,6 +95,7 @@
 def own_sums(entry: DirectEntry) -> None:
     """Count what runs from this entry only."""
     entry.board.elsewhere = lambda target, now: 0
+    entry.board.elsewhere_at = lambda targets, now: 0
 
 
 def at_once(time_left: float, pick: float) -> float:
--- a/tests/direct/test_slow_ranks.py
+++ b/tests/direct/test_slow_ranks.py
@@ -1,9 +1,10 @@
 """Streams go on at another rank when their own turns slow."""
 
 import anyio
-from direct_builders import MODEL, in_direct_world
+from direct_builders import MODEL, build_direct_request, in_direct_world
 
 from briarthread_common.messages.group_report import GroupReport
+from briarthread_common.messages.running_report import RunningReport
 from briarthread_standins.direct_world import DirectWorld, Reply
 
 SIZE = {"x-token-count": "100,200"}
@@ -99,3 +100,16 @@
         assert sum(event.decision == "request-served" for event in events) == 10
 
     in_direct_world(scenario)
+
+
+def test_room_counts_the_ranks_in_use_though_an_event_just_counted_all() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        entry = world.entries["entry-1"]
+        report_slow(world, "rank-0", 4.0)
+        now = anyio.current_time()
+        entry.board.put("entry-2", RunningReport({"rank-0": 6, "rank-1": 1}), now)
+        request = build_direct_request()
+        entry.gate.note_event(request.service, None)
+        assert entry.gate._room(request, now).running == 1
+
+    in_direct_world(scenario)
