Ask the directory for the instances of a role

Cause: found on reading the change again. Which listed instances are entries, or agents, was picked out of the list at five places, two of them new.

Change: Directory.of_role does; the watchers, the own slots, the count of entries and the agents of a group call it. The own slots look at the feed's number instead of having the list read for it.

--- a/packages/agent/src/briarthread_agent/ranks/rank_peers.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_peers.py
@@ -52,8 +52,8 @@
         """Return the listed agents of the service by name."""
         return {
             name: row
-            for name, row in self.directory.all().items()
-            if row.role is InstanceRole.TARGET and row.service == self.service
+            for name, row in self.directory.of_role(InstanceRole.TARGET).items()
+            if row.service == self.service
         }
 
     async def call(
--- a/packages/common/src/briarthread_common/spread/directory.py
+++ b/packages/common/src/briarthread_common/spread/directory.py
@@ -29,6 +29,10 @@
             self.rows = {name: pair[1] for name, pair in self.decoded.items()}
         return self.rows
 
+    def of_role(self, role: InstanceRole) -> dict[str, Instance]:
+        """Return the known instances of a role by name, of every data centre."""
+        return {name: row for name, row in self.all().items() if row.role is role}
+
     def entries(self, data_centre: str) -> list[Instance]:
         """Return the live entries of a data centre in name order."""
         return self._select(InstanceRole.ENTRY, data_centre, "")
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -155,9 +155,7 @@
         await list_itself(row, self.directory, self.store)
 
     def _entries(self) -> int:
-        return sum(
-            row.role is InstanceRole.ENTRY for row in self.directory.all().values()
-        )
+        return len(self.directory.of_role(InstanceRole.ENTRY))
 
     def _status(self) -> dict[str, object]:
         now = anyio.current_time()
--- a/packages/entry/src/briarthread_entry/direct/group_watcher.py
+++ b/packages/entry/src/briarthread_entry/direct/group_watcher.py
@@ -57,8 +57,7 @@
             tasks.start_soon(self._keep_following, service)
 
     def _agents(self) -> list[Instance]:
-        rows = self.directory.all().values()
-        return [row for row in rows if row.role is InstanceRole.TARGET]
+        return list(self.directory.of_role(InstanceRole.TARGET).values())
 
     async def _keep_following(self, service: str) -> None:
         while True:
--- a/packages/entry/src/briarthread_entry/direct/home_slots.py
+++ b/packages/entry/src/briarthread_entry/direct/home_slots.py
@@ -29,11 +29,10 @@
 
     def of(self, service: str, ranks: Sequence[DirectTarget]) -> Mapping[str, int]:
         """Return the entry's own slots of a service by the names of ranks."""
-        rows = self.directory.all()
-        state = (self.directory.number, *(rank.name for rank in ranks))
+        state = (self.directory.feed.number, *(rank.name for rank in ranks))
         known = self.known.get(service)
         if known is None or known[0] != state:
-            entries = [row for row in rows.values() if row.role is InstanceRole.ENTRY]
+            entries = self.directory.of_role(InstanceRole.ENTRY).values()
             known = self.known[service] = (state, own_slots(self.name, entries, ranks))
         return known[1]
 
--- a/packages/entry/src/briarthread_entry/direct/running_watcher.py
+++ b/packages/entry/src/briarthread_entry/direct/running_watcher.py
@@ -84,8 +84,7 @@
         return [one.name for one in self.followed if isinstance(one, EntryFollowed)]
 
     def _entries(self) -> dict[str, Instance]:
-        rows = self.directory.all()
-        return {n: row for n, row in rows.items() if row.role is InstanceRole.ENTRY}
+        return self.directory.of_role(InstanceRole.ENTRY)
 
     def _refresh(self, tasks: TaskGroup) -> None:
         blocks = blocks_of(self._entries())
