Pass on only what goes to a whole group; keep counts as they were told

Cause: found on reading the change again. An agent passed on promises and goes as well, which go to one agent and never by way of another; the largest message to an agent stood twice; counts were copied with their unit multiplied in, 4,128 numbers for each rank that was asked, though each look weighs them anyway; taking back a promise was written into its handler while its siblings are methods.

Change: three paths are passed on, one bound stands beside them, the unit is part of the weight, take_back is a method. Behaviour is as it was but for the two paths.

--- a/packages/agent/src/briarthread_agent/ranks/demand_watch.py
+++ b/packages/agent/src/briarthread_agent/ranks/demand_watch.py
@@ -3,9 +3,11 @@
 from briarthread_agent.ranks.group_view import GroupView
 from briarthread_agent.ranks.rank_demand import HALF_LIFE
 from briarthread_common.direct.expert_figures import ExpertFigures
+from briarthread_common.messages.rank_messages import RankAnswer
 
 FORGOTTEN_SECONDS = 6 * HALF_LIFE
-"""Age past which what a rank said counts for next to nothing."""
+"""How much older than the newest word one may be to count at all; of a group that
+was away for long, all words are old and the newest still are the best guess."""
 LEAST_PASSES = 2
 """Passes between two looks under which their length says nothing."""
 
@@ -20,7 +22,7 @@
 
     def __init__(self, figures: ExpertFigures) -> None:
         self.figures = figures
-        self.said: dict[int, tuple[float, list[float]]] = {}
+        self.said: dict[int, tuple[float, RankAnswer]] = {}
         self.last: tuple[int, int, float] | None = None
 
     def observe(self, view: GroupView, now: float) -> float | None:
@@ -33,9 +35,7 @@
         size = self.figures.sets * self.figures.experts
         for member in view.members:
             if len(member.answer.counts) == size:
-                unit = member.answer.count_unit
-                counts = [count * unit for count in member.answer.counts]
-                self.said[member.state.rank] = (now, counts)
+                self.said[member.state.rank] = (now, member.answer)
         last, self.last = self.last, (view.epoch, view.step, now)
         if last is None or last[0] != view.epoch:
             return None
@@ -47,10 +47,10 @@
         experts = self.figures.experts
         flat = [0.0] * (self.figures.sets * experts)
         newest = max((at for at, _ in self.said.values()), default=now)
-        for at, counts in self.said.values():
+        for at, answer in self.said.values():
             if newest - at > FORGOTTEN_SECONDS:
                 continue
-            weight = 0.5 ** ((now - at) / HALF_LIFE)
-            for number, count in enumerate(counts):
+            weight = answer.count_unit * 0.5 ** ((now - at) / HALF_LIFE)
+            for number, count in enumerate(answer.counts):
                 flat[number] += count * weight
         return [flat[n * experts : (n + 1) * experts] for n in range(self.figures.sets)]
--- a/packages/agent/src/briarthread_agent/ranks/group_calls.py
+++ b/packages/agent/src/briarthread_agent/ranks/group_calls.py
@@ -25,7 +25,8 @@
 from briarthread_common.http.channel import Channel
 from briarthread_common.http.channel_calls import call_json
 from briarthread_common.messages.rank_messages import (
-    RANK_PATHS,
+    GROUP_PATHS,
+    MAX_RANK_BODY,
     RELAY_PATH,
     RelayAnswer,
     RelayedMessage,
@@ -42,8 +43,6 @@
 """Part of the time for a call that those who are called by way of another have."""
 PASSED_OVER_SECONDS = 5.0
 """How long an agent that did not pass calls on is passed over."""
-MAX_BODY = 4 * 1024 * 1024
-"""Largest message that is passed on; a whole map of 129 ranks takes some 30 KB."""
 
 
 class GroupCalls:
@@ -130,8 +129,8 @@
         return answers
 
     async def _handle_relay(self, call: Call) -> None:
-        asked = await call.read_json(RelayRequest, MAX_BODY)
-        if asked.path not in RANK_PATHS:
+        asked = await call.read_json(RelayRequest, MAX_RANK_BODY)
+        if asked.path not in GROUP_PATHS:
             raise RequestError(ErrorKind.BAD_REQUEST, f"{asked.path} is not passed on")
         messages = {
             address: one.message for one in asked.messages for address in one.addresses
--- a/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_keeper.py
@@ -20,6 +20,7 @@
     ARM_PATH,
     GO_PATH,
     LONG_SILENCE,
+    MAX_RANK_BODY,
     NO_FENCE,
     QUERY_PATH,
     STAGE_PATH,
@@ -34,8 +35,6 @@
     WithdrawRequest,
 )
 
-MAX_BODY = 4 * 1024 * 1024
-"""Largest message from a planner; a map of 63 ranks takes some 20 KB."""
 NEVER = float("-inf")
 REPORT_SECONDS = 0.1
 """Shortest time between two reports to an entry: some passes."""
@@ -153,6 +152,13 @@
         state = await self.own_state()
         return state is not None and HeldPass.of(state) != held
 
+    async def take_back(self, asked: WithdrawRequest) -> OrderAnswer:
+        """Promise a planner that a pass will never be promised, if it was not."""
+        held = HeldPass(asked.epoch, asked.step)
+        if self._obeys(asked.fence):
+            await self.withdraw(held)
+        return OrderAnswer(self.withdrawn == held)
+
     async def arm(self, asked: ArmRequest) -> OrderAnswer:
         """Have the rank switch to a loaded map as a pass begins."""
         if not self._obeys(asked.fence):
@@ -220,7 +226,7 @@
         await call.reply_json(await self.query(await call.read_json(RankQuery, 1000)))
 
     async def _handle_stage(self, call: Call) -> None:
-        asked = await call.read_json(StageRequest, MAX_BODY)
+        asked = await call.read_json(StageRequest, MAX_RANK_BODY)
         await call.reply_json(await self.stage(asked))
 
     async def _handle_accept(self, call: Call) -> None:
@@ -229,10 +235,7 @@
 
     async def _handle_withdraw(self, call: Call) -> None:
         asked = await call.read_json(WithdrawRequest, 1000)
-        held = HeldPass(asked.epoch, asked.step)
-        if self._obeys(asked.fence):
-            await self.withdraw(held)
-        await call.reply_json(OrderAnswer(self.withdrawn == held))
+        await call.reply_json(await self.take_back(asked))
 
     async def _handle_arm(self, call: Call) -> None:
         asked = await call.read_json(ArmRequest, 1000)
--- a/packages/common/src/briarthread_common/messages/rank_messages.py
+++ b/packages/common/src/briarthread_common/messages/rank_messages.py
@@ -14,8 +14,10 @@
 ARM_PATH = "/peer/v1/rank/arm"
 GO_PATH = "/peer/v1/rank/go"
 RELAY_PATH = "/peer/v1/rank/relay"
-RANK_PATHS = (QUERY_PATH, STAGE_PATH, ACCEPT_PATH, ARM_PATH, GO_PATH)
-"""The calls that an agent passes on to others of its group."""
+GROUP_PATHS = (QUERY_PATH, STAGE_PATH, ARM_PATH)
+"""The calls that go to all ranks of a group, which an agent passes on."""
+MAX_RANK_BODY = 4 * 1024 * 1024
+"""Largest message to an agent; a whole map of 129 ranks takes some 30 KB."""
 NO_FENCE = 0
 """The number of a question that is no planner's."""
 LONG_SILENCE = 3600.0
