Hold who polls the platform in one type

Cause: found on reading the change again. The spreader kept the list that its duty was worked out from and the duty beside a dozen other things, the following one looked up addresses for it, and each question whether this process polls built a set of all names, a dozen times a second before 228 processes.

Change: PollDuty holds the order and answers who polls, where and whether this process does.

--- a/packages/common/src/briarthread_common/spread/following_spreader.py
+++ b/packages/common/src/briarthread_common/spread/following_spreader.py
@@ -82,7 +82,7 @@
         follows: bool = True,
     ) -> None:
         super().__init__(options, feeds, directory, source, channel, rng)
-        self.pollers = FOLLOWERS
+        self.poll_duty.holders = FOLLOWERS
         self.follows = follows
         self.followed = source
         self.health = SourceHealth()
@@ -205,7 +205,7 @@
 
         One that has died is missed by every entry of its data centre at once.
         """
-        followers = self._followers()
+        followers = self.poll_duty.addresses()
         if not followers:
             self._stand_in("no entry is known")
             return
@@ -239,10 +239,6 @@
         if address is not None:
             await self._exchange_quietly(address)
 
-    def _followers(self) -> list[str]:
-        known = self.directory.all()
-        return [known[name].address for name in self._duty() if name in known]
-
     def _stand_in(self, reason: str) -> None:
         if not self._on_poll_duty():
             logger.info("spread: following the platform itself: {}", reason)
@@ -252,7 +248,7 @@
         if anyio.current_time() < self.standing_in_until:
             return True
         if anyio.current_time() < self.unlisted_until:
-            return self.options.name in self._duty()
+            return self.options.name in self.poll_duty.names()
         return self.follows and super()._on_poll_duty()
 
     def _note_down(self, feed: Feed, error: PlatformError) -> None:
--- a/packages/common/src/briarthread_common/spread/spreader.py
+++ b/packages/common/src/briarthread_common/spread/spreader.py
@@ -20,6 +20,7 @@
 from briarthread_common.messages.instance import Instance
 from briarthread_common.spread.directory import Directory
 from briarthread_common.spread.feed_source import FeedSource
+from briarthread_common.spread.poll_duty import PollDuty
 from briarthread_common.spread.spread_options import SpreadOptions
 from briarthread_common.spread.tree import root_of, told_by
 from briarthread_common.utils.hashing import rendezvous_order
@@ -61,11 +62,11 @@
         self.source = source
         self.channel = channel
         self.rng = rng
-        self.pollers = POLLERS
+        self.poll_duty = PollDuty(
+            options.name, options.data_centre, directory, holders=POLLERS
+        )
         self.platform_up = False
         self.started = anyio.Event()
-        self.duty_of: object = None
-        self.duty: list[str] = []
 
     async def run(self) -> None:
         """Start up, then poll, tell and exchange until cancelled."""
@@ -222,28 +223,8 @@
             logger.debug("spread: {}", error)
 
     def _on_poll_duty(self) -> bool:
-        """
-        Tell whether this process polls the platform now.
-
-        The first entries of the data centre do. Without a list, or where no
-        entry is listed, everyone does.
-        """
-        duty = self._duty()
-        if not duty:
-            return True
-        return self.options.name in duty or self.options.name not in self._known()
-
-    def _duty(self) -> list[str]:
-        """Return the names of the entries here that are to poll."""
-        rows = self.directory.all()
-        if self.duty_of is not rows:
-            self.duty_of = rows
-            here = self.directory.entries(self.options.data_centre)
-            self.duty = rendezvous_order("poll", [row.name for row in here])
-        return self.duty[: self.pollers]
-
-    def _known(self) -> set[str]:
-        return set(self.directory.all())
+        """Tell whether this process polls the platform now."""
+        return self.poll_duty.held()
 
     def _random_peer(self) -> str | None:
         rows = self.directory.all().values()
