--- a/packages/entry/src/briarthread_entry/direct/home_slots.py
+++ b/packages/entry/src/briarthread_entry/direct/home_slots.py
@@ -6,8 +6,9 @@
 that looks least loaded, they meet there, and the whole group waits for it. So the
 slots of all ranks are dealt out to the entries, and each fills its own first: two
 entries then meet only where one has more than its part. Drawn arrivals before 12,
-63 and 129 ranks, reports 0.1 to 0.35 s old: 4, 16 and 19 in 100 met a full rank
-where the least loaded was taken, 1, 4 and 9 this way.
+63 and 129 ranks, reports 0.1 to 0.35 s old: 4, 13 and 16 in 100 met a full rank
+where the least loaded was taken, 1, 2 and 5 this way
+(``python -m briarthread_measure.choice_run``).
 """
 
 from collections import Counter
--- /dev/null
+++ b/packages/measure/src/briarthread_measure/choice_run.py
@@ -0,0 +1,114 @@
+"""
+Compare ways to choose a rank where many entries choose at the same time.
+
+Usage:
+  choice_run [--seeds=N] [--jobs=N]
+
+Options:
+  --seeds=N  Plays of each load, the same seeds for all ways [default: 3].
+  --jobs=N   Processes to play with [default: 3].
+
+Arrivals are drawn; what an entry knows of the others is as old as reports are.
+The figure is the part of arrivals that meet a full rank: median (least..largest).
+"""
+
+import random
+from collections.abc import Mapping, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+
+from docopt import docopt
+
+from briarthread_entry.direct.choose_target import Elsewhere, choose_rank
+from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_measure.drawn_arrivals import DrawnDay, DrawnLoad
+from briarthread_measure.expert_moves import spread_text
+
+LOADS = {
+    "12 ranks": DrawnLoad(entries=9, ranks=12, slots=6, rate=30.0, age=0.1),
+    "63 ranks": DrawnLoad(entries=46, ranks=63, slots=5, rate=120.0, age=0.35),
+    "129 ranks": DrawnLoad(entries=99, ranks=129, slots=3, rate=150.0, age=0.35),
+}
+States = Sequence[DirectTargetState]
+Home = Mapping[str, int]
+
+
+def least_loaded(
+    states: States, elsewhere: Elsewhere, home: Home, rng: random.Random
+) -> DirectTargetState:
+    """Choose among the ranks with the least running."""
+    return rng.choice(_least(states, elsewhere))
+
+
+def own_among_least(
+    states: States, elsewhere: Elsewhere, home: Home, rng: random.Random
+) -> DirectTargetState:
+    """Choose among the ranks with the least running, own slots first."""
+    least = _least(states, elsewhere)
+    own = [s for s in least if s.running < home.get(s.target.name, 0)]
+    return rng.choice(own or least)
+
+
+def by_what_is_free(
+    states: States, elsewhere: Elsewhere, home: Home, rng: random.Random
+) -> DirectTargetState:
+    """Choose by chance, weighed by what is free, as an entry without own slots."""
+    return own_slots_first(states, elsewhere, {}, rng)
+
+
+def own_slots_first(
+    states: States, elsewhere: Elsewhere, home: Home, rng: random.Random
+) -> DirectTargetState:
+    """Choose as an entry does."""
+    found = choose_rank(states, elsewhere, home, 0.0, rng)
+    if found is None:
+        raise ValueError("there are no ranks to choose from")
+    return found
+
+
+WAYS = {
+    "least running, by chance among equals": least_loaded,
+    "the same, own slots first among equals": own_among_least,
+    "by chance, weighed by what is free": by_what_is_free,
+    "own slots first, then by what is free": own_slots_first,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Play:
+    """One play: the names of the way and of the load, and the seed."""
+
+    way: str
+    load: str
+    seed: int
+
+
+def share_of(play: Play) -> float:
+    """Return the part of arrivals that meet a full rank in one play."""
+    day = DrawnDay(LOADS[play.load], play.seed, WAYS[play.way])
+    return day.share_that_meets_a_full_rank()
+
+
+def main() -> None:
+    """Play everything and print a table."""
+    arguments = docopt(__doc__)
+    seeds = range(1, int(arguments["--seeds"]) + 1)
+    print("| way |", " | ".join(LOADS), "|")
+    print("| --- |", " | ".join("---" for _ in LOADS), "|")
+    with ProcessPoolExecutor(int(arguments["--jobs"])) as pool:
+        for way in WAYS:
+            cells = []
+            for load in LOADS:
+                plays = [Play(way, load, seed) for seed in seeds]
+                cells.append(spread_text(list(pool.map(share_of, plays)), ".3f"))
+            print(f"| {way} |", " | ".join(cells), "|", flush=True)
+
+
+def _least(states: States, elsewhere: Elsewhere) -> list[DirectTargetState]:
+    loads = [state.running + elsewhere(state.target.name) for state in states]
+    least = min(loads)
+    return [s for s, load in zip(states, loads, strict=True) if load == least]
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/measure/src/briarthread_measure/drawn_arrivals.py
@@ -0,0 +1,116 @@
+"""Arrivals at many entries before one group, drawn and played without a network."""
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from briarthread_common.direct.direct_target import DirectTarget
+from briarthread_common.messages.instance import Instance, InstanceRole
+from briarthread_entry.direct.choose_target import Elsewhere
+from briarthread_entry.direct.home_slots import own_slots
+from briarthread_entry.direct.target_state import DirectTargetState
+
+STREAM_SECONDS = 1.6
+SETTLED, SECONDS = 5.0, 15.0
+"""From when on arrivals are counted, and until when they come, s."""
+CENTRES = ("palermo", "catania", "messina")
+UNEVEN = 0.5
+"""Spread of callers over entries, as the deviation of a log-normal weight."""
+
+Choice = Callable[
+    [Sequence[DirectTargetState], Elsewhere, Mapping[str, int], random.Random],
+    DirectTargetState,
+]
+"""Takes an entry's states, what others have there and its own slots."""
+
+
+@dataclass(frozen=True, slots=True)
+class DrawnLoad:
+    """Arrivals a second before ranks, and the age of what entries know, s."""
+
+    entries: int
+    ranks: int
+    slots: int
+    rate: float
+    age: float
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """What ran at a moment: at each rank, and of it from each entry."""
+
+    at: float
+    running: list[int]
+    own: list[list[int]]
+
+
+@dataclass
+class DrawnDay:
+    """Play arrivals that each entry sends where ``choose`` says."""
+
+    load: DrawnLoad
+    seed: int
+    choose: Choice
+    ends: list[tuple[float, int, int]] = field(default_factory=list)
+    seen: deque[Seen] = field(default_factory=deque)
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        load = self.load
+        ranks = [
+            DirectTarget(f"r{n}", "model", "", CENTRES[n % 3], load.slots, False)
+            for n in range(load.ranks)
+        ]
+        rows = [
+            Instance(f"e{n}", CENTRES[n % 3], "", InstanceRole.ENTRY)
+            for n in range(load.entries)
+        ]
+        self.states = [[DirectTargetState(rank) for rank in ranks] for _ in rows]
+        self.home = [own_slots(row.name, rows, ranks) for row in rows]
+        self.running = [0] * load.ranks
+        self.weights = [self.rng.lognormvariate(0, UNEVEN) for _ in rows]
+
+    def share_that_meets_a_full_rank(self) -> float:
+        """Return the part of arrivals that have to wait for a slot."""
+        now, met, asked = 0.0, 0, 0
+        while now < SECONDS:
+            now += self.rng.expovariate(self.load.rate)
+            self._end_streams(now)
+            self._look(now)
+            entry = self.rng.choices(range(self.load.entries), self.weights)[0]
+            rank = self._choose(entry)
+            if now > SETTLED:
+                asked += 1
+                met += self.running[rank] >= self.load.slots
+            self._start(entry, rank, now)
+        return met / asked
+
+    def _look(self, now: float) -> None:
+        own = [[state.running for state in states] for states in self.states]
+        self.seen.append(Seen(now, list(self.running), own))
+        while len(self.seen) > 1 and self.seen[1].at <= now - self.load.age:
+            self.seen.popleft()
+
+    def _choose(self, entry: int) -> int:
+        seen = self.seen[0]
+        others = {
+            f"r{n}": seen.running[n] - seen.own[entry][n]
+            for n in range(self.load.ranks)
+        }
+        states = self.states[entry]
+        found = self.choose(states, others.__getitem__, self.home[entry], self.rng)
+        return states.index(found)
+
+    def _start(self, entry: int, rank: int, now: float) -> None:
+        self.running[rank] += 1
+        self.states[entry][rank].running += 1
+        seconds = STREAM_SECONDS * self.rng.uniform(0.8, 1.2)
+        heapq.heappush(self.ends, (now + seconds, entry, rank))
+
+    def _end_streams(self, now: float) -> None:
+        while self.ends and self.ends[0][0] <= now:
+            _, entry, rank = heapq.heappop(self.ends)
+            self.running[rank] -= 1
+            self.states[entry][rank].running -= 1
