Record Retry-After of refusals, and count attempts during a backoff

The head of a response is now parsed in one place into an AnswerNotice. A log line and a counter (briarthread_backoffs) record each requested backoff, and a log line and a counter (briarthread_attempts_in_backoff) record each attempt that starts during one. No decision changes: nothing acts on the backoff yet.

--- a/packages/common/src/briarthread_common/core/metrics.py
+++ b/packages/common/src/briarthread_common/core/metrics.py
@@ -39,6 +39,16 @@
             ["decision"],
             registry=self.registry,
         )
+        self.backoffs = Counter(
+            "briarthread_backoffs",
+            "Pauses that targets asked for.",
+            registry=self.registry,
+        )
+        self.attempts_in_backoff = Counter(
+            "briarthread_attempts_in_backoff",
+            "Attempts that began while their target wanted no requests.",
+            registry=self.registry,
+        )
         self.crash_decisions = Counter(
             "briarthread_crash_decisions",
             "Decisions on requests under which targets crashed.",
--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -9,6 +9,7 @@
     RequestError,
     SpoiltAnswerError,
 )
+from briarthread_common.direct.answer_notice import read_notice
 from briarthread_common.direct.call_kind import CallKind
 from briarthread_common.direct.header_names import HeaderNames
 from briarthread_common.http.channel import Channel, ChannelRequest, ChannelResponse
@@ -23,6 +24,7 @@
 )
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.event_reader import EventReader
+from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.target_limits import TargetLimits
 from briarthread_entry.direct.target_state import DirectTargetState
 
@@ -40,11 +42,16 @@
     """Send attempts and tell what is certain about each."""
 
     def __init__(
-        self, channel: Channel, names: HeaderNames, limits: TargetLimits
+        self,
+        channel: Channel,
+        names: HeaderNames,
+        limits: TargetLimits,
+        backoffs: TargetBackoffs,
     ) -> None:
         self.channel = channel
         self.names = names
         self.limits = limits
+        self.backoffs = backoffs
 
     async def send(
         self, request: DirectRequest, state: DirectTargetState, relay: AnswerRelay
@@ -52,10 +59,11 @@
         """Send one attempt; the events of a stream go on as they come."""
         call = self._call(request, state, relay)
         sent = anyio.current_time()
+        self.backoffs.note_attempt(state.target.name, sent)
         try:
             async with self.channel.stream(call) as response:
                 self._check_whose(request, response)
-                self._note_limit(state, response, sent)
+                self._note_head(state, response, sent)
                 return await self._read(request, response, relay)
         except NotWrittenError as error:
             return ProvedNotRun(_failed(ErrorKind.NO_TARGET, error), written=False)
@@ -91,15 +99,17 @@
         if response.headers.get(self.names.request_id, "") != request.id:
             raise SpoiltAnswerError("the answer is to another request, or names none")
 
-    def _note_limit(
+    def _note_head(
         self, state: DirectTargetState, response: ChannelResponse, sent: float
     ) -> None:
-        """Take note of the limit in an answer, unless another target gave it."""
-        if response.status != REPLACED:
-            named = [raw for name, raw in response.fields if name == self.names.limit]
-            raw = ",".join(named) if named else None
-            now = anyio.current_time()
-            self.limits.note_answer(state.target.name, raw, sent, now)
+        """Record the target's limit and backoff; a 421 comes from another target."""
+        if response.status == REPLACED:
+            return
+        name = state.target.name
+        now = anyio.current_time()
+        named = [raw for field, raw in response.fields if field == self.names.limit]
+        self.limits.note_answer(name, ",".join(named) if named else None, sent, now)
+        self.backoffs.note(name, read_notice(response).backoff, now)
 
     def _check_answer(self, response: ChannelResponse) -> None:
         """Raise SpoiltAnswerError for a success that is not the target's own."""
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -41,6 +41,7 @@
 from briarthread_entry.direct.settings import DirectSettings
 from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
 from briarthread_entry.direct.slow_ranks import SlowRanks
+from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.target_book import TargetBook
 from briarthread_entry.direct.target_chooser import TargetChooser
 from briarthread_entry.direct.target_limits import TargetLimits
@@ -77,6 +78,7 @@
         )
         self.routes = RouteView(self.feeds.routes, adapter)
         self.limits = TargetLimits()
+        self.backoffs = TargetBackoffs(self.metrics)
         self.crashes = CrashBook(self._note_crash_decision)
         self.book = TargetBook(self.feeds.targets, adapter, self.spreader.well_since)
         self.book.on_gone = self._forget
@@ -121,7 +123,7 @@
                 self.crashes,
                 rng,
             ),
-            AttemptSender(target_channel, adapter.headers, self.limits),
+            AttemptSender(target_channel, adapter.headers, self.limits, self.backoffs),
             self.crashes,
             self.budget,
             self.gate,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,10 +1,11 @@
 """Builders of test data."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import TypeVar
 
 import anyio
 
+from briarthread_common.http.channel import ChannelResponse
 from briarthread_common.messages.attempt import Attempt
 from briarthread_common.text.service import Service, TargetKind
 from briarthread_common.utils.hashing import key_digest
@@ -17,6 +18,16 @@
 """Virtual time in which a small world comes up and claims its shares."""
 
 
+def build_head(status: int, *fields: tuple[str, str]) -> ChannelResponse:
+    """Return a response with the given header fields and an empty body."""
+
+    async def no_body() -> AsyncIterator[bytes]:
+        return
+        yield b""
+
+    return ChannelResponse(status, dict(fields), no_body(), fields)
+
+
 def build_service(**changes: object) -> Service:
     """Return a plain service; keyword arguments replace its options."""
     options = {
