--- a/packages/standins/src/briarthread_standins/direct_worker.py
+++ b/packages/standins/src/briarthread_standins/direct_worker.py
@@ -8,6 +8,7 @@
 
 from briarthread_common.http.app import AnswerAborted, App, Route
 from briarthread_common.http.call import Call
+from briarthread_standins.refusals import Refusals
 
 MAX_BODY = 1024 * 1024
 STAMP = ("x-server-stamp", "stamp")
@@ -40,7 +41,8 @@
     ``rewinds`` repeats an event when a stream is resumed there. ``limit`` is named in
     every answer while it is set; ``arrivals`` are the times of all requests. A request
     whose body is ``crashes_on`` calls ``on_crash``. While its group is ``broken_by``
-    another worker it refuses; what runs waits for that and is cut off.
+    another worker it refuses; what runs waits for that and is cut off. ``refusals``
+    say when it turns everything away and asks for a pause.
     """
 
     def __init__(self, name: str, pieces: int = 6) -> None:
@@ -51,6 +53,7 @@
         self.cut_after = 2
         self.rewinds = False
         self.limit: str | None = None
+        self.refusals = Refusals()
         self.arrivals: list[float] = []
         self.crashes_on: bytes | None = None
         self.on_crash: Callable[[DirectWorker], None] | None = None
@@ -77,6 +80,10 @@
             named = ("at-server", self.broken_by)
             await call.reply(503, b"", [("x-not-executed", "1"), *echoed, named])
             return
+        if self.refusals.take(call.scope["client"][0]):
+            pause = ("retry-after", self.refusals.retry_after)
+            await call.reply(503, b"", [("x-not-executed", "1"), *echoed, pause])
+            return
         if self.on_crash is not None and body == self.crashes_on:
             self.on_crash(self)
             await anyio.sleep_forever()
--- a/packages/standins/src/briarthread_standins/limit_day.py
+++ b/packages/standins/src/briarthread_standins/limit_day.py
@@ -1,4 +1,4 @@
-"""A load on targets of which some name a limit."""
+"""A load on targets of which some name a limit or ask for pauses."""
 
 from dataclasses import dataclass
 
@@ -14,6 +14,23 @@
     targets: int = 1
 
 
+@dataclass(frozen=True, slots=True)
+class RefusalStep:
+    """
+    From ``at`` seconds on the first ``targets`` refuse everything for ``seconds``.
+
+    They ask each entry for a pause of ``pause`` seconds.
+    """
+
+    at: float
+    seconds: float
+    targets: int = 1
+    pause: float = 3.0
+
+
+Step = LimitStep | RefusalStep
+
+
 @dataclass(frozen=True, slots=True)
 class LimitDay:
     """
@@ -31,7 +48,7 @@
     service: str = MODEL
     rate: float = 28.0
     seconds: float = 24.0
-    steps: tuple[LimitStep, ...] = (LimitStep(3.0, "1"),)
+    steps: tuple[Step, ...] = (LimitStep(3.0, "1"),)
     favoured: float = 0.3
     trouble_at: float = 0.0
     restarted: bool = False
--- a/packages/standins/src/briarthread_standins/limit_tally.py
+++ b/packages/standins/src/briarthread_standins/limit_tally.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from briarthread_standins.refusals import Refusals
+
 WINDOW_SECONDS = 4.0
 """Time over which a target's arrivals are counted."""
 
@@ -17,6 +19,7 @@
     """
 
     arrivals: list[list[float]] = field(default_factory=list)
+    refusals: list[Refusals] = field(default_factory=list)
     statuses: Counter[int] = field(default_factory=Counter)
     waits: list[float] = field(default_factory=list)
     slowest_refusal: float = 0.0
@@ -33,6 +36,10 @@
             default=0,
         )
 
+    def most_early(self) -> int:
+        """Return the most requests that an entry sent a target within a pause."""
+        return max(refusals.most_early() for refusals in self.refusals)
+
     def a_second(self, target: int, since: float, until: float) -> float:
         """Return what a target got a second between two times."""
         got = sum(since <= at < until for at in self.arrivals[target])
--- a/packages/standins/src/briarthread_standins/plain_service.py
+++ b/packages/standins/src/briarthread_standins/plain_service.py
@@ -8,6 +8,7 @@
 
 from briarthread_common.http.app import App, Route
 from briarthread_common.http.call import Call
+from briarthread_standins.refusals import Refusals
 from briarthread_standins.run_standin import run_standin
 
 USAGE = """
@@ -27,12 +28,14 @@
     Answer each call after a while and count how often each body came.
 
     The count takes effect before the answer is sent, as a booking does. The
-    body stands for the key, since a target sees no idempotency key.
+    body stands for the key, since a target sees no idempotency key. ``refusals`` say
+    when it turns everything away and asks for a pause.
     """
 
     def __init__(self, delay: float = 0.005) -> None:
         self.delay = delay
         self.runs: Counter[str] = Counter()
+        self.refusals = Refusals()
         self.app = App(
             [
                 Route("GET", "/standin/runs", self._handle_runs),
@@ -42,6 +45,9 @@
 
     async def _handle_call(self, call: Call) -> None:
         body = await call.read_body(LIMIT)
+        if self.refusals.take(call.scope["client"][0]):
+            await call.reply(503, b"", [("retry-after", self.refusals.retry_after)])
+            return
         self.runs[body.decode()] += 1
         await anyio.sleep(self.delay)
         await call.reply_json(
--- a/packages/standins/src/briarthread_standins/play_limits.py
+++ b/packages/standins/src/briarthread_standins/play_limits.py
@@ -10,8 +10,9 @@
 from briarthread_common.utils.hashing import rendezvous_order
 from briarthread_entry.direct.direct_entry import DirectEntry
 from briarthread_standins.direct_config import MODEL, build_config, build_route_row
+from briarthread_standins.direct_worker import DirectWorker
 from briarthread_standins.direct_world import DirectWorld
-from briarthread_standins.limit_day import LimitDay
+from briarthread_standins.limit_day import LimitDay, LimitStep, RefusalStep, Step
 from briarthread_standins.limit_tally import LimitTally
 from briarthread_standins.virtual_time import run_virtual
 
@@ -40,11 +41,12 @@
             sent_before = sum(world.network.sent_bytes.values())
             start = anyio.current_time()
             async with anyio.create_task_group() as callers:
-                callers.start_soon(_name_limits, world, day)
+                callers.start_soon(_take_steps, world, day)
                 callers.start_soon(_disturb, world, day)
                 await _arrive(world, callers, day, tally)
             workers = world.workers.values()
             tally.arrivals = [[at - start for at in w.arrivals] for w in workers]
+            tally.refusals = [worker.refusals for worker in workers]
             tally.bytes_sent = sum(world.network.sent_bytes.values()) - sent_before
             tasks.cancel_scope.cancel()
 
@@ -78,12 +80,21 @@
     return world
 
 
-async def _name_limits(world: DirectWorld, day: LimitDay) -> None:
+async def _take_steps(world: DirectWorld, day: LimitDay) -> None:
     start = anyio.current_time()
     for step in day.steps:
         await anyio.sleep(start + step.at - anyio.current_time())
         for worker in list(world.workers.values())[: step.targets]:
-            worker.limit = step.limit
+            _take_step(worker, step)
+
+
+def _take_step(worker: DirectWorker, step: Step) -> None:
+    match step:
+        case LimitStep(limit=limit):
+            worker.limit = limit
+        case RefusalStep(seconds=seconds, pause=pause):
+            now = anyio.current_time()
+            worker.refusals.refuse(now, now + seconds, pause)
 
 
 async def _disturb(world: DirectWorld, day: LimitDay) -> None:
