--- a/packages/agent/src/briarthread_agent/agent.py
+++ b/packages/agent/src/briarthread_agent/agent.py
@@ -16,6 +16,7 @@
 from briarthread_agent.holding.share_guard import ShareGuard
 from briarthread_agent.holding.share_keeper import MEMORY_PATH, ShareKeeper
 from briarthread_agent.limits.fair_queue import FairQueue
+from briarthread_agent.limits.target_backoff import TargetBackoff
 from briarthread_agent.maps.engine_client import EngineClient
 from briarthread_agent.maps.group_peers import GroupPeers
 from briarthread_agent.maps.map_handlers import MapHandlers
@@ -106,9 +107,10 @@
             self.events,
             rng,
         )
-        self.queue = FairQueue(clock, FIRST_SLOTS, FIRST_QUEUE)
-        self.reporter = LoadReporter(self.incarnation, self.queue)
-        target = TargetClient(channel, settings.target)
+        self.backoff = TargetBackoff(self.metrics)
+        self.queue = FairQueue(clock, self.backoff, FIRST_SLOTS, FIRST_QUEUE)
+        self.reporter = LoadReporter(self.incarnation, self.queue, self.backoff)
+        target = TargetClient(channel, settings.target, self.backoff)
         runner = Runner(clock, self.ledger, self.queue, target, self.guard, tasks)
         self.handler = AttemptHandler(
             runner, self.reporter, self.text, settings.service, self.metrics
@@ -130,6 +132,7 @@
         self.tasks.start_soon(self.gap.run)
         self.tasks.start_soon(self.keeper.run)
         self.tasks.start_soon(self._follow_text)
+        self.tasks.start_soon(self.queue.follow_backoff)
         self.tasks.start_soon(self.maps.run)
 
     async def drain(self) -> None:
@@ -203,6 +206,7 @@
             "platform": "up" if self.spreader.platform_up else "down",
             "running": self.queue.running,
             "queued": len(self.queue.waiting),
+            "backoff_seconds": self.backoff.seconds_left(),
             "shares": [row.share for row in self.guard.held()],
             "ready": self.ready() or "yes",
         }
--- a/packages/agent/src/briarthread_agent/attempts/target_client.py
+++ b/packages/agent/src/briarthread_agent/attempts/target_client.py
@@ -1,6 +1,7 @@
 """Calls to the target that the agent stands before."""
 
 from briarthread_agent.attempts.answer_buffer import AnswerBuffer, Headers
+from briarthread_agent.limits.target_backoff import TargetBackoff
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.exceptions import (
     BrokenCallError,
@@ -8,6 +9,7 @@
     RequestError,
 )
 from briarthread_common.core.outcome import Outcome
+from briarthread_common.direct.answer_notice import read_notice
 from briarthread_common.http.channel import Channel, ChannelRequest
 from briarthread_common.http.passed_headers import PASSED_BACK
 from briarthread_common.messages.attempt import Attempt
@@ -16,9 +18,10 @@
 class TargetClient:
     """Run an attempt on the target and collect its answer."""
 
-    def __init__(self, channel: Channel, address: str) -> None:
+    def __init__(self, channel: Channel, address: str, backoff: TargetBackoff) -> None:
         self.channel = channel
         self.address = address
+        self.backoff = backoff
 
     async def run(
         self, attempt: Attempt, headers: Headers, body: bytes, answer: AnswerBuffer
@@ -34,6 +37,7 @@
         )
         try:
             async with self.channel.stream(request) as response:
+                self.backoff.note_answer(read_notice(response))
                 answer.start(response.status, _passed_back(response.headers))
                 async for chunk in response.body:
                     answer.add(chunk)
--- a/packages/agent/src/briarthread_agent/limits/fair_queue.py
+++ b/packages/agent/src/briarthread_agent/limits/fair_queue.py
@@ -4,6 +4,9 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import anyio
+
+from briarthread_agent.limits.target_backoff import TargetBackoff
 from briarthread_agent.limits.waiter import Waiter
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.exceptions import RequestError
@@ -12,6 +15,9 @@
 
 FIRST_GUESS = 0.02
 """Service time in seconds that is assumed before the first answer."""
+MAX_BACKOFF_WAIT = 0.2
+"""Longest remaining backoff in seconds that an attempt waits for. With a longer one it
+is refused, so that its entry can try another target within the route's aim."""
 
 
 class FairQueue:
@@ -22,10 +28,16 @@
     weight; the lowest tag goes first. An account alone takes all slots,
     two busy ones share them by weight. When the queue is full, the account
     with the most waiting for its weight gives up a place.
+
+    During a backoff of the target, new and waiting attempts are refused at once, unless
+    the backoff ends within ``MAX_BACKOFF_WAIT``.
     """
 
-    def __init__(self, clock: Clock, slots: int, limit: int) -> None:
+    def __init__(
+        self, clock: Clock, backoff: TargetBackoff, slots: int, limit: int
+    ) -> None:
         self.clock = clock
+        self.backoff = backoff
         self.slots = slots
         self.limit = limit
         self.running = 0
@@ -42,7 +54,8 @@
         Hold a slot while the context lasts.
 
         Raise RequestError at once, with when to come back, when the queue is
-        full or the wait predicted for this attempt goes past its deadline.
+        full, the target's backoff is in effect, or the wait predicted for this attempt
+        goes past its deadline.
         """
         await self._enter(account, weight, priority, deadline)
         started = self.clock.now()
@@ -58,19 +71,41 @@
 
     def predicted_wait(self, ahead: int) -> float:
         """Return the seconds until an attempt with ``ahead`` before it starts."""
+        backoff = self.backoff.seconds_left()
         if self.running < self.slots:
-            return 0.0
-        return (ahead + 1) * self.mean_service_time() / self.slots
+            return backoff
+        return backoff + (ahead + 1) * self.mean_service_time() / self.slots
 
     def backlog(self) -> float:
         """Return the seconds that the present queue takes to work off."""
         return self.predicted_wait(len(self.waiting))
 
+    async def follow_backoff(self) -> None:
+        """Refuse waiting attempts when a backoff begins; admit them when it ends."""
+        while True:
+            await self.backoff.extended.wait()
+            while self.backoff.seconds_left() > 0:
+                self._refuse_waiting()
+                await anyio.sleep(self.backoff.seconds_left())
+            self._grant_next()
+
+    def _refuse_waiting(self) -> None:
+        left = self.backoff.seconds_left()
+        if left <= MAX_BACKOFF_WAIT:
+            return
+        for waiter in self.waiting:
+            waiter.refusal = _backoff_error(left)
+            waiter.event.set()
+        self.waiting.clear()
+
     async def _enter(
         self, account: str, weight: float, priority: int, deadline: float
     ) -> None:
         waiter = Waiter(account, weight, priority, self._tag(account, weight))
-        if self.running < self.slots and not self.waiting:
+        left = self.backoff.seconds_left()
+        if left > MAX_BACKOFF_WAIT:
+            raise _backoff_error(left)
+        if self.running < self._usable_slots() and not self.waiting:
             self._grant(waiter)
             return
         ahead = sum(1 for other in self.waiting if other.order < waiter.order)
@@ -141,13 +176,24 @@
             self.virtual = 0.0
 
     def _grant_next(self) -> None:
-        while self.waiting and self.running < self.slots:
+        while self.waiting and self.running < self._usable_slots():
             waiter = min(self.waiting, key=lambda other: other.order)
             self.waiting.remove(waiter)
             self._grant(waiter)
 
+    def _usable_slots(self) -> int:
+        return self.backoff.usable_slots(self.slots)
+
     def _abandon(self, waiter: Waiter) -> None:
         if waiter.granted:
             self._leave()
         elif waiter in self.waiting:
             self.waiting.remove(waiter)
+
+
+def _backoff_error(left: float) -> RequestError:
+    return RequestError(
+        ErrorKind.TARGETS_BACKING_OFF,
+        f"the target is backing off for another {left:.2f} s",
+        retry_after=left,
+    )
--- a/packages/agent/src/briarthread_agent/reports/load_reporter.py
+++ b/packages/agent/src/briarthread_agent/reports/load_reporter.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from briarthread_agent.limits.fair_queue import FairQueue
+from briarthread_agent.limits.target_backoff import TargetBackoff
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.exceptions import RequestError
 from briarthread_common.http.call import Call
@@ -21,12 +22,16 @@
 
     A stream carries a line when the load has changed noticeably, at most
     once in the interval that the entry asked for, and a heartbeat line when
-    nothing changed. That the agent drains goes out at once.
+    nothing changed. That the agent drains, or its target requested a backoff, goes out
+    at once.
     """
 
-    def __init__(self, incarnation: str, queue: FairQueue) -> None:
+    def __init__(
+        self, incarnation: str, queue: FairQueue, backoff: TargetBackoff
+    ) -> None:
         self.incarnation = incarnation
         self.queue = queue
+        self.backoff = backoff
         self.number = 0
         self.draining = False
         self.drained = anyio.Event()
@@ -43,6 +48,7 @@
             s=self.queue.slots,
             m=round(self.queue.mean_service_time() * 1000, 2),
             d=self.draining,
+            b=round(self.backoff.seconds_left(), 3),
         )
 
     def drain(self) -> None:
@@ -74,16 +80,21 @@
     async def _wait_worth_sending(self, sent: LoadReport, every: float) -> None:
         with anyio.move_on_after(heartbeat_interval(every)):
             while True:
-                await self._pause(every)
-                if self.draining != sent.d or self._changed(sent):
+                extended = await self._pause(every)
+                if extended or self.draining != sent.d or self._changed(sent):
                     return
 
-    async def _pause(self, every: float) -> None:
+    async def _pause(self, every: float) -> bool:
+        """Wait for the next line; return whether the target requested a backoff."""
         if self.draining:
             await anyio.sleep(every)
-            return
+            return False
+        extended = self.backoff.extended
         with anyio.move_on_after(every):
-            await self.drained.wait()
+            async with anyio.create_task_group() as tasks:
+                for event in (self.drained, extended):
+                    tasks.start_soon(_cancel_on, event, tasks.cancel_scope)
+        return extended.is_set()
 
     def _changed(self, sent: LoadReport) -> bool:
         load = self.queue.running + len(self.queue.waiting)
@@ -91,6 +102,11 @@
         return abs(load - before) > NOTICEABLE * max(before, 1)
 
 
+async def _cancel_on(event: anyio.Event, scope: anyio.CancelScope) -> None:
+    await event.wait()
+    scope.cancel()
+
+
 def _interval(query: str) -> float:
     name, _, raw = query.partition("=")
     try:
--- a/packages/common/src/briarthread_common/core/error_answer.py
+++ b/packages/common/src/briarthread_common/core/error_answer.py
@@ -44,6 +44,9 @@
         503, _NOT_RUN, 1, "Deadline cannot be met"
     ),
     ErrorKind.TARGETS_LIMITED: ErrorAnswer(503, _NOT_RUN, 1, "Targets take no more"),
+    ErrorKind.TARGETS_BACKING_OFF: ErrorAnswer(
+        503, _NOT_RUN, 1, "Targets are backing off"
+    ),
     ErrorKind.CRASHES_TARGETS: ErrorAnswer(
         502,
         _NOT_RUN,
--- a/packages/common/src/briarthread_common/core/error_kind.py
+++ b/packages/common/src/briarthread_common/core/error_kind.py
@@ -19,6 +19,7 @@
     OVERLOADED = "overloaded"
     DEADLINE_UNMEETABLE = "deadline-unmeetable"
     TARGETS_LIMITED = "targets-limited"
+    TARGETS_BACKING_OFF = "targets-backing-off"
     CRASHES_TARGETS = "crashes-targets"
     NO_TARGET = "no-target"
     GROUP_BROKEN = "group-broken"
--- a/packages/common/src/briarthread_common/direct/read_backoff.py
+++ b/packages/common/src/briarthread_common/direct/read_backoff.py
@@ -37,10 +37,11 @@
 
 def _parse_value(value: str, date: str | None) -> float | None:
     try:
-        seconds = max(float(part) for part in value.split(","))
+        numbers = [float(part) for part in value.split(",")]
     except ValueError:
         return _parse_http_date(value, date)
-    return seconds if math.isfinite(seconds) and seconds >= 0 else None
+    valid = [number for number in numbers if math.isfinite(number) and number >= 0]
+    return max(valid, default=None)
 
 
 def _parse_http_date(value: str, date: str | None) -> float | None:
--- a/packages/common/src/briarthread_common/messages/load_report.py
+++ b/packages/common/src/briarthread_common/messages/load_report.py
@@ -21,8 +21,9 @@
 
     ``i`` is the incarnation, ``r`` the attempts running, ``q`` the attempts
     queued, ``s`` the slots, ``m`` the mean service time in milliseconds,
-    ``d`` whether the agent drains, ``n`` a number that grows with every
-    report of the incarnation, so that a late one is dropped.
+    ``d`` whether the agent drains, ``b`` the remaining backoff of its target in
+    seconds, ``n`` a number that grows with every report of the incarnation, so that a
+    late one is dropped.
     """
 
     i: str
@@ -32,3 +33,4 @@
     s: int
     m: float
     d: bool = False
+    b: float = 0.0
--- a/packages/entry/src/briarthread_entry/direct/admission_rule.py
+++ b/packages/entry/src/briarthread_entry/direct/admission_rule.py
@@ -25,6 +25,9 @@
 """Part of the time that callers honour from which on they come back to a group
 that is away for longer; the rest spreads them."""
 
+LATE_SPREAD = 0.1
+"""Minimum spread of returns after a backoff, as a fraction of the time to its end."""
+
 
 @dataclass(frozen=True, slots=True)
 class Start:
@@ -54,13 +57,15 @@
     State what a group has room for.
 
     ``most`` and ``running`` count requests over all entries. ``back_in`` is
-    in how many seconds a group that is not serving is expected back.
+    in how many seconds a group that is not serving is expected back. ``opens_in`` is in
+    how many seconds the first rank accepts requests, 0.0 if one does already.
     """
 
     serving: bool
     running: int
     most: int
     back_in: float = 0.0
+    opens_in: float = 0.0
 
     @property
     def free(self) -> int:
@@ -85,12 +90,16 @@
     1.5
     >>> decide(GroupRoom(False, 0, 60, back_in=1.2), True, 1.8, 5.0, 0.5)
     WaitForRoom()
+    >>> decide(GroupRoom(True, 0, 0, opens_in=2.0), False, 0.2, 9.0, 0.0).retry_after
+    2.0
     """
     if not room.serving:
         if room.back_in <= wait_left:
             return WaitForRoom()
         pause = return_to_group(time_left, room.back_in, pick)
         return Refuse(ErrorKind.GROUP_BROKEN, "the group is not serving", pause)
+    if room.opens_in > 0:
+        return _decide_in_backoff(room.opens_in, wait_left, time_left, pick)
     if room.running < _limit(room, returning):
         return Start()
     if wait_left > 0:
@@ -99,6 +108,16 @@
     return Refuse(ErrorKind.OVERLOADED, reason, spread_return(time_left, pick))
 
 
+def _decide_in_backoff(
+    opens_in: float, wait_left: float, time_left: float, pick: float
+) -> Decision:
+    """Return the decision on a request to a group whose ranks all back off."""
+    if opens_in <= wait_left:
+        return WaitForRoom()
+    pause = return_when_open(time_left, opens_in, pick)
+    return Refuse(ErrorKind.TARGETS_BACKING_OFF, "all ranks are backing off", pause)
+
+
 def spread_return(time_left: float, pick: float) -> float:
     """Return when to come back, spread over all that callers honour."""
     latest = max(time_left, 0.0) * HONOURED_SHARE
@@ -118,6 +137,20 @@
     return earliest + (latest - earliest) * pick
 
 
+def return_when_open(time_left: float, opens_in: float, pick: float) -> float:
+    """
+    Return when to come back to targets of which the first opens in ``opens_in`` s.
+
+    The result is never below ``opens_in``, even if callers do not honour that long a
+    time, since an earlier return would be refused again.
+
+    >>> return_when_open(9.0, 1.0, 0.5), return_when_open(6.0, 4.0, 0.0)
+    (2.0, 4.0)
+    """
+    latest = max(time_left, 0.0) * HONOURED_SHARE
+    return opens_in + max(latest - opens_in, opens_in * LATE_SPREAD) * pick
+
+
 def _limit(room: GroupRoom, returning: bool) -> float:
     return room.most * (1 - YIELDED_SHARE) if returning else room.most
 
--- a/packages/entry/src/briarthread_entry/direct/attempt_notes.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_notes.py
@@ -3,6 +3,7 @@
 import anyio
 
 from briarthread_common.core.event_log import EventLog
+from briarthread_common.direct.answer_notice import SERVICE_UNAVAILABLE
 from briarthread_entry.direct.attempt_outcome import (
     DirectOutcome,
     LeftSlowRank,
@@ -14,6 +15,7 @@
 from briarthread_entry.direct.crash_book import CrashBook
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.group_rooms import GroupRooms
+from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.target_state import DirectTargetState
 
 STALL_SECONDS = 1.2
@@ -30,8 +32,15 @@
     What it says of a crash of its target goes to ``crashes``.
     """
 
-    def __init__(self, rooms: GroupRooms, crashes: CrashBook, events: EventLog) -> None:
+    def __init__(
+        self,
+        rooms: GroupRooms,
+        crashes: CrashBook,
+        backoffs: TargetBackoffs,
+        events: EventLog,
+    ) -> None:
         self.rooms = rooms
+        self.backoffs = backoffs
         self.crashes = crashes
         self.events = events
 
@@ -56,6 +65,10 @@
                 self._note_served(request, state, answer, seconds)
             case TargetAnswer(status=status) if status < SERVER_ERROR:
                 self._note_served(request, state, str(status), seconds)
+            case TargetAnswer(status=status) if self._backing_off(state, status):
+                self._note_attempt_failed(
+                    request, state, "the target requested a backoff"
+                )
             case TargetAnswer(status=status):
                 self._note_failed(request, state, f"the target answered {status}")
             case ProvedNotRun(written=False, error=error) | MayHaveRun(error=error):
@@ -101,11 +114,22 @@
         reason = f"{answer} in {seconds:.3f} s, sent after {waited:.3f} s"
         self.events.add("request-served", state.target.name, reason, request.id)
 
+    def _backing_off(self, state: DirectTargetState, status: int) -> bool:
+        now = anyio.current_time()
+        return status == SERVICE_UNAVAILABLE and self.backoffs.active(
+            state.target.name, now
+        )
+
+    def _note_attempt_failed(
+        self, request: DirectRequest, state: DirectTargetState, reason: str
+    ) -> None:
+        self.events.add("attempt-failed", state.target.name, reason, request.id)
+
     def _note_failed(
         self, request: DirectRequest, state: DirectTargetState, reason: str
     ) -> None:
         name = state.target.name
-        self.events.add("attempt-failed", name, reason, request.id)
+        self._note_attempt_failed(request, state, reason)
         if state.note_failure(anyio.current_time()):
             self.events.add("target-ejected", name, reason)
 
@@ -113,7 +137,7 @@
         self, request: DirectRequest, state: DirectTargetState, refusal: ProvedNotRun
     ) -> None:
         reason = refusal.error.detail
-        self.events.add("attempt-failed", state.target.name, reason, request.id)
+        self._note_attempt_failed(request, state, reason)
         state.replaced = state.replaced or refusal.replaced
         if refusal.faulty:
             group = self.rooms.roster.of(state.target)
--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -59,12 +59,12 @@
         """Send one attempt; the events of a stream go on as they come."""
         call = self._call(request, state, relay)
         sent = anyio.current_time()
-        self.backoffs.note_attempt(state.target.name, sent)
         try:
-            async with self.channel.stream(call) as response:
-                self._check_whose(request, response)
-                self._note_head(state, response, sent)
-                return await self._read(request, response, relay)
+            with self.backoffs.attempt(state.target.name):
+                async with self.channel.stream(call) as response:
+                    self._check_whose(request, response)
+                    self._note_head(state, response, sent)
+                    return await self._read(request, response, relay)
         except NotWrittenError as error:
             return ProvedNotRun(_failed(ErrorKind.NO_TARGET, error), written=False)
         except SpoiltAnswerError as error:
@@ -109,7 +109,7 @@
         now = anyio.current_time()
         named = [raw for field, raw in response.fields if field == self.names.limit]
         self.limits.note_answer(name, ",".join(named) if named else None, sent, now)
-        self.backoffs.note(name, read_notice(response).backoff, now)
+        self.backoffs.note_answer(name, read_notice(response), now)
 
     def _check_answer(self, response: ChannelResponse) -> None:
         """Raise SpoiltAnswerError for a success that is not the target's own."""
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -78,7 +78,7 @@
         )
         self.routes = RouteView(self.feeds.routes, adapter)
         self.limits = TargetLimits()
-        self.backoffs = TargetBackoffs(self.metrics)
+        self.backoffs = TargetBackoffs(self.metrics, rng)
         self.crashes = CrashBook(self._note_crash_decision)
         self.book = TargetBook(self.feeds.targets, adapter, self.spreader.well_since)
         self.book.on_gone = self._forget
@@ -87,7 +87,12 @@
         self.roster = GroupRoster(self.directory)
         self.slow_ranks = SlowRanks(self.book, self.roster, self.groups)
         self.rooms = GroupRooms(
-            self.book, self.board, self.roster, self.slow_ranks, self.limits
+            self.book,
+            self.board,
+            self.roster,
+            self.slow_ranks,
+            self.limits,
+            self.backoffs,
         )
         self.gate = GroupGate(self.rooms, rng)
         self.watcher = RunningWatcher(
@@ -120,6 +125,7 @@
                 self.slow_ranks,
                 HomeSlots(settings.name, self.directory),
                 self.tokens,
+                self.backoffs,
                 self.crashes,
                 rng,
             ),
@@ -237,6 +243,7 @@
                 for name, known in self.limits.known.items()
                 if known.per_second is not None
             },
+            "backoff_seconds": self.backoffs.seconds_left(now),
             "shut_out": sorted(self.crashes.out),
             "groups": {
                 str(group): {"serving": not health.broken}
--- a/packages/entry/src/briarthread_entry/direct/final_error.py
+++ b/packages/entry/src/briarthread_entry/direct/final_error.py
@@ -5,26 +5,31 @@
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.exceptions import RequestError
 from briarthread_common.core.outcome import Outcome
-from briarthread_entry.direct.admission_rule import return_after
+from briarthread_entry.direct.admission_rule import return_after, return_when_open
 from briarthread_entry.direct.attempt_outcome import (
     DirectOutcome,
     LeftSlowRank,
     MayHaveRun,
     ProvedNotRun,
 )
+from briarthread_entry.direct.targets_closed import TargetsClosed
 
 SLOW_RANK = "slow-rank"
 """Reason of a repeat that no failure caused, beside the kinds of errors."""
 
 
 def final_error(
-    failures: Sequence[DirectOutcome], caller_left: float, pick: float
+    failures: Sequence[DirectOutcome],
+    caller_left: float,
+    pick: float,
+    closed: TargetsClosed | None = None,
 ) -> RequestError:
     """
     Return the last failure, as not run only if no attempt may have run.
 
     ``caller_left`` is how many seconds the caller still waits; ``pick`` from 0
-    to 1 spreads the returns of those who are told to come back.
+    to 1 spreads the returns of those who are told to come back. ``closed`` is set if
+    none of the remaining targets accepts a request.
 
     >>> failed = MayHaveRun(RequestError(ErrorKind.TARGET_FAILED, "reset"))
     >>> refused = ProvedNotRun(RequestError(ErrorKind.OVERLOADED, "full"))
@@ -33,13 +38,16 @@
     >>> final_error([failed, refused], 6.0, 1.0).outcome
     <Outcome.UNKNOWN: 'unknown'>
     """
+    certain = all(isinstance(failure, ProvedNotRun) for failure in failures)
+    if closed is not None and certain:
+        pause = return_when_open(caller_left, closed.opens_in, pick)
+        return RequestError(closed.kind, str(closed), retry_after=pause)
     if not failures:
         pause = return_after(ErrorKind.NO_TARGET, caller_left, pick)
         return RequestError(
             ErrorKind.NO_TARGET, "no target is listed", retry_after=pause
         )
     last = failures[-1]
-    certain = all(isinstance(failure, ProvedNotRun) for failure in failures)
     if isinstance(last, ProvedNotRun) and certain:
         pause = return_after(last.error.kind, caller_left, pick)
         return RequestError(last.error.kind, last.error.detail, retry_after=pause)
--- a/packages/entry/src/briarthread_entry/direct/group_rooms.py
+++ b/packages/entry/src/briarthread_entry/direct/group_rooms.py
@@ -23,6 +23,7 @@
 from briarthread_entry.direct.pass_meter import PassMeter
 from briarthread_entry.direct.running_board import RunningBoard
 from briarthread_entry.direct.slow_ranks import SlowRanks
+from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.target_book import TargetBook
 from briarthread_entry.direct.target_limits import TargetLimits
 from briarthread_entry.direct.target_state import DirectTargetState
@@ -47,12 +48,14 @@
         roster: GroupRoster,
         slow_ranks: SlowRanks,
         limits: TargetLimits,
+        backoffs: TargetBackoffs,
     ) -> None:
         self.book = book
         self.board = board
         self.roster = roster
         self.slow_ranks = slow_ranks
         self.limits = limits
+        self.backoffs = backoffs
         self.meters: dict[GroupId, PassMeter] = {}
         self.healths: dict[GroupId, GroupHealth] = {}
         self.counted: dict[GroupId, tuple[float, int]] = {}
@@ -86,7 +89,9 @@
         found = self._all_rooms(request, now)
         elsewhere = any(room.free > 0 for room in found.values() if room.serving)
         for group, room in found.items():
-            if not room.serving and self.health(group).may_send(now, elsewhere):
+            if room.serving or room.opens_in > 0:
+                continue
+            if self.health(group).may_send(now, elsewhere):
                 return {group: replace(room, serving=True)}
         return found
 
@@ -117,20 +122,31 @@
         return GroupRoom(
             serving=self._serves(service, group, now),
             running=self._running(states, now),
-            most=min(most, sum(self._places(state) for state in states)),
+            most=min(most, sum(self._places(state, now) for state in states)),
             back_in=self.health(group).expected_back(now),
+            opens_in=self._opens_in(states, now),
         )
 
-    def _places(self, state: DirectTargetState) -> int:
+    def _opens_in(self, states: Sequence[DirectTargetState], now: float) -> float:
+        """Return in how many seconds the first rank accepts requests, 0.0 for now."""
+        opens = (self.backoffs.opens_at(state.target.name, now) for state in states)
+        return max(min(opens, default=now) - now, 0.0)
+
+    def _places(self, state: DirectTargetState, now: float) -> int:
         """
         Return how many requests a rank may run at once.
 
-        One that names a limit runs what comes within it in the time of an answer.
+        One that names a limit runs what comes within it in the time of an answer. One
+        in backoff gets nothing beyond what it runs, one in slow start a few more.
         """
+        slots = state.target.slots
         limit = self.limits.of(state.target.name)
-        if limit is None or not state.seconds.samples:
-            return state.target.slots
-        return min(math.ceil(limit * state.seconds.value), state.target.slots)
+        if limit is not None and state.seconds.samples:
+            slots = min(math.ceil(limit * state.seconds.value), slots)
+        free = self.backoffs.free_attempts(state.target.name, now)
+        if free is None:
+            return slots
+        return min(self._running([state], now) + free, slots)
 
     def _serves(self, service: DirectService, group: GroupId, now: float) -> bool:
         """
@@ -229,14 +245,16 @@
     ...     GroupId("m", "c"): GroupRoom(False, 0, 10, back_in=2.0),
     ... }
     >>> joined(rooms)
-    GroupRoom(serving=True, running=14, most=20, back_in=0.0)
+    GroupRoom(serving=True, running=14, most=20, back_in=0.0, opens_in=0.0)
     """
     serving = [room for room in rooms.values() if room.serving]
     counted = serving or list(rooms.values())
     back_in = min((room.back_in for room in counted), default=0.0)
+    opens_in = min((room.opens_in for room in counted), default=0.0)
     return GroupRoom(
         serving=bool(serving),
         running=sum(min(room.running, room.most) for room in counted),
         most=sum(room.most for room in counted),
         back_in=0.0 if serving else back_in,
+        opens_in=opens_in,
     )
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -12,7 +12,6 @@
 from briarthread_common.direct.group_id import GroupId
 from briarthread_common.http.app import AnswerAborted
 from briarthread_common.http.call import Call
-from briarthread_entry.direct.admission_rule import return_to_group
 from briarthread_entry.direct.answer_relay import AnswerRelay
 from briarthread_entry.direct.attempt_notes import SERVER_ERROR, AttemptNotes
 from briarthread_entry.direct.attempt_outcome import (
@@ -31,8 +30,9 @@
 from briarthread_entry.direct.group_rooms import GroupRooms
 from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
 from briarthread_entry.direct.slow_ranks import SlowRanks
-from briarthread_entry.direct.target_chooser import TargetChooser, TargetsLimited
+from briarthread_entry.direct.target_chooser import TargetChooser
 from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.targets_closed import TargetsClosed
 
 UNWRITTEN_TRIES = 3
 """Targets tried in a row that did not even take the connection."""
@@ -68,7 +68,7 @@
         self.rooms = rooms
         self.slow_ranks = slow_ranks
         self.metrics = metrics
-        self.notes = AttemptNotes(rooms, crashes, events)
+        self.notes = AttemptNotes(rooms, crashes, sender.backoffs, events)
         self.rng = rng
 
     async def run(self, request: DirectRequest, call: Call) -> None:
@@ -131,17 +131,11 @@
         groups: set[GroupId] | None,
         failures: list[DirectOutcome],
     ) -> DirectTargetState | None:
-        """Return the next target; raise RequestError where limits leave none."""
+        """Return the next target; raise RequestError if none opens in time."""
         try:
             return await self.chooser.choose(request, tried, groups)
-        except TargetsLimited as error:
-            if failures:
-                return None
-            left = request.caller_left(anyio.current_time())
-            pause = return_to_group(left, error.opens_in, self.rng.random())
-            raise RequestError(
-                ErrorKind.TARGETS_LIMITED, str(error), retry_after=pause
-            ) from error
+        except TargetsClosed as error:
+            raise self._final(request, failures, error) from error
 
     def _groups_for_repeat(
         self, request: DirectRequest, failed: DirectTargetState
@@ -247,10 +241,13 @@
         raise self._final(request, failures)
 
     def _final(
-        self, request: DirectRequest, failures: list[DirectOutcome]
+        self,
+        request: DirectRequest,
+        failures: list[DirectOutcome],
+        closed: TargetsClosed | None = None,
     ) -> RequestError:
         left = request.caller_left(anyio.current_time())
-        return final_error(failures, left, self.rng.random())
+        return final_error(failures, left, self.rng.random(), closed)
 
 
 async def _reply(call: Call, answer: TargetAnswer) -> None:
--- a/packages/entry/src/briarthread_entry/direct/target_backoffs.py
+++ b/packages/entry/src/briarthread_entry/direct/target_backoffs.py
@@ -1,46 +1,114 @@
 """The backoffs that targets have requested from an entry."""
 
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import anyio
 from loguru import logger
 
 from briarthread_common.core.metrics import Metrics
+from briarthread_common.direct.answer_notice import AnswerNotice
+from briarthread_common.utils.backoff import Backoff
+
+SPREAD_SHARE = 0.2
+"""Maximum jitter as a fraction of the backoff, so that the entries that were refused
+together do not return together."""
+MAX_SPREAD = 2.0
+"""Upper bound of the jitter in seconds."""
+RECHECK_SECONDS = 0.05
+"""Delay before a target with no free attempt in its slow start is checked again."""
+KEPT_SECONDS = 60.0
+"""How long the backoff of a target that gets no requests is kept after its end."""
 
 
 class TargetBackoffs:
     """
-    Track the end of each target's backoff.
+    Track the end of each target's backoff and the slow start after it.
 
     A backoff applies only to the entry that received it. Later responses can extend it
-    but not shorten it. Times are in seconds on the event loop's clock.
+    but not shorten it, and it outlasts the target's absence from the list. Times are in
+    seconds on the event loop's clock.
 
-    >>> backoffs = TargetBackoffs(Metrics())
-    >>> backoffs.note("t-1", 3.0, now=1.0)
-    >>> backoffs.note("t-1", 0.5, now=2.0)
+    >>> backoffs = TargetBackoffs(Metrics(), random.Random(1))
+    >>> backoffs.note_answer("t-1", AnswerNotice(backoff=3.0), now=1.0)
+    >>> backoffs.note_answer("t-1", AnswerNotice(backoff=0.5), now=2.0)
     >>> backoffs.active("t-1", now=3.9), backoffs.active("t-1", now=4.0)
     (True, False)
     """
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(self, metrics: Metrics, rng: random.Random) -> None:
         self.metrics = metrics
-        self.until: dict[str, float] = {}
+        self.rng = rng
+        self.backoffs: dict[str, Backoff] = {}
 
-    def note(self, target: str, seconds: float, now: float) -> None:
-        """Record a requested backoff; zero and below mean none."""
-        if seconds <= 0:
+    def note_answer(self, target: str, notice: AnswerNotice, now: float) -> None:
+        """Record what the head of a response says."""
+        if notice.backoff > 0:
+            self._extend(target, notice.backoff, now)
             return
-        self.metrics.backoffs.inc()
-        logger.info("backoffs: {} requested a backoff of {:g} s", target, seconds)
-        self.until[target] = max(self.until.get(target, 0.0), now + seconds)
+        backoff = self.backoffs.get(target)
+        if backoff is not None and not notice.failed:
+            backoff.note_success(now)
+            if backoff.finished():
+                del self.backoffs[target]
 
     def active(self, target: str, now: float) -> bool:
         """Return whether a target's backoff is in effect."""
-        return self.until.get(target, now) > now
+        backoff = self.backoffs.get(target)
+        return backoff is not None and now < backoff.until
+
+    def opens_at(self, target: str, now: float) -> float:
+        """Return when the next attempt may start, ``now`` if it may already."""
+        backoff = self.backoffs.get(target)
+        if backoff is None or backoff.free_attempts(now) > 0:
+            return now
+        return max(backoff.opens_at, now + RECHECK_SECONDS)
+
+    def free_attempts(self, target: str, now: float) -> int | None:
+        """Return how many more attempts may start, ``None`` for no limit."""
+        backoff = self.backoffs.get(target)
+        return None if backoff is None else backoff.free_attempts(now)
+
+    @contextmanager
+    def attempt(self, target: str) -> Iterator[None]:
+        """Count an attempt as running while the context lasts."""
+        backoff = self.backoffs.get(target)
+        if backoff is None:
+            yield
+            return
+        self._note_early(target, backoff)
+        backoff.running += 1
+        try:
+            yield
+        finally:
+            backoff.running -= 1
+
+    def seconds_left(self, now: float) -> dict[str, float]:
+        """Return the remaining backoff of each target that has one in effect."""
+        left = {name: backoff.until - now for name, backoff in self.backoffs.items()}
+        return {name: seconds for name, seconds in left.items() if seconds > 0}
+
+    def _extend(self, target: str, seconds: float, now: float) -> None:
+        self.metrics.backoffs.inc()
+        logger.info("backoffs: {} requested a backoff of {:g} s", target, seconds)
+        self._drop_expired(now)
+        until = now + seconds
+        spread = min(seconds * SPREAD_SHARE, MAX_SPREAD) * self.rng.random()
+        self.backoffs.setdefault(target, Backoff()).extend(until, until + spread)
+
+    def _drop_expired(self, now: float) -> None:
+        for name, backoff in list(self.backoffs.items()):
+            if backoff.opens_at + KEPT_SECONDS < now and not backoff.running:
+                del self.backoffs[name]
 
-    def note_attempt(self, target: str, now: float) -> None:
+    def _note_early(self, target: str, backoff: Backoff) -> None:
         """Count and log an attempt that starts during its target's backoff."""
-        if self.active(target, now):
+        early = backoff.until - anyio.current_time()
+        if early > 0:
             self.metrics.attempts_in_backoff.inc()
             logger.warning(
                 "backoffs: attempt to {} starts {:.3f} s before its backoff ends",
                 target,
-                self.until[target] - now,
+                early,
             )
--- a/packages/entry/src/briarthread_entry/direct/target_chooser.py
+++ b/packages/entry/src/briarthread_entry/direct/target_chooser.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from briarthread_common.core.exceptions import BriarthreadError
+from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.direct.group_id import GroupId
 from briarthread_entry.direct.choose_target import choose_plain, choose_rank
 from briarthread_entry.direct.crash_book import CrashBook
@@ -15,8 +15,10 @@
 from briarthread_entry.direct.limit_tokens import LimitTokens
 from briarthread_entry.direct.running_board import RunningBoard
 from briarthread_entry.direct.slow_ranks import SlowRanks
+from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.target_book import TargetBook
 from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.targets_closed import TargetsClosed
 
 AIM_SHARE = 0.5
 """Part of the route's aim that a wait for a target whose limit is used up may take;
@@ -25,20 +27,13 @@
 """Targets whose limits are asked about for one attempt: each costs a call."""
 
 
-class TargetsLimited(BriarthreadError):  # noqa: N818
-    """All targets are at the limits that they name; ``opens_in`` is in seconds."""
-
-    def __init__(self, opens_in: float) -> None:
-        super().__init__(f"the targets' limits are used up for {opens_in:.3f} s")
-        self.opens_in = opens_in
-
-
 class TargetChooser:
     """
     Choose the target of an attempt, and take a token where it names a limit.
 
     A target with a limit is neither slow nor sick: it is chosen like any other as long
-    as its limit has room, and left alone while it has none.
+    as its limit has room, and left alone while it has none. A target in
+    backoff is not chosen, and no token is taken for it.
     """
 
     def __init__(
@@ -50,6 +45,7 @@
         slow_ranks: SlowRanks,
         home: HomeSlots,
         tokens: LimitTokens,
+        backoffs: TargetBackoffs,
         crashes: CrashBook,
         rng: random.Random,
     ) -> None:
@@ -60,6 +56,7 @@
         self.slow_ranks = slow_ranks
         self.home = home
         self.tokens = tokens
+        self.backoffs = backoffs
         self.crashes = crashes
         self.rng = rng
 
@@ -69,8 +66,8 @@
         """
         Return where an attempt goes, ``None`` where nothing is left to try.
 
-        Raise TargetsLimited where all that is left is at its limits for longer than
-        the request can wait and still be in time.
+        Raise TargetsClosed if none of the remaining targets accepts a request before
+        this one would be late.
         """
         asks = 0
         while True:
@@ -83,13 +80,13 @@
             if not open_states:
                 await self._wait(states, now, wait_left)
                 continue
-            state = self._pick(request, open_states, now)
+            state = self._pick(request, self._apart(open_states), now)
             if state is None or not self.tokens.limited(state.target.name):
                 return state
             asks += 1
             only = all(self.tokens.limited(s.target.name) for s in open_states)
             wait = max(wait_left, 0.0) if only else 0.0
-            if await self.tokens.take(state.target, wait):
+            if await self.tokens.take(state.target, wait) and self._still_open(state):
                 return state
 
     def _open(
@@ -106,14 +103,26 @@
     async def _wait(
         self, states: list[DirectTargetState], now: float, wait_left: float
     ) -> None:
-        """Return when the first limit has room; raise TargetsLimited if too late."""
-        opens_in = min(self._opens_at(state, now) for state in states) - now
+        """Wait for the first target to open; raise TargetsClosed if it is too late."""
+        first = min(states, key=lambda state: self._opens_at(state, now))
+        opens_in = self._opens_at(first, now) - now
         if opens_in > wait_left or wait_left <= 0:
-            raise TargetsLimited(max(opens_in, 0.0))
+            raise TargetsClosed(self._closed_kind(first, now), max(opens_in, 0.0))
         await anyio.sleep(opens_in)
 
     def _opens_at(self, state: DirectTargetState, now: float) -> float:
-        return self.tokens.opens_at(state.target.name, now)
+        name = state.target.name
+        return max(self.tokens.opens_at(name, now), self.backoffs.opens_at(name, now))
+
+    def _closed_kind(self, state: DirectTargetState, now: float) -> ErrorKind:
+        if self.backoffs.opens_at(state.target.name, now) > now:
+            return ErrorKind.TARGETS_BACKING_OFF
+        return ErrorKind.TARGETS_LIMITED
+
+    def _still_open(self, state: DirectTargetState) -> bool:
+        """Return whether a target is listed and open after the wait for a token."""
+        now = anyio.current_time()
+        return state.listed() and self.backoffs.opens_at(state.target.name, now) <= now
 
     def _wait_until(self, request: DirectRequest) -> float:
         aim = request.route.aim * AIM_SHARE
@@ -132,7 +141,7 @@
         else:
             states = self.slow_ranks.usable(service.name, now)
         untried = [state for state in states if state.target.name not in tried]
-        return self._apart(self._in_groups(untried, groups))
+        return self._in_groups(untried, groups)
 
     def _pick(
         self, request: DirectRequest, states: list[DirectTargetState], now: float
--- a/packages/entry/src/briarthread_entry/retries/retry_rules.py
+++ b/packages/entry/src/briarthread_entry/retries/retry_rules.py
@@ -18,6 +18,7 @@
         ErrorKind.NO_TARGET,
         ErrorKind.NOT_READY,
         ErrorKind.OVERLOADED,
+        ErrorKind.TARGETS_BACKING_OFF,
         ErrorKind.DEADLINE_UNMEETABLE,
         ErrorKind.REVOKED,
         ErrorKind.TARGET_FAILED,
@@ -41,6 +42,7 @@
 PROVED_BY_HOLDER = frozenset(
     {
         ErrorKind.OVERLOADED,
+        ErrorKind.TARGETS_BACKING_OFF,
         ErrorKind.DEADLINE_UNMEETABLE,
         ErrorKind.KEY_REUSED,
     }
--- a/packages/entry/src/briarthread_entry/routing/router.py
+++ b/packages/entry/src/briarthread_entry/routing/router.py
@@ -68,6 +68,8 @@
         chosen = self.choose(local, self.clock.now(), self.rng)
         if chosen is None:
             chosen = await self._pick_remote(request.service, tried)
+        if chosen is None:
+            raise self._no_target_error(request.service)
         return Pick(chosen)
 
     def has_target(self, service: Service) -> bool:
@@ -94,7 +96,27 @@
         )
         return Pick(TargetState(instance, incarnation=row.incarnation), row)
 
-    async def _pick_remote(self, service: Service, tried: set[str]) -> TargetState:
+    def _no_target_error(self, service: Service) -> RequestError:
+        """Return the error for no usable target, with the time until a backoff ends."""
+        now = self.clock.now()
+        backoffs = [
+            state.backoff_until - now
+            for state in self.table.of_service(service.name)
+            if state.backoff_until > now
+        ]
+        if backoffs:
+            return RequestError(
+                ErrorKind.TARGETS_BACKING_OFF,
+                f"the targets of {service.name} are backing off",
+                retry_after=min(backoffs),
+            )
+        return RequestError(
+            ErrorKind.NO_TARGET, f"no target of {service.name} can take it"
+        )
+
+    async def _pick_remote(
+        self, service: Service, tried: set[str]
+    ) -> TargetState | None:
         remote = self._remote(service, tried)
         self.rng.shuffle(remote)
         for instance in remote[:2]:
@@ -111,9 +133,7 @@
             except ChannelError:
                 continue
             return TargetState(instance, incarnation=hello.incarnation)
-        raise RequestError(
-            ErrorKind.NO_TARGET, f"no target of {service.name} can take it"
-        )
+        return None
 
     def _remote(self, service: Service, tried: set[str]) -> list[Instance]:
         return [
--- a/packages/entry/src/briarthread_entry/routing/target_state.py
+++ b/packages/entry/src/briarthread_entry/routing/target_state.py
@@ -18,8 +18,8 @@
     """
     Hold the last report of a target and what was sent to it since.
 
-    ``incarnation`` is empty until the agent has said who it is. Times are
-    Unix seconds.
+    ``incarnation`` is empty until the agent has said who it is. The target's
+    backoff lasts until ``backoff_until``. Times are Unix seconds.
     """
 
     instance: Instance
@@ -31,6 +31,7 @@
     failures: int = 0
     ejections: int = 0
     ejected_until: float = 0.0
+    backoff_until: float = 0.0
 
     def take_report(self, report: LoadReport, now: float) -> bool:
         """Take a report unless a newer one is known; tell if it was taken."""
@@ -42,6 +43,7 @@
         elif self.report is not None and report.n <= self.report.n:
             return False
         self.report = report
+        self.backoff_until = now + report.b
         self.sent_since = 0
         return True
 
@@ -68,6 +70,7 @@
             and self.report is not None
             and not self.report.d
             and self.ejected_until <= now
+            and self.backoff_until <= now
         )
 
     def cost(self, now: float) -> float:
--- a/packages/measure/src/briarthread_measure/agent_farm.py
+++ b/packages/measure/src/briarthread_measure/agent_farm.py
@@ -15,7 +15,9 @@
 from docopt import docopt
 
 from briarthread_agent.limits.fair_queue import FairQueue
+from briarthread_agent.limits.target_backoff import TargetBackoff
 from briarthread_agent.reports.load_reporter import LoadReporter
+from briarthread_common.core.metrics import Metrics
 from briarthread_common.http.app import App, Route
 from briarthread_common.http.call import Call
 from briarthread_common.http.server import HttpServer, open_listener
@@ -34,8 +36,9 @@
 
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
-        self.queue = FairQueue(Clock(), MAX_RUNNING, MAX_RUNNING)
-        self.reporter = LoadReporter(random_id(rng), self.queue)
+        backoff = TargetBackoff(Metrics())
+        self.queue = FairQueue(Clock(), backoff, MAX_RUNNING, MAX_RUNNING)
+        self.reporter = LoadReporter(random_id(rng), self.queue, backoff)
         self.app = App(
             [
                 Route("GET", "/agent/v1/load", self.reporter.handle_stream),
--- a/packages/standins/src/briarthread_standins/direct_worker.py
+++ b/packages/standins/src/briarthread_standins/direct_worker.py
@@ -42,7 +42,7 @@
     every answer while it is set; ``arrivals`` are the times of all requests. A request
     whose body is ``crashes_on`` calls ``on_crash``. While its group is ``broken_by``
     another worker it refuses; what runs waits for that and is cut off. ``refusals``
-    say when it turns everything away and asks for a pause.
+    sets when it answers 503 with Retry-After.
     """
 
     def __init__(self, name: str, pieces: int = 6) -> None:
@@ -80,9 +80,9 @@
             named = ("at-server", self.broken_by)
             await call.reply(503, b"", [("x-not-executed", "1"), *echoed, named])
             return
-        if self.refusals.take(call.scope["client"][0]):
-            pause = ("retry-after", self.refusals.retry_after)
-            await call.reply(503, b"", [("x-not-executed", "1"), *echoed, pause])
+        if self.refusals.record_arrival(call.scope["client"][0]):
+            retry_after = ("retry-after", self.refusals.retry_after)
+            await call.reply(503, b"", [("x-not-executed", "1"), *echoed, retry_after])
             return
         if self.on_crash is not None and body == self.crashes_on:
             self.on_crash(self)
--- a/packages/standins/src/briarthread_standins/limit_day.py
+++ b/packages/standins/src/briarthread_standins/limit_day.py
@@ -1,4 +1,4 @@
-"""A load on targets of which some name a limit or ask for pauses."""
+"""A load on targets of which some name a limit or request a backoff."""
 
 from dataclasses import dataclass
 
@@ -19,13 +19,13 @@
     """
     From ``at`` seconds on the first ``targets`` refuse everything for ``seconds``.
 
-    They ask each entry for a pause of ``pause`` seconds.
+    Each refusal is a 503 with a Retry-After of ``retry_after`` seconds.
     """
 
     at: float
     seconds: float
     targets: int = 1
-    pause: float = 3.0
+    retry_after: float = 3.0
 
 
 Step = LimitStep | RefusalStep
--- a/packages/standins/src/briarthread_standins/limit_tally.py
+++ b/packages/standins/src/briarthread_standins/limit_tally.py
@@ -36,9 +36,9 @@
             default=0,
         )
 
-    def most_early(self) -> int:
-        """Return the most requests that an entry sent a target within a pause."""
-        return max(refusals.most_early() for refusals in self.refusals)
+    def max_early_requests(self) -> int:
+        """Return the most requests that an entry sent to a target within a backoff."""
+        return max(refusals.max_early_requests() for refusals in self.refusals)
 
     def a_second(self, target: int, since: float, until: float) -> float:
         """Return what a target got a second between two times."""
--- a/packages/standins/src/briarthread_standins/plain_service.py
+++ b/packages/standins/src/briarthread_standins/plain_service.py
@@ -28,8 +28,8 @@
     Answer each call after a while and count how often each body came.
 
     The count takes effect before the answer is sent, as a booking does. The
-    body stands for the key, since a target sees no idempotency key. ``refusals`` say
-    when it turns everything away and asks for a pause.
+    body stands for the key, since a target sees no idempotency key. ``refusals`` sets
+    when it answers 503 with Retry-After.
     """
 
     def __init__(self, delay: float = 0.005) -> None:
@@ -45,7 +45,7 @@
 
     async def _handle_call(self, call: Call) -> None:
         body = await call.read_body(LIMIT)
-        if self.refusals.take(call.scope["client"][0]):
+        if self.refusals.record_arrival(call.scope["client"][0]):
             await call.reply(503, b"", [("retry-after", self.refusals.retry_after)])
             return
         self.runs[body.decode()] += 1
--- a/packages/standins/src/briarthread_standins/play_limits.py
+++ b/packages/standins/src/briarthread_standins/play_limits.py
@@ -41,7 +41,7 @@
             sent_before = sum(world.network.sent_bytes.values())
             start = anyio.current_time()
             async with anyio.create_task_group() as callers:
-                callers.start_soon(_take_steps, world, day)
+                callers.start_soon(_apply_steps, world, day)
                 callers.start_soon(_disturb, world, day)
                 await _arrive(world, callers, day, tally)
             workers = world.workers.values()
@@ -80,21 +80,21 @@
     return world
 
 
-async def _take_steps(world: DirectWorld, day: LimitDay) -> None:
+async def _apply_steps(world: DirectWorld, day: LimitDay) -> None:
     start = anyio.current_time()
     for step in day.steps:
         await anyio.sleep(start + step.at - anyio.current_time())
         for worker in list(world.workers.values())[: step.targets]:
-            _take_step(worker, step)
+            _apply_step(worker, step)
 
 
-def _take_step(worker: DirectWorker, step: Step) -> None:
+def _apply_step(worker: DirectWorker, step: Step) -> None:
     match step:
         case LimitStep(limit=limit):
             worker.limit = limit
-        case RefusalStep(seconds=seconds, pause=pause):
+        case RefusalStep(seconds=seconds, retry_after=retry_after):
             now = anyio.current_time()
-            worker.refusals.refuse(now, now + seconds, pause)
+            worker.refusals.refuse(now, now + seconds, retry_after)
 
 
 async def _disturb(world: DirectWorld, day: LimitDay) -> None:
--- a/tests/common/test_backoff.py
+++ b/tests/common/test_backoff.py
@@ -24,6 +24,8 @@
         (["7200"], 7200.0),
         (["1e300"], MOST_SECONDS),
         (["soon", "3"], 3.0),
+        (["nan, 3"], 3.0),
+        (["-1, 3"], 3.0),
         ([SEVEN_SECONDS_LATER], 7.0),
         ([SEVEN_SECONDS_LATER, "9"], 9.0),
         ([DATE], 0.0),
@@ -55,7 +57,7 @@
     assert read_notice(build_head(503)).backoff == 0.0
 
 
-# Guards against a malformed header raising past the reader of the response.
+# Guards against a malformed header raising an exception out of read_notice.
 @given(st.lists(st.text(max_size=40), max_size=3), st.text(max_size=40))
 @settings(max_examples=2000, derandomize=True, deadline=None)
 def test_any_text_for_a_pause_is_taken_or_left(raws: list[str], date: str) -> None:
--- a/tests/direct/test_target_backoffs.py
+++ b/tests/direct/test_target_backoffs.py
@@ -1,19 +1,23 @@
-"""Targets that refuse with 503 and ask for a pause get it."""
+"""Entries honour the Retry-After of a target's 503."""
 
 from dataclasses import replace
 
+import anyio
 import pytest
+from direct_builders import in_direct_world
 
 from briarthread_standins.direct_config import DIARY
+from briarthread_standins.direct_worker import DirectWorker
+from briarthread_standins.direct_world import DirectWorld
 from briarthread_standins.limit_day import LimitDay, RefusalStep
 from briarthread_standins.play_limits import play_limits
 
-MOST_EARLY = 2
-"""Requests that a target may get from an entry within a pause."""
+MAX_EARLY_REQUESTS = 2
+"""Requests that a target may get from one entry within a backoff."""
 REFUSED_AT = 4.0
 
 
-def refused(targets: int, seconds: float = 8.0) -> tuple[RefusalStep, ...]:
+def refusal_steps(targets: int, seconds: float = 8.0) -> tuple[RefusalStep, ...]:
     return (RefusalStep(REFUSED_AT, seconds, targets),)
 
 
@@ -21,9 +25,9 @@
 @pytest.mark.parametrize(
     "day",
     [
-        LimitDay(rate=30.0, steps=refused(4)),
-        LimitDay(rate=30.0, steps=refused(12)),
-        LimitDay(rate=30.0, steps=refused(1), targets=3, service=DIARY),
+        LimitDay(rate=30.0, steps=refusal_steps(4)),
+        LimitDay(rate=30.0, steps=refusal_steps(12)),
+        LimitDay(rate=30.0, steps=refusal_steps(1), targets=3, service=DIARY),
     ],
     ids=["four-ranks-of-twelve", "all-ranks", "plain"],
 )
@@ -31,5 +35,133 @@
     day: LimitDay, seed: int
 ) -> None:
     tally = play_limits(replace(day, seed=seed))
-    assert tally.refusals[0].asked
-    assert tally.most_early() <= MOST_EARLY
+    assert tally.refusals[0].refused
+    assert tally.max_early_requests() <= MAX_EARLY_REQUESTS
+
+
+def test_callers_are_served_by_the_other_ranks_meanwhile() -> None:
+    day = LimitDay(rate=30.0, steps=refusal_steps(4))
+    tally = play_limits(day)
+    assert set(tally.statuses) <= {200, 503}
+    assert tally.statuses[503] <= day.entries
+
+
+def test_rank_gets_its_share_again_after_the_backoff() -> None:
+    tally = play_limits(
+        LimitDay(targets=4, rate=30.0, steps=refusal_steps(1, seconds=1.0))
+    )
+    assert tally.a_second(0, REFUSED_AT + 5.0, 24.0) >= 0.7 * 30.0 / 4
+
+
+@pytest.mark.parametrize(
+    "day",
+    [
+        LimitDay(rate=30.0, seconds=11.0, steps=refusal_steps(12)),
+        LimitDay(
+            rate=30.0, seconds=11.0, steps=refusal_steps(3), targets=3, service=DIARY
+        ),
+    ],
+    ids=["ranks", "plain"],
+)
+def test_callers_are_refused_at_once_while_all_targets_back_off(day: LimitDay) -> None:
+    tally = play_limits(day)
+    assert set(tally.statuses) == {200, 503}
+    assert tally.slowest_refusal <= 0.25
+    assert min(tally.waits) > 0
+
+
+def test_refused_caller_is_told_when_the_first_backoff_ends() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        now = anyio.current_time()
+        for number, worker in enumerate(diaries(world)):
+            worker.refusals.refuse(now, now + 60.0, 20.0 + number)
+        for _ in range(4):
+            await world.ask("entry-1", "/list/1", method="GET", body=None)
+        asked = anyio.current_time()
+        reply = await world.ask("entry-1", "/list/1", method="GET", body=None)
+        left = now + 20.0 - asked
+        assert reply.status == 503
+        assert left <= float(reply.headers["retry-after"]) <= left * 1.3
+
+    in_direct_world(scenario, ranks=0)
+
+
+def test_request_waits_for_a_backoff_that_ends_in_time() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        now = anyio.current_time()
+        for worker in diaries(world):
+            worker.refusals.refuse(now, now + 0.05, 0.2)
+        for _ in range(3):
+            await world.ask("entry-1", "/list/1", method="GET", body=None)
+        await anyio.sleep(now + 0.15 - anyio.current_time())
+        reply = await world.ask("entry-1", "/list/1", method="GET", body=None)
+        assert reply.status == 200
+
+    in_direct_world(scenario, ranks=0)
+
+
+def test_target_that_requests_a_backoff_is_neither_failing_nor_broken() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        now = anyio.current_time()
+        for worker in world.workers.values():
+            worker.refusals.refuse(now, now + 0.5, 1.0)
+        for _ in range(6):
+            await world.ask("entry-1", "/list/1", method="GET", body=None)
+            await world.ask("entry-1", "/chat/1", {"x-token-count": "800,100"})
+        entry = world.entries["entry-1"]
+        assert all(state.failures == 0 for state in entry.book.states.values())
+        assert all(state.ejections == 0 for state in entry.book.states.values())
+        assert not any(health.broken for health in entry.rooms.healths.values())
+
+    in_direct_world(scenario)
+
+
+def test_backoff_outlasts_a_new_row_and_an_absence_from_the_list() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        now = anyio.current_time()
+        refusals = world.workers["diary-0"].refusals
+        refusals.refuse(now, now + 30.0, 30.0)
+        await world.ask("entry-1", "/list/1", method="GET", body=None)
+        world.store.drop("servers", "diary-0")
+        await anyio.sleep(3.0)
+        world.list_worker("diary-0", DIARY)
+        await anyio.sleep(3.0)
+        for _ in range(20):
+            await world.ask("entry-1", "/list/1", method="GET", body=None)
+        assert len(refusals.refused) == 1
+
+    in_direct_world(scenario, ranks=0, diaries=1)
+
+
+def test_no_limit_token_is_taken_for_a_target_that_backs_off() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        now = anyio.current_time()
+        worker = world.workers["diary-0"]
+        worker.limit = "50"
+        worker.refusals.refuse(now, now + 5.0, 5.0)
+        entry = world.entries["entry-1"]
+        await world.ask("entry-1", "/list/1", method="GET", body=None)
+        granted = entry.metrics.limited_attempts.labels("granted")._value.get()
+        for _ in range(10):
+            await world.ask("entry-1", "/list/1", method="GET", body=None)
+        assert entry.metrics.limited_attempts.labels("granted")._value.get() == granted
+        assert len(worker.refusals.refused) == 1
+
+    in_direct_world(scenario, ranks=0, diaries=1)
+
+
+@pytest.mark.parametrize("raw", ["soon", "-3", "nan", "", "0"])
+def test_invalid_or_zero_retry_after_is_ignored(raw: str) -> None:
+    async def scenario(world: DirectWorld) -> None:
+        refusals = world.workers["diary-0"].refusals
+        refusals.start, refusals.end, refusals.retry_after = 0.0, 1e9, raw
+        for _ in range(5):
+            await world.ask("entry-1", "/list/1", method="GET", body=None)
+        assert len(refusals.refused) == 5
+        assert world.entries["entry-1"].backoffs.backoffs == {}
+
+    in_direct_world(scenario, ranks=0, diaries=1)
+
+
+def diaries(world: DirectWorld) -> list[DirectWorker]:
+    return [w for name, w in world.workers.items() if name.startswith("diary")]
--- a/tests/world/test_backoffs.py
+++ b/tests/world/test_backoffs.py
@@ -1,4 +1,4 @@
-"""A target behind an agent that asks for a pause gets it."""
+"""Agents and entries honour the Retry-After of a 503 from a target behind an agent."""
 
 import anyio
 import pytest
@@ -7,10 +7,12 @@
 from briarthread_standins.world import Answer, World
 
 ENTRIES = tuple(f"entry-{name}-0" for name in ("palermo", "catania", "messina"))
-MOST_EARLY = 2
-"""Requests that a target may get from its agent within a pause."""
-REFUSING_SECONDS = 8.0
-ASKS = 400
+MAX_EARLY_REQUESTS = 2
+"""Requests that a target may get from its agent within a backoff."""
+RETRY_AFTER = 3.0
+MAX_REFUSED = 5
+"""Callers that get the target's own 503: one for each backoff that it requests."""
+REQUESTS = 400
 
 
 async def ask_often(world: World, service: str) -> list[Answer]:
@@ -23,16 +25,16 @@
         answers.append(await world.call(entry, f"{service}/x", "salon-0", None, body))
 
     async with anyio.create_task_group() as tasks:
-        for number in range(ASKS):
+        for number in range(REQUESTS):
             tasks.start_soon(ask, number)
             await anyio.sleep(0.03)
     return answers
 
 
-def refuse(world: World, *names: str) -> None:
+def refuse(world: World, *names: str, seconds: float = 8.0) -> None:
     now = anyio.current_time()
     for name in names:
-        world.services[name].refusals.refuse(now, now + REFUSING_SECONDS, 3.0)
+        world.services[name].refusals.refuse(now, now + seconds, RETRY_AFTER)
 
 
 @pytest.mark.parametrize("service", ["cards", "diary"])
@@ -43,7 +45,42 @@
         refuse(world, f"{service}-palermo-0")
         await ask_often(world, service)
         refusals = world.services[f"{service}-palermo-0"].refusals
-        assert refusals.asked
-        assert refusals.most_early() <= MOST_EARLY
+        assert refusals.refused
+        assert refusals.max_early_requests() <= MAX_EARLY_REQUESTS
+
+    in_world(scenario)
+
+
+def test_callers_are_served_by_other_targets_meanwhile() -> None:
+    async def scenario(world: World) -> None:
+        refuse(world, "cards-palermo-0")
+        answers = await ask_often(world, "cards")
+        refused = [answer for answer in answers if answer.status != 200]
+        assert len(refused) <= MAX_REFUSED
+
+    in_world(scenario)
+
+
+def test_target_gets_its_share_again_after_the_backoff() -> None:
+    async def scenario(world: World) -> None:
+        refuse(world, "cards-palermo-0", seconds=0.5)
+        await ask_often(world, "cards")
+        assert world.services["cards-palermo-0"].runs.total() >= 0.1 * REQUESTS
+
+    in_world(scenario)
+
+
+def test_callers_are_told_when_the_first_backoff_ends_if_all_targets_back_off() -> None:
+    async def scenario(world: World) -> None:
+        refuse(world, *(name for name in world.services if name.startswith("cards")))
+        answers = await ask_often(world, "cards")
+        refused = [a for a in answers if "backing-off" in a.body.decode()]
+        assert refused
+        waits = [float(answer.headers["retry-after"]) for answer in refused]
+        assert min(waits) > 0
+        assert max(waits) <= RETRY_AFTER
+        assert {answer.outcome for answer in refused} == {"not-run"}
+        for name, service in world.services.items():
+            assert service.refusals.max_early_requests() <= MAX_EARLY_REQUESTS, name
 
     in_world(scenario)
