Stop sending requests to targets that announce shutdown in responses

Impact on callers: a target that is shutting down says so in all its responses before the list shows it, or while the store is unreachable. Entries kept sending requests to it until the list said so, and whatever was running there when it exited was cut off.

A signal from the target in the response head was not read by any code.

Change for direct targets: the response head, including that of a stream still in progress, marks the target as leaving at the entry that received it, immediately. From then on the target gets no first attempts, retries or resumed streams, including after a wait for a token. Running requests finish, and a connection that the target breaks is not counted as a sign of a crash. This holds until the target is removed from the list, whatever state the list gives it. Other entries learn of it from the reports of running attempts; there it holds as long as it is reported.

Change for agents in front of targets: the agent stops accepting attempts as it does for its own shutdown, hands its shares over and says so in its load report.

Also fixed: a target that was removed from the list and listed again between two refreshes kept its previous state. Removed targets are now forgotten first.

Header values: "0", "", "yes", "1.0" and a 421 from another target announce nothing; "1" given twice and "0" next to "1" do.

--- a/packages/agent/src/briarthread_agent/agent.py
+++ b/packages/agent/src/briarthread_agent/agent.py
@@ -110,7 +110,9 @@
         self.backoff = TargetBackoff(self.metrics)
         self.queue = FairQueue(clock, self.backoff, FIRST_SLOTS, FIRST_QUEUE)
         self.reporter = LoadReporter(self.incarnation, self.queue, self.backoff)
-        target = TargetClient(channel, settings.target, self.backoff)
+        target = TargetClient(
+            channel, settings.target, self.backoff, self._on_target_leaving
+        )
         runner = Runner(clock, self.ledger, self.queue, target, self.guard, tasks)
         self.handler = AttemptHandler(
             runner, self.reporter, self.text, settings.service, self.metrics
@@ -143,10 +145,8 @@
         listener closes.
         """
         logger.info("agent: stopping")
-        self.reporter.drain()
-        self.guard.draining = True
-        with anyio.move_on_after(self.settings.drain_timeout):
-            await self.keeper.hand_over_all()
+        self._refuse_new_attempts()
+        await self._hand_over_shares()
         await anyio.sleep(self.settings.drain_notice)
         await wait_for_drain(self.queue, self.settings.drain_timeout)
         try:
@@ -155,6 +155,26 @@
             logger.warning("agent: late answers were not handed over: {}", error)
         self.reporter.close()
 
+    def _on_target_leaving(self) -> None:
+        """
+        Refuse new attempts and hand the shares over, as the target is shutting down.
+
+        This is final for the process: an agent is restarted together with its target.
+        """
+        if self.guard.draining:
+            return
+        logger.info("agent: the target is leaving, according to its response")
+        self._refuse_new_attempts()
+        self.tasks.start_soon(self._hand_over_shares)
+
+    def _refuse_new_attempts(self) -> None:
+        self.reporter.drain()
+        self.guard.draining = True
+
+    async def _hand_over_shares(self) -> None:
+        with anyio.move_on_after(self.settings.drain_timeout):
+            await self.keeper.hand_over_all()
+
     def ready(self) -> str:
         """Return why the agent is not ready, or nothing."""
         if self.guard.draining:
--- a/packages/agent/src/briarthread_agent/attempts/target_client.py
+++ b/packages/agent/src/briarthread_agent/attempts/target_client.py
@@ -1,5 +1,7 @@
 """Calls to the target that the agent stands before."""
 
+from collections.abc import Callable
+
 from briarthread_agent.attempts.answer_buffer import AnswerBuffer, Headers
 from briarthread_agent.limits.target_backoff import TargetBackoff
 from briarthread_common.core.error_kind import ErrorKind
@@ -10,18 +12,32 @@
 )
 from briarthread_common.core.outcome import Outcome
 from briarthread_common.direct.answer_notice import read_notice
-from briarthread_common.http.channel import Channel, ChannelRequest
+from briarthread_common.http.channel import Channel, ChannelRequest, ChannelResponse
 from briarthread_common.http.passed_headers import PASSED_BACK
 from briarthread_common.messages.attempt import Attempt
 
+LEAVING_HEADER = "target-leaving"
+"""Response header in which a target announces that it is shutting down."""
+
 
 class TargetClient:
-    """Run an attempt on the target and collect its answer."""
+    """
+    Run an attempt on the target and collect its answer.
+
+    ``on_leaving`` is called for each response that announces the target's shutdown.
+    """
 
-    def __init__(self, channel: Channel, address: str, backoff: TargetBackoff) -> None:
+    def __init__(
+        self,
+        channel: Channel,
+        address: str,
+        backoff: TargetBackoff,
+        on_leaving: Callable[[], None],
+    ) -> None:
         self.channel = channel
         self.address = address
         self.backoff = backoff
+        self.on_leaving = on_leaving
 
     async def run(
         self, attempt: Attempt, headers: Headers, body: bytes, answer: AnswerBuffer
@@ -37,7 +53,7 @@
         )
         try:
             async with self.channel.stream(request) as response:
-                self.backoff.note_answer(read_notice(response))
+                self._note_head(response)
                 answer.start(response.status, _passed_back(response.headers))
                 async for chunk in response.body:
                     answer.add(chunk)
@@ -53,6 +69,12 @@
         except RequestError as error:
             answer.fail(error)
 
+    def _note_head(self, response: ChannelResponse) -> None:
+        notice = read_notice(response, LEAVING_HEADER)
+        self.backoff.note_answer(notice)
+        if notice.leaving:
+            self.on_leaving()
+
 
 def _passed_back(headers: object) -> Headers:
     return tuple((k, v) for k, v in headers.items() if k in PASSED_BACK)
--- a/packages/common/src/briarthread_common/direct/answer_notice.py
+++ b/packages/common/src/briarthread_common/direct/answer_notice.py
@@ -1,4 +1,4 @@
-"""The backoff and the failure that the head of a target's response signals."""
+"""The backoff, failure and shutdown that the head of a target's response signals."""
 
 from dataclasses import dataclass
 
@@ -12,6 +12,8 @@
 """The status whose Retry-After is read (RFC 9110, 15.6.4)."""
 SERVER_ERROR = 500
 RETRY_AFTER = "retry-after"
+LEAVING = "1"
+NOT_LEAVING = "0"
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,16 +22,34 @@
     Hold what the head of a response says about its target.
 
     ``backoff`` is the requested backoff in seconds, 0.0 for none. ``failed`` is true
-    for a 5xx response, which does not count as a success in the slow start.
+    for a 5xx response, which does not count as a success in the slow start. ``leaving``
+    is true if the target announces that it is shutting down.
     """
 
     backoff: float = 0.0
     failed: bool = False
-
-
-def read_notice(response: ChannelResponse) -> AnswerNotice:
-    """Parse the head of a response; an invalid Retry-After is logged and ignored."""
-    return AnswerNotice(_requested_backoff(response), response.status >= SERVER_ERROR)
+    leaving: bool = False
+
+
+def read_notice(
+    response: ChannelResponse, leaving_header: str | None = None
+) -> AnswerNotice:
+    """Parse the head of a response; invalid values are logged and ignored."""
+    return AnswerNotice(
+        _requested_backoff(response),
+        response.status >= SERVER_ERROR,
+        _is_leaving(response, leaving_header),
+    )
+
+
+def _is_leaving(response: ChannelResponse, header: str | None) -> bool:
+    values = [value.strip() for name, value in response.fields if name == header]
+    for value in values:
+        if value not in (LEAVING, NOT_LEAVING):
+            logger.warning(
+                "targets: invalid value of {} ignored: {!r}", header, value[:40]
+            )
+    return LEAVING in values
 
 
 def _requested_backoff(response: ChannelResponse) -> float:
--- a/packages/common/src/briarthread_common/direct/header_names.py
+++ b/packages/common/src/briarthread_common/direct/header_names.py
@@ -12,7 +12,8 @@
     and the most of the answer. ``not_run`` on an answer says that the target
     did not run the request; ``signature`` is there on every answer that a
     target made. ``load`` tells running, waiting and slots; ``limit`` how many
-    requests a second a target in need takes from all callers together.
+    requests a second a target in need takes from all callers together,
+    ``leaving`` that it is shutting down.
     """
 
     request_id: str
@@ -25,5 +26,6 @@
     faulty_target: str
     load: str
     limit: str
+    leaving: str
     size: str
     resume_from: str
--- a/packages/common/src/briarthread_common/messages/running_report.py
+++ b/packages/common/src/briarthread_common/messages/running_report.py
@@ -1,7 +1,7 @@
 """What an entry tells the others of the attempts that it has running."""
 
 from collections import Counter, defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import msgspec
 
@@ -25,18 +25,22 @@
     Targets without any are left out. ``each`` gives, by the name of each group, the
     seconds that a running request adds to its passes, as the entry's own streams
     show it. ``limits`` is what the entry's own answers say of targets' limits,
-    ``crashes`` what is known of requests that crash targets.
+    ``crashes`` what is known of requests that crash targets, ``leaving`` the targets
+    that announced their shutdown to the entry.
     """
 
     running: dict[str, int] = {}
     each: dict[str, float] = {}
     limits: dict[str, LimitWord] = {}
     crashes: CrashWords = CrashWords()
+    leaving: tuple[str, ...] = ()
 
     def same_as(self, other: "RunningReport") -> bool:
         """Tell whether another report says no more than this one."""
         if self.running != other.running or self.limits.keys() != other.limits.keys():
             return False
+        if self.leaving != other.leaving:
+            return False
         return self.crashes.same_as(other.crashes) and all(
             word.per_second == other.limits[target].per_second
             for target, word in self.limits.items()
@@ -60,4 +64,10 @@
     each = {name: sum(values) / len(values) for name, values in seen.items()}
     limits = newest_words(report.limits for report in reports)
     crashes = all_words(report.crashes for report in reports)
-    return RunningReport(dict(running), each, limits, crashes)
+    leaving = merge_names(report.leaving for report in reports)
+    return RunningReport(dict(running), each, limits, crashes, leaving)
+
+
+def merge_names(name_lists: Iterable[tuple[str, ...]]) -> tuple[str, ...]:
+    """Return the distinct names of all lists, sorted."""
+    return tuple(sorted({name for names in name_lists for name in names}))
--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -24,6 +24,7 @@
 )
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.event_reader import EventReader
+from briarthread_entry.direct.leaving_targets import LeavingTargets
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.target_limits import TargetLimits
 from briarthread_entry.direct.target_state import DirectTargetState
@@ -47,11 +48,13 @@
         names: HeaderNames,
         limits: TargetLimits,
         backoffs: TargetBackoffs,
+        leaving_targets: LeavingTargets,
     ) -> None:
         self.channel = channel
         self.names = names
         self.limits = limits
         self.backoffs = backoffs
+        self.leaving_targets = leaving_targets
 
     async def send(
         self, request: DirectRequest, state: DirectTargetState, relay: AnswerRelay
@@ -102,14 +105,17 @@
     def _note_head(
         self, state: DirectTargetState, response: ChannelResponse, sent: float
     ) -> None:
-        """Record the target's limit and backoff; a 421 comes from another target."""
+        """Record limit, backoff and shutdown; a 421 comes from another target."""
         if response.status == REPLACED:
             return
         name = state.target.name
         now = anyio.current_time()
         named = [raw for field, raw in response.fields if field == self.names.limit]
         self.limits.note_answer(name, ",".join(named) if named else None, sent, now)
-        self.backoffs.note_answer(name, read_notice(response), now)
+        notice = read_notice(response, self.names.leaving)
+        self.backoffs.note_answer(name, notice, now)
+        if notice.leaving:
+            self.leaving_targets.note_leaving(name)
 
     def _check_answer(self, response: ChannelResponse) -> None:
         """Raise SpoiltAnswerError for a success that is not the target's own."""
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -31,6 +31,7 @@
 from briarthread_entry.direct.group_roster import GroupRoster
 from briarthread_entry.direct.group_watcher import GroupWatcher
 from briarthread_entry.direct.home_slots import HomeSlots
+from briarthread_entry.direct.leaving_targets import LeavingTargets
 from briarthread_entry.direct.limit_tokens import LimitTokens
 from briarthread_entry.direct.read_request import RequestReader
 from briarthread_entry.direct.request_handler import RequestHandler
@@ -80,9 +81,12 @@
         self.limits = TargetLimits()
         self.backoffs = TargetBackoffs(self.metrics, rng)
         self.crashes = CrashBook(self._note_crash_decision)
-        self.book = TargetBook(self.feeds.targets, adapter, self.spreader.well_since)
+        self.leaving_targets = LeavingTargets()
+        self.book = TargetBook(
+            self.feeds.targets, adapter, self.spreader.well_since, self.leaving_targets
+        )
         self.book.on_gone = self._forget
-        self.board = RunningBoard(self.limits, self.crashes)
+        self.board = RunningBoard(self.limits, self.crashes, self.leaving_targets)
         self.groups = GroupBoard()
         self.roster = GroupRoster(self.directory)
         self.slow_ranks = SlowRanks(self.book, self.roster, self.groups)
@@ -129,7 +133,13 @@
                 self.crashes,
                 rng,
             ),
-            AttemptSender(target_channel, adapter.headers, self.limits, self.backoffs),
+            AttemptSender(
+                target_channel,
+                adapter.headers,
+                self.limits,
+                self.backoffs,
+                self.leaving_targets,
+            ),
             self.crashes,
             self.budget,
             self.gate,
@@ -191,9 +201,10 @@
         return ""
 
     def _forget(self) -> None:
-        """Forget the limits of targets that are gone."""
+        """Forget the limits and announced shutdowns of targets that are gone."""
         self.limits.keep(self.book.states)
         self.tokens.keep(self.book.states)
+        self.leaving_targets.keep(self.book.states)
 
     async def _list_itself(self) -> None:
         await self.spreader.started.wait()
@@ -210,9 +221,10 @@
         report = self.gate.report()
         now = anyio.current_time()
         words, crashes = self.limits.words(now), self.crashes.words(now)
-        if not words and not crashes:
+        leaving = self.leaving_targets.own_names()
+        if not words and not crashes and not leaving:
             return report
-        return replace(report, limits=words, crashes=crashes)
+        return replace(report, limits=words, crashes=crashes, leaving=leaving)
 
     def _note_crash_decision(self, decision: str, digest: str, reason: str) -> None:
         self.metrics.crash_decisions.labels(decision).inc()
@@ -232,7 +244,7 @@
             "targets": {
                 name: {
                     "service": state.target.service,
-                    "leaving": state.target.leaving,
+                    "leaving": self.book.is_leaving(state),
                     "running": state.running,
                     "ejected_seconds": max(state.ejected_until - now, 0.0),
                 }
--- a/packages/entry/src/briarthread_entry/direct/running_board.py
+++ b/packages/entry/src/briarthread_entry/direct/running_board.py
@@ -9,8 +9,9 @@
 from briarthread_common.http.report_stream import SILENCE_SECONDS
 from briarthread_common.messages.crash_words import all_words
 from briarthread_common.messages.limit_word import LimitWord, newest_words
-from briarthread_common.messages.running_report import RunningReport
+from briarthread_common.messages.running_report import RunningReport, merge_names
 from briarthread_entry.direct.crash_book import CrashBook
+from briarthread_entry.direct.leaving_targets import LeavingTargets
 from briarthread_entry.direct.target_limits import TargetLimits
 
 CHECK_SECONDS = 0.25
@@ -42,7 +43,8 @@
     Hold the newest report of each other entry, and what they sum up to.
 
     Times are the runtime's seconds. What is told of targets' limits goes on to
-    ``limits``, of requests that crash targets to ``crashes``.
+    ``limits``, of requests that crash targets to ``crashes``, of leaving targets to
+    ``leaving_targets``.
 
     >>> board = RunningBoard()
     >>> board.put("entry-2", RunningReport({"t-1": 3}), now=10.0)
@@ -51,10 +53,14 @@
     """
 
     def __init__(
-        self, limits: TargetLimits | None = None, crashes: CrashBook | None = None
+        self,
+        limits: TargetLimits | None = None,
+        crashes: CrashBook | None = None,
+        leaving_targets: LeavingTargets | None = None,
     ) -> None:
         self.limits = limits or TargetLimits()
         self.crashes = crashes or CrashBook()
+        self.leaving_targets = leaving_targets or LeavingTargets()
         self.heard: dict[str, _Heard] = {}
         self.totals: Counter[str] = Counter()
         self.checked = float("-inf")
@@ -67,14 +73,19 @@
         kept: float = SILENCE_SECONDS,
     ) -> None:
         """Take over a report, which counts for ``kept`` seconds without a newer one."""
-        self.drop(entry)
+        self._remove_report(entry)
         self.heard[entry] = _Heard(report, now, now + kept)
         self.limits.put(entry, report.limits, now)
         self.crashes.put(entry, report.crashes, now)
+        self.leaving_targets.put(entry, report.leaving)
         self.totals.update(report.running)
 
     def drop(self, entry: str) -> None:
         """Forget an entry that is gone."""
+        self._remove_report(entry)
+        self.leaving_targets.drop(entry)
+
+    def _remove_report(self, entry: str) -> None:
         heard = self.heard.pop(entry, None)
         if heard is not None:
             self.totals.subtract(heard.report.running)
@@ -116,7 +127,8 @@
         others = [r.report_at(now) for name, r in self.heard.items() if name != entry]
         limits = newest_words([own.limits, *(one.limits for one in others)])
         crashes = all_words([own.crashes, *(one.crashes for one in others)])
-        return RunningReport(dict(+running), each, limits, crashes)
+        leaving = merge_names([own.leaving, *(one.leaving for one in others)])
+        return RunningReport(dict(+running), each, limits, crashes, leaving)
 
     def each(self, group: str, now: float) -> float | None:
         """Return what others see that a running request adds to a pass."""
--- a/packages/entry/src/briarthread_entry/direct/target_book.py
+++ b/packages/entry/src/briarthread_entry/direct/target_book.py
@@ -9,6 +9,7 @@
 from briarthread_common.direct.direct_target import DirectTarget
 from briarthread_common.direct.platform_adapter import PlatformAdapter
 from briarthread_common.feeds.feed import Feed
+from briarthread_entry.direct.leaving_targets import LeavingTargets
 from briarthread_entry.direct.target_state import DirectTargetState
 
 RETURN_SECONDS = 2.0
@@ -30,10 +31,12 @@
         feed: Feed,
         adapter: PlatformAdapter,
         well_since: Callable[[], float],
+        leaving_targets: LeavingTargets,
     ) -> None:
         self.feed = feed
         self.adapter = adapter
         self.well_since = well_since
+        self.leaving_targets = leaving_targets
         self.number = -1
         self.raw: dict[str, str] = {}
         self.states: dict[str, DirectTargetState] = {}
@@ -52,14 +55,28 @@
         return [
             state
             for state in self.states.values()
-            if state.target.service == service and state.listed()
+            if state.target.service == service and self.accepts_requests(state)
         ]
 
+    def accepts_requests(self, state: DirectTargetState) -> bool:
+        """Return whether new requests may be sent to a target."""
+        return state.listed() and not self.is_leaving(state)
+
+    def is_leaving(self, state: DirectTargetState) -> bool:
+        """Return whether a target is leaving, by the list or by its responses."""
+        name = state.target.name
+        return state.target.leaving or self.leaving_targets.is_leaving(name)
+
     def refresh(self, now: float) -> None:
         """Take over what the feed says now."""
+        # A target that was removed and listed again must not inherit the old state.
+        self._forget_gone(now)
         if self.number != self.feed.number:
             self.number = self.feed.number
             self._take_over(now)
+            self._forget_gone(now)
+
+    def _forget_gone(self, now: float) -> None:
         gone = [
             name
             for name, state in self.states.items()
--- a/packages/entry/src/briarthread_entry/direct/target_chooser.py
+++ b/packages/entry/src/briarthread_entry/direct/target_chooser.py
@@ -122,7 +122,8 @@
     def _still_open(self, state: DirectTargetState) -> bool:
         """Return whether a target is listed and open after the wait for a token."""
         now = anyio.current_time()
-        return state.listed() and self.backoffs.opens_at(state.target.name, now) <= now
+        opens_at = self.backoffs.opens_at(state.target.name, now)
+        return self.book.accepts_requests(state) and opens_at <= now
 
     def _wait_until(self, request: DirectRequest) -> float:
         aim = request.route.aim * AIM_SHARE
--- a/packages/standins/src/briarthread_standins/direct_worker.py
+++ b/packages/standins/src/briarthread_standins/direct_worker.py
@@ -42,7 +42,8 @@
     every answer while it is set; ``arrivals`` are the times of all requests. A request
     whose body is ``crashes_on`` calls ``on_crash``. While its group is ``broken_by``
     another worker it refuses; what runs waits for that and is cut off. ``refusals``
-    sets when it answers 503 with Retry-After.
+    sets when it answers 503 with Retry-After. ``leaving`` is the value of the
+    server-leaving header, which is omitted for ``None``.
     """
 
     def __init__(self, name: str, pieces: int = 6) -> None:
@@ -54,6 +55,7 @@
         self.rewinds = False
         self.limit: str | None = None
         self.refusals = Refusals()
+        self.leaving: str | None = None
         self.arrivals: list[float] = []
         self.crashes_on: bytes | None = None
         self.on_crash: Callable[[DirectWorker], None] | None = None
@@ -105,6 +107,8 @@
         named = [("x-request-id", headers["x-request-id"])]
         if self.limit is not None:
             named.append(("server-limit", self.limit))
+        if self.leaving is not None:
+            named.append(("server-leaving", self.leaving))
         return named
 
     async def _work(
--- a/packages/standins/src/briarthread_standins/plain_service.py
+++ b/packages/standins/src/briarthread_standins/plain_service.py
@@ -29,13 +29,15 @@
 
     The count takes effect before the answer is sent, as a booking does. The
     body stands for the key, since a target sees no idempotency key. ``refusals`` sets
-    when it answers 503 with Retry-After.
+    when it answers 503 with Retry-After. While ``leaving`` is set, each success
+    announces a shutdown.
     """
 
     def __init__(self, delay: float = 0.005) -> None:
         self.delay = delay
         self.runs: Counter[str] = Counter()
         self.refusals = Refusals()
+        self.leaving = False
         self.app = App(
             [
                 Route("GET", "/standin/runs", self._handle_runs),
@@ -50,9 +52,13 @@
             return
         self.runs[body.decode()] += 1
         await anyio.sleep(self.delay)
-        await call.reply_json(
-            {"done": call.path, "run": self.runs[body.decode()], "body": body.decode()}
-        )
+        answer = {
+            "done": call.path,
+            "run": self.runs[body.decode()],
+            "body": body.decode(),
+        }
+        leaving = [("target-leaving", "1")] if self.leaving else []
+        await call.reply(200, msgspec.json.encode(answer), leaving)
 
     async def _handle_runs(self, call: Call) -> None:
         body = msgspec.json.encode(self.runs)
--- a/tests/world/test_leaving.py
+++ b/tests/world/test_leaving.py
@@ -128,3 +128,34 @@
         assert world.clock.now() - start < 2 * DRAIN_NOTICE
 
     in_world(scenario)
+
+
+def test_agent_refuses_new_attempts_once_its_target_announces_a_shutdown() -> None:
+    async def scenario(world: World) -> None:
+        target = world.services["cards-palermo-0"]
+        target.leaving = True
+        answers = await ask_often(world, "cards", 30)
+        assert {answer.status for answer in answers} == {200}
+        await anyio.sleep(PATIENCE)
+        before = target.runs.total()
+        assert before > 0
+        answers = await ask_often(world, "cards", 30)
+        assert {answer.status for answer in answers} == {200}
+        assert target.runs.total() == before
+
+    in_world(scenario)
+
+
+# Guards against running a key again because its holder stopped taking attempts.
+def test_keys_held_by_the_agent_of_a_leaving_target_are_handed_over() -> None:
+    async def scenario(world: World) -> None:
+        leaving = world.services["diary-palermo-0"]
+        leaving.leaving = True
+        answers = await ask_often(world, "diary", 20, keyed=True)
+        assert leaving.runs.total() > 0
+        await anyio.sleep(PATIENCE)
+        again = await ask_often(world, "diary", 20, keyed=True)
+        assert {answer.status for answer in again} == {200}
+        assert [a.body for a in again] == [a.body for a in answers if a.status == 200]
+
+    in_world(scenario)
