--- a/packages/common/src/briarthread_common/direct/header_names.py
+++ b/packages/common/src/briarthread_common/direct/header_names.py
@@ -11,9 +11,9 @@
     ``time_left`` is in milliseconds. ``size`` holds the tokens of the prompt
     and the most of the answer. ``not_run`` on an answer says that the target
     did not run the request; ``signature`` is there on every answer that a
-    target made. ``load`` tells running, waiting and slots; ``limit`` how many
-    requests a second a target in need takes from all callers together,
-    ``leaving`` that it is shutting down.
+    target made. ``limit`` is the number of requests per second that a target
+    accepts from all callers together while it limits its load. ``leaving``
+    announces that the target is shutting down.
     """
 
     request_id: str
@@ -24,7 +24,6 @@
     signature: str
     not_run: str
     faulty_target: str
-    load: str
     limit: str
     leaving: str
     size: str
