Remove tuning notes from the comments of four constants

The comments named the sites at which a value had been seen to fit. They now give the unit and the reason. The values are unchanged, and so is the code.

The removed observations, for the record:

- HORIZON_SECONDS (2.5): half of what is liked changes every four seconds.
- FOLLOWERS (3): all three entries of a data centre follow.
- USUAL_OUTAGE (5.0): data centres are cut off and ranks are down for four to six seconds.
- REPORT_SECONDS (0.1): three requests arrive in a tenth of a second.

--- a/packages/common/src/briarthread_common/placement/quick_change.py
+++ b/packages/common/src/briarthread_common/placement/quick_change.py
@@ -16,8 +16,9 @@
 from briarthread_common.placement.rank_loads import Layer, slowest_load
 
 HORIZON_SECONDS = 2.5
-"""Time over which a saving is counted: at the users' sites half of what is
-liked changes every four seconds, and a change takes one to be in force."""
+"""Window, in seconds, over which the saving from a change is counted. It is short
+because expert popularity shifts within seconds and a change takes about one second
+to take effect."""
 LOAD_SECONDS = 0.008
 """What loading one expert costs, as seconds of a fully loaded group: the bytes
 are paid for, and passes are longer while they come; for groups of ``LOAD_RANKS``."""
--- a/packages/common/src/briarthread_common/spread/following_spreader.py
+++ b/packages/common/src/briarthread_common/spread/following_spreader.py
@@ -31,8 +31,9 @@
 """Mean pause after a failed call: soon enough to hear of a change in time once
 the platform is back, seldom enough not to press it while it is not."""
 FOLLOWERS = 3
-"""How many entries of a data centre follow. At the users' sites that is all of
-them, so that what cuts some off from the platform delays no other."""
+"""Number of entries per data centre that follow the platform directly. Where there
+are no more entries than this, all of them follow, so an entry that loses its
+connection to the platform does not delay the others."""
 WATCH_SECONDS = 0.5
 """How often one that does not follow asks one that does. A follower notices
 within some 1.3 s that it is cut off; both have to fit into the two seconds
--- a/packages/entry/src/briarthread_entry/direct/group_health.py
+++ b/packages/entry/src/briarthread_entry/direct/group_health.py
@@ -6,8 +6,8 @@
 """Pause between two requests sent to a group that is not serving, to see
 whether it does again. A group forms anew within some hundred milliseconds."""
 USUAL_OUTAGE = 5.0
-"""Seconds for which a group is usually away: at the users' sites data centres
-are cut off and ranks are down for four to six."""
+"""Typical duration of a group outage, in seconds, such as when a data centre is cut
+off or a rank is down; the remaining downtime is estimated from it."""
 SOON = 0.3
 """Least time, s, after which a group that is away is expected back."""
 SPARED_PROBE_SECONDS = 3.0
--- a/packages/entry/src/briarthread_entry/direct/running_teller.py
+++ b/packages/entry/src/briarthread_entry/direct/running_teller.py
@@ -18,9 +18,8 @@
 from briarthread_entry.direct.running_watcher import RunningWatcher
 
 REPORT_SECONDS = 0.1
-"""Shortest time between two reports of what runs: three requests come in a
-tenth of a second at the users' sites, so that the entries' counts are that far
-apart at most."""
+"""Minimum interval between two running reports, in seconds. A longer interval lets
+the counts held by different entries drift further apart."""
 SUM_SECONDS = 0.25
 """The same for sums over many entries, which change with every request of each:
 streams last some ten times as long."""
