Prefer targets that have requested no backoff from another entry

Cause: a backoff binds only the entry that received it, so each entry had to be refused by each failing target.

Change: entries report the backoffs requested from them, with the seconds left, rounded to milliseconds. While any are reported, an entry prefers targets that have a free slot and no reported backoff. If there are none, it chooses among all targets, including the reported ones, since those have not refused it. No other decision depends on the reports.

--- a/packages/common/src/briarthread_common/messages/running_report.py
+++ b/packages/common/src/briarthread_common/messages/running_report.py
@@ -1,7 +1,7 @@
 """What an entry tells the others of the attempts that it has running."""
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 import msgspec
 
@@ -26,7 +26,8 @@
     seconds that a running request adds to its passes, as the entry's own streams
     show it. ``limits`` is what the entry's own answers say of targets' limits,
     ``crashes`` what is known of requests that crash targets, ``leaving`` the targets
-    that announced their shutdown to the entry.
+    that announced their shutdown to the entry, ``backoffs`` the remaining seconds of
+    the backoffs that targets requested from it.
     """
 
     running: dict[str, int] = {}
@@ -34,6 +35,7 @@
     limits: dict[str, LimitWord] = {}
     crashes: CrashWords = CrashWords()
     leaving: tuple[str, ...] = ()
+    backoffs: dict[str, float] = {}
 
     def same_as(self, other: "RunningReport") -> bool:
         """Tell whether another report says no more than this one."""
@@ -41,6 +43,8 @@
             return False
         if self.leaving != other.leaving:
             return False
+        if self.backoffs.keys() != other.backoffs.keys():
+            return False
         return self.crashes.same_as(other.crashes) and all(
             word.per_second == other.limits[target].per_second
             for target, word in self.limits.items()
@@ -65,9 +69,24 @@
     limits = newest_words(report.limits for report in reports)
     crashes = all_words(report.crashes for report in reports)
     leaving = merge_names(report.leaving for report in reports)
-    return RunningReport(dict(running), each, limits, crashes, leaving)
+    backoffs = longest_backoffs(report.backoffs for report in reports)
+    return RunningReport(dict(running), each, limits, crashes, leaving, backoffs)
 
 
 def merge_names(name_lists: Iterable[tuple[str, ...]]) -> tuple[str, ...]:
     """Return the distinct names of all lists, sorted."""
     return tuple(sorted({name for names in name_lists for name in names}))
+
+
+def longest_backoffs(backoff_maps: Iterable[Mapping[str, float]]) -> dict[str, float]:
+    """
+    Return the longest remaining backoff of each target.
+
+    >>> longest_backoffs([{"t": 1.0}, {"t": 2.5, "u": 0.5}])
+    {'t': 2.5, 'u': 0.5}
+    """
+    longest: dict[str, float] = {}
+    for backoffs in backoff_maps:
+        for target, seconds in backoffs.items():
+            longest[target] = max(longest.get(target, 0.0), seconds)
+    return longest
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -222,9 +222,12 @@
         now = anyio.current_time()
         words, crashes = self.limits.words(now), self.crashes.words(now)
         leaving = self.leaving_targets.own_names()
-        if not words and not crashes and not leaving:
+        backoffs = self.backoffs.seconds_left(now)
+        if not words and not crashes and not leaving and not backoffs:
             return report
-        return replace(report, limits=words, crashes=crashes, leaving=leaving)
+        return replace(
+            report, limits=words, crashes=crashes, leaving=leaving, backoffs=backoffs
+        )
 
     def _note_crash_decision(self, decision: str, digest: str, reason: str) -> None:
         self.metrics.crash_decisions.labels(decision).inc()
--- a/packages/entry/src/briarthread_entry/direct/running_board.py
+++ b/packages/entry/src/briarthread_entry/direct/running_board.py
@@ -9,7 +9,11 @@
 from briarthread_common.http.report_stream import SILENCE_SECONDS
 from briarthread_common.messages.crash_words import all_words
 from briarthread_common.messages.limit_word import LimitWord, newest_words
-from briarthread_common.messages.running_report import RunningReport, merge_names
+from briarthread_common.messages.running_report import (
+    RunningReport,
+    longest_backoffs,
+    merge_names,
+)
 from briarthread_entry.direct.crash_book import CrashBook
 from briarthread_entry.direct.leaving_targets import LeavingTargets
 from briarthread_entry.direct.target_limits import TargetLimits
@@ -28,14 +32,20 @@
 
     def report_at(self, now: float) -> RunningReport:
         """Return the report with its words as old as they are now."""
-        if not self.report.limits and not self.report.crashes:
-            return self.report
+        report = self.report
+        if not report.limits and not report.crashes and not report.backoffs:
+            return report
         limits = {
             target: LimitWord(word.per_second, word.age + now - self.at)
             for target, word in self.report.limits.items()
         }
         crashes = self.report.crashes.aged(now - self.at)
-        return replace(self.report, limits=limits, crashes=crashes)
+        backoffs = {
+            target: left
+            for target, seconds in report.backoffs.items()
+            if (left := round(seconds - (now - self.at), 3)) > 0
+        }
+        return replace(report, limits=limits, crashes=crashes, backoffs=backoffs)
 
 
 class RunningBoard:
@@ -63,6 +73,7 @@
         self.leaving_targets = leaving_targets or LeavingTargets()
         self.heard: dict[str, _Heard] = {}
         self.totals: Counter[str] = Counter()
+        self.backoff_until: dict[str, float] = {}
         self.checked = float("-inf")
 
     def put(
@@ -78,8 +89,19 @@
         self.limits.put(entry, report.limits, now)
         self.crashes.put(entry, report.crashes, now)
         self.leaving_targets.put(entry, report.leaving)
+        self._note_backoffs(report, now)
         self.totals.update(report.running)
 
+    def backing_off(self, target: str, now: float) -> bool:
+        """Return whether a backoff that another entry reported is still in effect."""
+        return self.backoff_until.get(target, now) > now
+
+    def _note_backoffs(self, report: RunningReport, now: float) -> None:
+        """Extend the backoffs; a report that omits one does not end it."""
+        for target, seconds in report.backoffs.items():
+            until = max(self.backoff_until.get(target, now), now + seconds)
+            self.backoff_until[target] = until
+
     def drop(self, entry: str) -> None:
         """Forget an entry that is gone."""
         self._remove_report(entry)
@@ -128,7 +150,8 @@
         limits = newest_words([own.limits, *(one.limits for one in others)])
         crashes = all_words([own.crashes, *(one.crashes for one in others)])
         leaving = merge_names([own.leaving, *(one.leaving for one in others)])
-        return RunningReport(dict(+running), each, limits, crashes, leaving)
+        backoffs = longest_backoffs([own.backoffs, *(one.backoffs for one in others)])
+        return RunningReport(dict(+running), each, limits, crashes, leaving, backoffs)
 
     def each(self, group: str, now: float) -> float | None:
         """Return what others see that a running request adds to a pass."""
@@ -145,6 +168,8 @@
         if now < self.checked + CHECK_SECONDS:
             return
         self.checked = now
+        for target in [t for t, until in self.backoff_until.items() if until <= now]:
+            del self.backoff_until[target]
         for entry, heard in list(self.heard.items()):
             if now > heard.until:
                 self.drop(entry)
--- a/packages/entry/src/briarthread_entry/direct/target_backoffs.py
+++ b/packages/entry/src/briarthread_entry/direct/target_backoffs.py
@@ -86,7 +86,10 @@
 
     def seconds_left(self, now: float) -> dict[str, float]:
         """Return the remaining backoff of each target that has one in effect."""
-        left = {name: backoff.until - now for name, backoff in self.backoffs.items()}
+        left = {
+            name: round(backoff.until - now, 3)
+            for name, backoff in self.backoffs.items()
+        }
         return {name: seconds for name, seconds in left.items() if seconds > 0}
 
     def _extend(self, target: str, seconds: float, now: float) -> None:
--- a/packages/entry/src/briarthread_entry/direct/target_chooser.py
+++ b/packages/entry/src/briarthread_entry/direct/target_chooser.py
@@ -80,7 +80,8 @@
             if not open_states:
                 await self._wait(states, now, wait_left)
                 continue
-            state = self._pick(request, self._apart(open_states), now)
+            candidates = self._preferred(self._apart(open_states), now)
+            state = self._pick(request, candidates, now)
             if state is None or not self.tokens.limited(state.target.name):
                 return state
             asks += 1
@@ -100,6 +101,29 @@
             and (may_ask or not self.tokens.limited(state.target.name))
         ]
 
+    def _preferred(
+        self, states: list[DirectTargetState], now: float
+    ) -> list[DirectTargetState]:
+        """
+        Return the targets with a free slot and no backoff reported by another entry.
+
+        Return all targets if there are none, or if no backoff is reported. A backoff
+        binds only the entry that received it, so the reported targets remain usable.
+        """
+        if not self.board.backoff_until:
+            return states
+        preferred = [
+            state
+            for state in states
+            if not self.board.backing_off(state.target.name, now)
+            and self._total_running(state, now) < state.target.slots
+        ]
+        return preferred or states
+
+    def _total_running(self, state: DirectTargetState, now: float) -> int:
+        """Return the attempts that all entries have running at a target."""
+        return state.running + self.board.elsewhere(state.target.name, now)
+
     async def _wait(
         self, states: list[DirectTargetState], now: float, wait_left: float
     ) -> None:
--- a/tests/direct/test_target_backoffs.py
+++ b/tests/direct/test_target_backoffs.py
@@ -6,6 +6,8 @@
 import pytest
 from direct_builders import in_direct_world
 
+from briarthread_common.messages.running_report import RunningReport
+from briarthread_entry.direct.running_board import RunningBoard
 from briarthread_standins.direct_config import DIARY
 from briarthread_standins.direct_worker import DirectWorker
 from briarthread_standins.direct_world import DirectWorld
@@ -165,3 +167,38 @@
 
 def diaries(world: DirectWorld) -> list[DirectWorker]:
     return [w for name, w in world.workers.items() if name.startswith("diary")]
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_entries_learn_of_backoffs_from_each_other(seed: int) -> None:
+    day = LimitDay(
+        entries=54, rate=70.0, seconds=18.0, steps=refusal_steps(4), seed=seed
+    )
+    tally = play_limits(day)
+    assert tally.statuses[503] <= day.entries
+
+
+def test_backoff_of_another_entry_does_not_close_the_only_target() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        now = anyio.current_time()
+        world.workers["diary-0"].refusals.refuse(now, now + 0.1, 10.0)
+        await world.ask("entry-1", "/list/1", method="GET", body=None)
+        await anyio.sleep(1.0)
+        assert world.entries["entry-2"].board.backing_off(
+            "diary-0", anyio.current_time()
+        )
+        reply = await world.ask("entry-2", "/list/1", method="GET", body=None)
+        assert reply.status == 200
+
+    in_direct_world(scenario, ("entry-1", "entry-2"), ranks=0, diaries=1)
+
+
+def test_reported_backoff_lasts_until_it_expires() -> None:
+    board = RunningBoard()
+    board.put("entry-2", RunningReport(backoffs={"t-1": 2.0}), now=10.0)
+    board.put("entry-2", RunningReport(), now=10.5)
+    assert board.backing_off("t-1", now=11.9)
+    assert not board.backing_off("t-1", now=12.0)
+    second_board = RunningBoard()
+    second_board.put("entry-2", RunningReport(backoffs={"t-1": 2.0}), now=10.0)
+    assert second_board.reports(["entry-2"], now=10.5)[0].backoffs == {"t-1": 1.5}
