Record callers that leave and the attempts that this ends

An entry logs caller-left with the time and attempt-abandoned with the target and whether part of an answer had come, on both paths, and counts both. The pairing of a handler with its caller's disconnect stood three times and is Call.run_until_disconnect now.

--- a/packages/agent/src/briarthread_agent/attempts/attempt_handler.py
+++ b/packages/agent/src/briarthread_agent/attempts/attempt_handler.py
@@ -1,6 +1,7 @@
 """HTTP handlers for attempts and revokes."""
 
-import anyio
+from functools import partial
+
 import msgspec
 
 from briarthread_agent.attempts.attempt_runner import AttemptRunner
@@ -55,7 +56,7 @@
             return
         record.readers += 1
         try:
-            await self._send_until_disconnect(call, record)
+            await call.run_until_disconnect(partial(self._respond, call, record))
         finally:
             self.runner.remove_reader(record)
 
@@ -86,16 +87,13 @@
         body = await call.read_body(service.body_bytes)
         return self.runner.submit(attempt, service, headers, body)
 
-    async def _send_until_disconnect(self, call: Call, record: Record) -> None:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(call.cancel_on_disconnect, tasks.cancel_scope)
-            try:
-                await self._send_response(call, record)
-            except RequestError as error:
-                if call.started:
-                    raise ResponseAborted(str(error)) from error
-                await self._refuse(call, error)
-            tasks.cancel_scope.cancel()
+    async def _respond(self, call: Call, record: Record) -> None:
+        try:
+            await self._send_response(call, record)
+        except RequestError as error:
+            if call.started:
+                raise ResponseAborted(str(error)) from error
+            await self._refuse(call, error)
 
     async def _send_response(self, call: Call, record: Record) -> None:
         response = record.response
--- a/packages/common/src/briarthread_common/core/metrics.py
+++ b/packages/common/src/briarthread_common/core/metrics.py
@@ -54,6 +54,18 @@
             ["decision"],
             registry=self.registry,
         )
+        self.callers_left = Counter(
+            "briarthread_callers_left",
+            "Requests whose caller left before the answer was complete.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.abandoned_attempts = Counter(
+            "briarthread_abandoned_attempts",
+            "Attempts ended because their caller left or their deadline passed.",
+            ["answered"],
+            registry=self.registry,
+        )
         self.replays = Counter(
             "briarthread_replays",
             "Answers given from memory to a key asked again.",
--- a/packages/common/src/briarthread_common/http/call.py
+++ b/packages/common/src/briarthread_common/http/call.py
@@ -130,6 +130,20 @@
         await self.wait_for_disconnect()
         scope.cancel()
 
+    async def run_until_disconnect(self, run: Callable[[], Awaitable[None]]) -> bool:
+        """
+        Run a function, and cancel it once the client has disconnected.
+
+        Return whether it ran to its end.
+        """
+        completed = False
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.cancel_on_disconnect, tasks.cancel_scope)
+            await run()
+            completed = True
+            tasks.cancel_scope.cancel()
+        return completed
+
     async def reply(self, status: int, body: bytes, headers: Headers = ()) -> None:
         """
         Send a complete response.
--- a/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
@@ -3,6 +3,7 @@
 import anyio
 
 from briarthread_common.core.event_log import EventLog
+from briarthread_common.core.metrics import Metrics
 from briarthread_common.direct.response_signals import SERVICE_UNAVAILABLE
 from briarthread_entry.direct.attempt_outcome import (
     DirectOutcome,
@@ -38,11 +39,13 @@
         capacity: GroupCapacityTracker,
         crashes: CrashTracker,
         backoffs: TargetBackoffs,
+        metrics: Metrics,
         events: EventLog,
     ) -> None:
         self.capacity = capacity
         self.backoffs = backoffs
         self.crashes = crashes
+        self.metrics = metrics
         self.events = events
 
     def record(
@@ -80,6 +83,20 @@
             case NotRun():
                 self._note_refused(request, state, outcome)
 
+    def record_abandoned(
+        self,
+        request: DirectRequest,
+        state: DirectTargetState,
+        began: float,
+        answered: bool,
+    ) -> None:
+        """Record an attempt that ended with its caller's departure or deadline."""
+        self.metrics.abandoned_attempts.labels(str(answered).lower()).inc()
+        progress = "answered in part" if answered else "unanswered"
+        seconds = anyio.current_time() - began
+        reason = f"{progress} after {seconds:.3f} s"
+        self.events.add("attempt-abandoned", state.target.name, reason, request.id)
+
     def _note_crash(
         self,
         request: DirectRequest,
--- a/packages/entry/src/briarthread_entry/direct/request_handler.py
+++ b/packages/entry/src/briarthread_entry/direct/request_handler.py
@@ -1,6 +1,7 @@
 """Handler of callers' requests to direct targets, from arrival to response."""
 
 from collections.abc import Callable
+from functools import partial
 
 import anyio
 
@@ -59,14 +60,24 @@
         return await self.reader.read(call, routes, arrived)
 
     async def _run(self, request: DirectRequest, call: Call) -> None:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(call.cancel_on_disconnect, tasks.cancel_scope)
-            try:
-                await self.runner.run(request, call)
-            except RequestError as error:
-                self._record_error(request, error)
-                await self._send_error(call, error)
-            tasks.cancel_scope.cancel()
+        if not await call.run_until_disconnect(partial(self._respond, request, call)):
+            self._record_caller_left(request)
+
+    async def _respond(self, request: DirectRequest, call: Call) -> None:
+        try:
+            await self.runner.run(request, call)
+        except RequestError as error:
+            self._record_error(request, error)
+            await self._send_error(call, error)
+
+    def _record_caller_left(self, request: DirectRequest) -> None:
+        self.metrics.callers_left.labels(request.service.name).inc()
+        self.events.add(
+            "caller-left",
+            f"{request.account}/{request.service.name}",
+            f"after {anyio.current_time() - request.arrived:.3f} s",
+            request.id,
+        )
 
     def _record_error(self, request: DirectRequest, error: RequestError) -> None:
         self.metrics.refusals.labels(str(error.kind)).inc()
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -73,7 +73,7 @@
         self.slow_ranks = slow_ranks
         self.metrics = metrics
         self.attempt_recorder = AttemptRecorder(
-            capacity, crashes, sender.backoffs, events
+            capacity, crashes, sender.backoffs, metrics, events
         )
         self.rng = rng
 
@@ -174,6 +174,10 @@
                 outcome = await self._send_until_slow(request, state, relay)
             else:
                 outcome = await self.sender.send(request, state, relay)
+        except anyio.get_cancelled_exc_class():
+            answered = relay.last_attempt_event_at is not None
+            self.attempt_recorder.record_abandoned(request, state, started, answered)
+            raise
         finally:
             state.running -= 1
             state.prompt_tokens -= request.prompt_tokens
--- a/packages/entry/src/briarthread_entry/serving/request_handler.py
+++ b/packages/entry/src/briarthread_entry/serving/request_handler.py
@@ -1,5 +1,7 @@
 """Admission of callers' requests and their final responses."""
 
+from functools import partial
+
 import anyio
 
 from briarthread_common.core.error_kind import ErrorKind
@@ -78,13 +80,23 @@
         return await read_request(call, text, now, self.runner.rng)
 
     async def _serve(self, request: CallerRequest, call: Call) -> None:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(call.cancel_on_disconnect, tasks.cancel_scope)
-            try:
-                await self._admit_and_run(request, call)
-            except RequestError as error:
-                await self._answer_error(request, call, error)
-            tasks.cancel_scope.cancel()
+        if not await call.run_until_disconnect(partial(self._respond, request, call)):
+            self._record_caller_left(request)
+
+    async def _respond(self, request: CallerRequest, call: Call) -> None:
+        try:
+            await self._admit_and_run(request, call)
+        except RequestError as error:
+            await self._answer_error(request, call, error)
+
+    def _record_caller_left(self, request: CallerRequest) -> None:
+        self.metrics.callers_left.labels(request.service.name).inc()
+        self.events.add(
+            "caller-left",
+            f"{request.account.name}/{request.service.name}",
+            "before the answer was complete",
+            request.id,
+        )
 
     async def _admit_and_run(self, request: CallerRequest, call: Call) -> None:
         text = self.text.current()
--- a/packages/entry/src/briarthread_entry/serving/request_runner.py
+++ b/packages/entry/src/briarthread_entry/serving/request_runner.py
@@ -123,11 +123,22 @@
             share_version=row.version if row else 0,
         )
         pick.target.sent_since_report += 1
-        outcome = await self.sender.send(request, attempt, pick.target, call)
+        try:
+            outcome = await self.sender.send(request, attempt, pick.target, call)
+        except anyio.get_cancelled_exc_class():
+            self._record_abandoned(request, pick.target, call.started)
+            raise
         if isinstance(outcome, ResponseRelayed):
             pick.target.note_success()
         return outcome
 
+    def _record_abandoned(
+        self, request: CallerRequest, target: TargetState, answered: bool
+    ) -> None:
+        self.metrics.abandoned_attempts.labels(str(answered).lower()).inc()
+        progress = "answered in part" if answered else "unanswered"
+        self.events.add("attempt-abandoned", target.instance.name, progress, request.id)
+
     def _record_failure(
         self, request: CallerRequest, target: TargetState, outcome: Failure
     ) -> None:
--- a/tests/direct/test_attempts.py
+++ b/tests/direct/test_attempts.py
@@ -175,6 +175,31 @@
     run_in_direct_world(scenario)
 
 
+def test_caller_that_leaves_is_recorded_with_its_attempt_under_way() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        set_faults(world, WorkerFault.NO_RESPONSE)
+        await world.call("entry-1", "/list/1", client_timeout=0.3)
+        await anyio.sleep(0.1)
+        events = world.entries["entry-1"].events.events_for("request-1")
+        decisions = [event.decision for event in events]
+        assert decisions == ["attempt-abandoned", "caller-left"]
+        assert events[0].subject in world.workers
+        assert events[0].reason.startswith("unanswered after 0.29")
+
+    run_in_direct_world(scenario)
+
+
+def test_attempt_under_way_at_the_deadline_is_recorded_before_the_error() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        set_faults(world, WorkerFault.NO_RESPONSE)
+        assert (await world.call("entry-1", "/book/1")).status == 504
+        events = world.entries["entry-1"].events.events_for("request-1")
+        decisions = [event.decision for event in events]
+        assert decisions == ["attempt-abandoned", "request-failed"]
+
+    run_in_direct_world(scenario)
+
+
 def test_attempts_are_limited_by_the_route() -> None:
     async def scenario(world: DirectWorld) -> None:
         set_faults(world, WorkerFault.SERVER_ERROR, times=9)
