Show that an abandoned request is delivered when its target runs again

What the callers of the incident saw, at the socket: a request is written to a target whose process does not run, its caller leaves, and the entry closes the connection. The close does not take back what the kernel holds, so the target reads the whole request afterwards.

--- /dev/null
+++ b/tests/common/test_http_channel.py
@@ -0,0 +1,147 @@
+"""Tests for the closing of a channel's connections, over real sockets."""
+
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import anyio
+import pytest
+
+from briarthread_common.core.run_loop import run_loop
+from briarthread_common.http.channel import ChannelRequest
+from briarthread_common.http.http_channel import HttpChannel
+
+BODY = b"x" * 65536
+RECEIVE_BUFFER_BYTES = 4096
+"""Far smaller than BODY, so that most of a request waits in the sender's kernel."""
+ABANDONED_AFTER_SECONDS = 0.1
+TIMEOUT_SECONDS = 5.0
+RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """What a target read from a connection, and whether it was reset."""
+
+    data: bytes
+    reset: bool
+
+
+class SuspendedTarget:
+    """Listen like a target whose kernel accepts connections while it is suspended."""
+
+    def __init__(self) -> None:
+        self.listener = socket.socket()
+        self.listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        self.listener.settimeout(TIMEOUT_SECONDS)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen()
+
+    @property
+    def address(self) -> str:
+        host, port = self.listener.getsockname()
+        return f"{host}:{port}"
+
+    def accept(self) -> socket.socket:
+        connection, _ = self.listener.accept()
+        connection.settimeout(TIMEOUT_SECONDS)
+        return connection
+
+    def read_to_end(self, connection: socket.socket) -> Received:
+        parts = []
+        try:
+            while part := connection.recv(RECEIVE_BUFFER_BYTES):
+                parts.append(part)
+        except ConnectionResetError:
+            return Received(b"".join(parts), reset=True)
+        return Received(b"".join(parts), reset=False)
+
+
+def run_with_target(
+    client: Callable[[HttpChannel, SuspendedTarget], Awaitable[None]],
+) -> None:
+    """Run a client on uvloop, as the entry and the agent do."""
+
+    async def scenario() -> None:
+        target = SuspendedTarget()
+        channel = HttpChannel()
+        try:
+            await client(channel, target)
+        finally:
+            await channel.close()
+            target.listener.close()
+
+    run_loop(scenario)
+
+
+@pytest.mark.parametrize("new_connection", [True, False])
+def test_request_is_not_delivered_after_it_was_abandoned(new_connection: bool) -> None:
+    async def client(channel: HttpChannel, target: SuspendedTarget) -> None:
+        request = ChannelRequest(
+            "POST", target.address, "/", body=BODY, new_connection=new_connection
+        )
+        with anyio.move_on_after(ABANDONED_AFTER_SECONDS) as scope:
+            async with channel.stream(request):
+                pass
+        assert scope.cancelled_caught
+        received = target.read_to_end(target.accept())
+        assert received.reset
+        assert not received.data.endswith(BODY)
+
+    run_with_target(client)
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        pytest.param(b"", id="unanswered"),
+        pytest.param(RESPONSE[:-2], id="answered in part"),
+        pytest.param(RESPONSE, id="answered but not read"),
+    ],
+)
+def test_connection_of_an_abandoned_response_is_reset(part: bytes) -> None:
+    async def client(channel: HttpChannel, target: SuspendedTarget) -> None:
+        request = ChannelRequest("GET", target.address, "/", body=None)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_read_head, channel, request, part == b"")
+            await anyio.sleep(ABANDONED_AFTER_SECONDS)
+            connection = target.accept()
+            connection.sendall(part)
+            await anyio.sleep(ABANDONED_AFTER_SECONDS)
+            tasks.cancel_scope.cancel()
+        assert target.read_to_end(connection).reset
+
+    run_with_target(client)
+
+
+async def _read_head(channel: HttpChannel, request: ChannelRequest, wait: bool) -> None:
+    async with channel.stream(request):
+        if wait:
+            await anyio.sleep_forever()
+
+
+@pytest.mark.parametrize("new_connection", [True, False])
+def test_connection_of_a_complete_response_is_closed_without_a_reset(
+    new_connection: bool,
+) -> None:
+    async def client(channel: HttpChannel, target: SuspendedTarget) -> None:
+        request = ChannelRequest(
+            "GET", target.address, "/", body=None, new_connection=new_connection
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_read_response, channel, request)
+            await anyio.sleep(ABANDONED_AFTER_SECONDS)
+            connection = target.accept()
+            connection.sendall(RESPONSE)
+        await channel.close()
+        received = target.read_to_end(connection)
+        assert received.data.startswith(b"GET / ") and not received.reset
+
+    run_with_target(client)
+
+
+async def _read_response(channel: HttpChannel, request: ChannelRequest) -> None:
+    async with channel.stream(request) as response:
+        assert [chunk async for chunk in response.body] == [b"hello"]
