Reset the connection of a call that is abandoned

Cause: a target whose machine is suspended still accepts connections and bytes. When the caller left, or the deadline passed, the entry cancelled the attempt and closed the connection gracefully, and after such a close the kernel goes on delivering what was written. The target read the request once it ran again.

Change: a channel's connections linger for 0 s unless no call is under way, so closing one during a call discards what was not delivered and resets it. The kernel does the same if the process is killed. A connection between calls is closed gracefully as before. All calls between processes and to targets go through this channel, so moved streams, orders to ranks and attempts at agents are recalled as well.

--- /dev/null
+++ b/packages/common/src/briarthread_common/http/call_connection.py
@@ -0,0 +1,69 @@
+"""Connections of a channel, which are reset if a call on them is abandoned."""
+
+import socket
+import struct
+from collections.abc import Iterable
+from typing import Any
+
+import httpcore
+
+RESET_ON_CLOSE = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+"""Socket option with which a close discards undelivered bytes."""
+GRACEFUL_CLOSE = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 0, 0))
+"""Socket option with which a close still delivers them."""
+
+
+class CallConnection(httpcore.AsyncNetworkStream):
+    """
+    Carry one call at a time; closing it during a call resets the connection.
+
+    After a graceful close the kernel still delivers a request that its target has not
+    read, so the target would work on it although nobody waits for the response. The
+    kernel also resets the connection if the process ends during a call.
+    """
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+        self.stream = stream
+        self.socket: socket.socket = stream.get_extra_info("socket")
+        self.in_call = False
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Return received bytes, none at the end of the connection."""
+        return await self.stream.read(max_bytes, timeout)
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Send a part of a request."""
+        self.in_call = True
+        await self.stream.write(buffer, timeout)
+
+    def end_call(self) -> None:
+        """Note that the response has been read to its end."""
+        self.in_call = False
+
+    async def aclose(self) -> None:
+        """Close the connection; reset it during a call."""
+        is_open = self.socket.fileno() >= 0
+        if is_open and not self.in_call:
+            self.socket.setsockopt(*GRACEFUL_CLOSE)
+        await self.stream.aclose()
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return a property of the underlying connection."""
+        return self.stream.get_extra_info(info)
+
+
+class CallBackend(httpcore.AnyIOBackend):
+    """Open the connections of a channel's pools."""
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Iterable[httpcore.SOCKET_OPTION] | None = None,
+    ) -> CallConnection:
+        """Return a new connection to a host and port."""
+        options = [*(socket_options or ()), RESET_ON_CLOSE]
+        stream = await super().connect_tcp(host, port, timeout, local_address, options)
+        return CallConnection(stream)
--- a/packages/common/src/briarthread_common/http/http_channel.py
+++ b/packages/common/src/briarthread_common/http/http_channel.py
@@ -10,6 +10,7 @@
     ConnectionRefused,
     RequestNotSentError,
 )
+from briarthread_common.http.call_connection import CallBackend, CallConnection
 from briarthread_common.http.channel import ChannelRequest, ChannelResponse
 from briarthread_common.http.channel_options import ChannelOptions
 
@@ -70,6 +71,7 @@
                 else self.options.max_idle,
                 keepalive_expiry=self.options.keepalive_seconds,
                 socket_options=self.options.socket_options(),
+                network_backend=CallBackend(),
             )
             self.pools[address, new_connection] = pool
         return pool
@@ -105,3 +107,5 @@
 async def _body(response: httpcore.Response) -> AsyncIterator[bytes]:
     async for chunk in response.aiter_stream():
         yield chunk
+    connection: CallConnection = response.extensions["network_stream"]
+    connection.end_call()
--- a/tests/common/test_http_channel.py
+++ b/tests/common/test_http_channel.py
@@ -1,6 +1,8 @@
 """Tests for the closing of a channel's connections, over real sockets."""
 
 import socket
+import subprocess
+import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -8,6 +10,7 @@
 import pytest
 
 from briarthread_common.core.run_loop import run_loop
+from briarthread_common.http.call_connection import RESET_ON_CLOSE
 from briarthread_common.http.channel import ChannelRequest
 from briarthread_common.http.http_channel import HttpChannel
 
@@ -18,6 +21,21 @@
 TIMEOUT_SECONDS = 5.0
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
 
+SEND_REQUEST = """
+import sys
+from briarthread_common.core.run_loop import run_loop
+from briarthread_common.http.channel import ChannelRequest
+from briarthread_common.http.http_channel import HttpChannel
+
+async def send():
+    request = ChannelRequest("POST", sys.argv[1], "/", body=b"x" * int(sys.argv[2]))
+    async with HttpChannel().stream(request):
+        pass
+
+run_loop(send)
+"""
+"""Program that sends a request to the address and of the size in its arguments."""
+
 
 @dataclass(frozen=True, slots=True)
 class Received:
@@ -142,6 +160,37 @@
     run_with_target(client)
 
 
+def test_request_of_a_killed_process_is_not_delivered() -> None:
+    target = SuspendedTarget()
+    process = subprocess.Popen(
+        [sys.executable, "-c", SEND_REQUEST, target.address, str(len(BODY))]
+    )
+    connection = target.accept()
+    assert connection.recv(1)
+    process.kill()
+    process.wait()
+    received = target.read_to_end(connection)
+    assert received.reset
+    assert not received.data.endswith(BODY)
+    target.listener.close()
+
+
+def test_connection_that_its_target_has_reset_is_closed_without_an_error() -> None:
+    async def client(channel: HttpChannel, target: SuspendedTarget) -> None:
+        request = ChannelRequest("GET", target.address, "/", body=None)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_read_response, channel, request)
+            await anyio.sleep(ABANDONED_AFTER_SECONDS)
+            connection = target.accept()
+            connection.sendall(RESPONSE)
+        connection.setsockopt(*RESET_ON_CLOSE)
+        connection.close()
+        await anyio.sleep(ABANDONED_AFTER_SECONDS)
+        await channel.close()
+
+    run_with_target(client)
+
+
 async def _read_response(channel: HttpChannel, request: ChannelRequest) -> None:
     async with channel.stream(request) as response:
         assert [chunk async for chunk in response.body] == [b"hello"]
