--- a/tests/direct/test_left_out.py
+++ b/tests/direct/test_admission_variants.py
@@ -26,11 +26,12 @@
     before = current_values()
     with variant.applied():
         assert (current_values() != before) == bool(variant.patches)
-        tally = simulate_load(SHORT, variant.prepare)
+        results = simulate_load(SHORT, variant.prepare)
     assert current_values() == before
-    assert tally.requests > 20
+    assert results.requests > 20
     assert (
-        tally.in_time + tally.late + tally.refused_twice + tally.lost == tally.requests
+        results.in_time + results.late + results.refused_twice + results.lost
+        == results.requests
     )
 
 
--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -33,16 +33,16 @@
     retry budget, which happens if entries do not remember a request after its response
     or do not report to each other which requests ran when targets crashed.
     """
-    tally = simulate_crashes(CRASH_SCENARIOS[name])
-    assert len(tally.crashes) >= 3
-    assert tally.arrivals_after(3, STABLE_SECONDS) <= MAX_LATE_ARRIVALS
-    assert tally.blocked_requests == 1
-    assert tally.answers[502] >= 5
+    results = simulate_crashes(CRASH_SCENARIOS[name])
+    assert len(results.crashes) >= 3
+    assert results.arrivals_after(3, STABLE_SECONDS) <= MAX_LATE_ARRIVALS
+    assert results.blocked_requests == 1
+    assert results.answers[502] >= 5
 
 
 def test_concurrent_plain_requests_are_all_served() -> None:
-    tally = simulate_crashes(CRASH_SCENARIOS["plain, safe"])
-    assert set(tally.statuses) == {200}
+    results = simulate_crashes(CRASH_SCENARIOS["plain, safe"])
+    assert set(results.statuses) == {200}
 
 
 KILLS = {
@@ -62,10 +62,12 @@
 @pytest.mark.parametrize("name", KILLS)
 def test_no_request_is_blocked_while_targets_crash_for_other_reasons(name: str) -> None:
     """A third of the requests are identical, as when many callers read one list."""
-    day = replace(KILLS[name], crash_interval=100.0, identical_share=0.3, seconds=20.0)
-    tally = simulate_crashes(day)
-    assert tally.statuses[200] > 0
-    assert tally.blocked_requests == 0
+    scenario = replace(
+        KILLS[name], crash_interval=100.0, identical_share=0.3, seconds=20.0
+    )
+    results = simulate_crashes(scenario)
+    assert results.statuses[200] > 0
+    assert results.blocked_requests == 0
 
 
 def crash_three_targets(tracker: CrashTracker, digest: str, now: float) -> None:
--- a/tests/direct/test_load.py
+++ b/tests/direct/test_load.py
@@ -28,8 +28,10 @@
     rate: float, limit: str, failure: str = "", burst: float = 1.0, seed: int = 7
 ) -> CallerResults:
     """Play a load of ``rate`` requests a second and return the callers' results."""
-    day = LoadScenario(rate, SECONDS, burst, outage_seconds=OUTAGES[failure], seed=seed)
-    return simulate_load(day, LIMITS[limit])
+    scenario = LoadScenario(
+        rate, SECONDS, burst, outage_seconds=OUTAGES[failure], seed=seed
+    )
+    return simulate_load(scenario, LIMITS[limit])
 
 
 LIMITS = {"group": leave_unchanged, "none": no_limit, "fixed": fixed_limit}
@@ -37,9 +39,9 @@
 
 
 def test_load_within_capacity_is_served_in_time_and_nobody_is_refused() -> None:
-    tally = play(CAPACITY * 0.6, "group")
-    assert tally.refused == 0
-    assert tally.in_time >= 0.98 * tally.requests
+    results = play(CAPACITY * 0.6, "group")
+    assert results.refused == 0
+    assert results.in_time >= 0.98 * results.requests
 
 
 @pytest.mark.parametrize("factor", [1.5, 2.5, 4.0])
@@ -56,38 +58,36 @@
 
 
 def test_refusals_come_at_once() -> None:
-    tally = play(CAPACITY * 4, "group")
-    assert tally.refused > 100
-    assert tally.slowest_refusal < 0.25
+    results = play(CAPACITY * 4, "group")
+    assert results.refused > 100
+    assert results.slowest_refusal < 0.25
 
 
 def test_short_bursts_are_served_on_client_retry() -> None:
-    tallies = [play(CAPACITY * 0.6, "group", burst=3.0, seed=n) for n in range(1, 9)]
-    refused = sum(tally.refused for tally in tallies)
+    runs = [play(CAPACITY * 0.6, "group", burst=3.0, seed=n) for n in range(1, 9)]
+    refused = sum(results.refused for results in runs)
     assert refused >= 50
-    assert sum(tally.refused_twice for tally in tallies) <= 0.33 * refused
-    for tally in tallies:
-        assert tally.in_time + tally.late >= 0.9 * tally.requests
+    assert sum(results.refused_twice for results in runs) <= 0.33 * refused
+    for results in runs:
+        assert results.in_time + results.late >= 0.9 * results.requests
 
 
 def test_broken_group_refuses_at_once_and_serves_client_retries() -> None:
-    tallies = [
+    runs = [
         play(CAPACITY * 0.5, "group", failure="broken", seed=n) for n in range(1, 5)
     ]
-    refused = sum(tally.refused for tally in tallies)
+    refused = sum(results.refused for results in runs)
     assert refused >= 40
-    assert sum(tally.refused_twice for tally in tallies) <= 0.1 * refused
-    for tally in tallies:
-        assert tally.slowest_refusal < 0.25
-        assert tally.in_time + tally.late >= 0.95 * tally.requests
+    assert sum(results.refused_twice for results in runs) <= 0.1 * refused
+    for results in runs:
+        assert results.slowest_refusal < 0.25
+        assert results.in_time + results.late >= 0.95 * results.requests
 
 
 def test_client_retries_during_an_outage_are_served_after_recovery() -> None:
-    tallies = [
-        play(CAPACITY * 0.5, "group", failure="cut", seed=n) for n in range(1, 13)
-    ]
-    refused = sum(tally.refused for tally in tallies)
+    runs = [play(CAPACITY * 0.5, "group", failure="cut", seed=n) for n in range(1, 13)]
+    refused = sum(results.refused for results in runs)
     assert refused >= 360
-    assert sum(tally.refused_twice for tally in tallies) <= 0.51 * refused
-    for tally in tallies:
-        assert tally.slowest_refusal < 2.1
+    assert sum(results.refused_twice for results in runs) <= 0.51 * refused
+    for results in runs:
+        assert results.slowest_refusal < 2.1
--- a/tests/direct/test_several_groups.py
+++ b/tests/direct/test_several_groups.py
@@ -180,11 +180,11 @@
 
 @pytest.mark.parametrize("seed", range(1, 5))
 def test_outage_of_one_of_two_groups_hardly_affects_callers(seed: int) -> None:
-    day = LoadScenario(12.0, ranks=12, groups=2, outage_seconds=5.0, seed=seed)
-    tally, not_told_tally = (
-        simulate_load(day),
-        simulate_load(replace(day, membership_reported=False)),
+    scenario = LoadScenario(12.0, ranks=12, groups=2, outage_seconds=5.0, seed=seed)
+    results, ungrouped_results = (
+        simulate_load(scenario),
+        simulate_load(replace(scenario, membership_reported=False)),
     )
-    assert tally.in_time >= 0.95 * tally.requests
-    assert tally.refused_twice == 0
-    assert tally.score > not_told_tally.score + 0.1
+    assert results.in_time >= 0.95 * results.requests
+    assert results.refused_twice == 0
+    assert results.score > ungrouped_results.score + 0.1
--- a/tests/direct/test_target_backoffs.py
+++ b/tests/direct/test_target_backoffs.py
@@ -199,11 +199,13 @@
 
 
 def test_reported_backoff_lasts_until_it_expires() -> None:
-    board = PeerReports()
-    board.put("entry-2", RunningReport(backoffs={"t-1": 2.0}), now=10.0)
-    board.put("entry-2", RunningReport(), now=10.5)
-    assert board.is_backing_off("t-1", now=11.9)
-    assert not board.is_backing_off("t-1", now=12.0)
-    second_board = PeerReports()
-    second_board.put("entry-2", RunningReport(backoffs={"t-1": 2.0}), now=10.0)
-    assert second_board.fresh_reports(["entry-2"], now=10.5)[0].backoffs == {"t-1": 1.5}
+    reports = PeerReports()
+    reports.put("entry-2", RunningReport(backoffs={"t-1": 2.0}), now=10.0)
+    reports.put("entry-2", RunningReport(), now=10.5)
+    assert reports.is_backing_off("t-1", now=11.9)
+    assert not reports.is_backing_off("t-1", now=12.0)
+    other_reports = PeerReports()
+    other_reports.put("entry-2", RunningReport(backoffs={"t-1": 2.0}), now=10.0)
+    assert other_reports.fresh_reports(["entry-2"], now=10.5)[0].backoffs == {
+        "t-1": 1.5
+    }
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -71,7 +71,7 @@
     with_store(scenario)
 
 
-def test_discarded_history_raises_history_gone_error() -> None:
+def test_truncated_history_raises_history_truncated_error() -> None:
     async def scenario(users_store: FakePlatformStore, client: Store) -> None:
         users_store.put("servers", "i-1", {})
         users_store.discard_history()
