Play callers that leave and targets that don't read in a soak of real processes

Processes are paused, killed, restarted and stopped by signals; paths are held, reset and delayed.

Two stand-ins failed for a caller that had reset its connection, and rank_group_app did not start at all (an attribute of HttpServer was renamed); both are fixed.

--- a/packages/standins/src/briarthread_standins/direct_worker.py
+++ b/packages/standins/src/briarthread_standins/direct_worker.py
@@ -8,6 +8,7 @@
 
 from briarthread_common.http.app import App, ResponseAborted, Route
 from briarthread_common.http.call import Call
+from briarthread_standins.caller_host import caller_host
 from briarthread_standins.refusals import Refusals
 
 MAX_BODY_BYTES = 1024 * 1024
@@ -84,7 +85,7 @@
             broken_rank = ("at-server", self.broken_by)
             await call.reply(503, b"", [("x-not-executed", "1"), *common, broken_rank])
             return
-        if self.refusals.record_arrival(call.scope["client"][0]):
+        if self.refusals.record_arrival(caller_host(call)):
             retry_after = ("retry-after", self.refusals.retry_after)
             await call.reply(503, b"", [("x-not-executed", "1"), *common, retry_after])
             return
--- a/packages/standins/src/briarthread_standins/fake_platform_store.py
+++ b/packages/standins/src/briarthread_standins/fake_platform_store.py
@@ -10,6 +10,7 @@
 
 from briarthread_common.http.app import App, Route
 from briarthread_common.http.call import Call
+from briarthread_standins.caller_host import caller_host
 
 PAGE_ROWS = 500
 MAX_BODY_BYTES = 1024 * 1024
@@ -102,10 +103,7 @@
         if self.unresponsive:
             await call.wait_for_disconnect()
             return False
-        if (
-            self.refusal_status is not None
-            or call.scope["client"][0] in self.refused_callers
-        ):
+        if self.refusal_status is not None or caller_host(call) in self.refused_callers:
             await call.reply(self.refusal_status or 503, b"")
             return False
         return True
--- a/packages/standins/src/briarthread_standins/plain_service.py
+++ b/packages/standins/src/briarthread_standins/plain_service.py
@@ -8,6 +8,7 @@
 
 from briarthread_common.http.app import App, Route
 from briarthread_common.http.call import Call
+from briarthread_standins.caller_host import caller_host
 from briarthread_standins.refusals import Refusals
 from briarthread_standins.run_standin import run_standin
 
@@ -47,7 +48,7 @@
 
     async def _handle_call(self, call: Call) -> None:
         body = await call.read_body(MAX_BODY_BYTES)
-        if self.refusals.record_arrival(call.scope["client"][0]):
+        if self.refusals.record_arrival(caller_host(call)):
             await call.reply(503, b"", [("retry-after", self.refusals.retry_after)])
             return
         self.runs[body.decode()] += 1
--- a/packages/standins/src/briarthread_standins/run_standin.py
+++ b/packages/standins/src/briarthread_standins/run_standin.py
@@ -24,7 +24,7 @@
     ]
     async with anyio.create_task_group() as tasks:
         for server in servers:
-            tasks.start_soon(server.server.serve, [server.listener])
+            tasks.start_soon(server.server.serve, server.listeners)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             await anext(signals)
         for server in servers:
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzz tests."""
--- /dev/null
+++ b/tests/soak/soak_checks.py
@@ -0,0 +1,136 @@
+"""Checks of the promises of the pages against what callers and targets saw."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from soak.soak_callers import CallerRecord
+from soak.soak_faults import ENTRY_FAULTS, Disturbance, FaultKind
+from soak.soak_monitor import BusyMonitor
+
+GONE_SECONDS = 0.5
+"""Time after which no work may begin or go on for a caller that has left."""
+LOSS_SLACK_SECONDS = 0.2
+"""Time within which a request that is not passed on may have crossed a close."""
+SETTLE_SECONDS = 1.0
+"""Time before and after a disturbance in which its effects may show."""
+REFUSALS = (429, 503)
+MIN_RECOVERED_SHARE = 0.9
+EVENTS_PER_STREAM = 20
+
+
+@dataclass(slots=True)
+class TargetLog:
+    """When each request arrived at a target and when it had ended there."""
+
+    arrivals: dict[str, list[tuple[float, str]]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    ends: dict[tuple[str, str], float] = field(default_factory=dict)
+
+    def read(self, target: str, log: Path) -> None:
+        """Add the lines of a target's log."""
+        for line in log.read_text(errors="replace").splitlines():
+            match line.split():
+                case [at, "arrived", request]:
+                    self.arrivals[request].append((float(at), target))
+                case [at, "ended", request]:
+                    self.ends[request, target] = float(at)
+
+
+class SoakChecker:
+    """Find violations of the promises."""
+
+    def __init__(
+        self, log: TargetLog, disturbances: list[Disturbance], monitor: BusyMonitor
+    ) -> None:
+        self.log = log
+        self.monitor = monitor
+        self.disturbances = disturbances
+
+    def violations(self, records: Iterable[CallerRecord]) -> list[str]:
+        """Return a line for each violation."""
+        return [
+            f"{message}: {record}"
+            for record in records
+            for message in self._violations_of(record)
+        ]
+
+    def recovered_share(self, records: Iterable[CallerRecord], since: float) -> float:
+        """Return the share of served requests among those sent since a time."""
+        asked = [
+            r for r in records if (r.sent_at or r.ended_at) >= since and not r.left_at
+        ]
+        served = [r for r in asked if r.status == 200 and r.complete]
+        return len(served) / len(asked) if asked else 0.0
+
+    def _violations_of(self, record: CallerRecord) -> Iterator[str]:
+        arrivals = self.log.arrivals.get(record.request, [])
+        if record.path == "/book/" and len(arrivals) > 1:
+            yield f"TWICE: arrived {arrivals}"
+        if record.status in REFUSALS and arrivals:
+            yield f"REFUSED: arrived {arrivals}"
+        if record.status == 200 and record.complete and not self._is_whole(record):
+            yield "MIXED: wrong body"
+        if self._lost_in_planned_stop(record):
+            yield "LOST: no complete response around a planned stop"
+        if record.left_at is not None:
+            yield from self._work_after_caller_left(record, arrivals)
+
+    def _is_whole(self, record: CallerRecord) -> bool:
+        if record.path != "/chat/":
+            arrivals = self.log.arrivals.get(record.request, [])
+            return record.body.decode() in {target for _, target in arrivals}
+        lines = record.body.decode().split("\n")
+        ids = [int(line[3:]) for line in lines if line.startswith("id:")]
+        return ids == list(range(1, EVENTS_PER_STREAM + 1))
+
+    def _lost_in_planned_stop(self, record: CallerRecord) -> bool:
+        broken = record.sent_at is not None and not record.complete
+        if not broken or record.left_at is not None:
+            return False
+        overlapping = [
+            d
+            for d in self.disturbances
+            if d.overlaps(record.sent_at - SETTLE_SECONDS, record.ended_at)
+        ]
+        kinds = {d.kind for d in overlapping}
+        stopped = {d.subject for d in overlapping}
+        if kinds != {FaultKind.ENTRY_STOPPED} or record.entry not in stopped:
+            return False
+        crossed_close = record.ended_at - record.sent_at <= LOSS_SLACK_SECONDS
+        return not crossed_close or record.request in self.log.arrivals
+
+    def _work_after_caller_left(
+        self, record: CallerRecord, arrivals: list[tuple[float, str]]
+    ) -> Iterator[str]:
+        """Yield late arrivals and runs, from when the entry could know of the close."""
+        known_at = self._close_known_at(record)
+        if self.monitor.was_busy(record.left_at, known_at + GONE_SECONDS):
+            return
+        for at, target in arrivals:
+            if at > known_at + GONE_SECONDS:
+                yield f"GONE: reached {target} {at - record.left_at:.2f} s later"
+            ended = self.log.ends.get((record.request, target))
+            calm = not self._disturbed(target, at, known_at + GONE_SECONDS)
+            if ended is not None and calm and ended > known_at + GONE_SECONDS:
+                later = ended - record.left_at
+                yield f"GONE: ran at {target} until {later:.2f} s later"
+
+    def _close_known_at(self, record: CallerRecord) -> float:
+        """Return when a caller's close had reached its entry and it ran for a while."""
+        ends = [
+            d.ended_at
+            for d in self.disturbances
+            if d.kind in ENTRY_FAULTS
+            and d.subject == record.entry
+            and d.overlaps(record.left_at, record.left_at + GONE_SECONDS)
+        ]
+        return max([record.left_at, *ends])
+
+    def _disturbed(self, subject: str, first: float, last: float) -> bool:
+        return any(
+            d.subject == subject and d.overlaps(first - SETTLE_SECONDS, last)
+            for d in self.disturbances
+        )
--- /dev/null
+++ b/tests/soak/soak_deployment.py
@@ -0,0 +1,181 @@
+"""A deployment of real processes before targets whose paths can be disturbed."""
+
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+import httpcore
+from anyio.abc import TaskGroup
+
+from briarthread_common.http.server import HttpServer, open_listener
+from briarthread_standins.deployment import installed_command
+from briarthread_standins.direct_config import DIARY, MODEL, build_config
+from briarthread_standins.fake_platform_store import FakePlatformStore
+from briarthread_standins.loopback_proxy import LoopbackProxy
+
+HOST = "127.0.0.1"
+START_TIMEOUT_SECONDS = 30.0
+STOP_TIMEOUT_SECONDS = 10.0
+SERVICES = {MODEL: 4, DIARY: 3}
+"""Number of targets of each service."""
+ENTRY_COUNT = 3
+ENTRY_SETTINGS = """
+[instance]
+name = {name}
+data_centre = palermo
+listen = {listen}
+drain_notice = 1
+drain_timeout = 5
+[callers]
+listen = {callers}
+ready_listen = {ready}
+[direct]
+adapter = briarthread_platform.adapter
+address = {store}
+[peers]
+seeds = {seeds}
+[logs]
+level = INFO
+"""
+
+
+@dataclass(slots=True)
+class SoakProcess:
+    """A process of the deployment and the command that starts it."""
+
+    name: str
+    command: list[str]
+    log: Path
+    handle: subprocess.Popen[bytes]
+
+
+@dataclass(slots=True)
+class Target:
+    """A worker's process and the proxy through which entries reach it."""
+
+    process: SoakProcess
+    proxy: LoopbackProxy
+
+
+@dataclass(slots=True)
+class SoakDeployment:
+    """Start entries and targets as processes; the store and the proxies run here."""
+
+    folder: Path
+    tasks: TaskGroup
+    store: FakePlatformStore = field(default_factory=FakePlatformStore)
+    entries: dict[str, SoakProcess] = field(default_factory=dict)
+    targets: dict[str, Target] = field(default_factory=dict)
+    callers_addresses: dict[str, str] = field(default_factory=dict)
+    ready_addresses: dict[str, str] = field(default_factory=dict)
+
+    async def start(self) -> None:
+        """Start all processes and wait until every entry is ready."""
+        self.store.put("op", "config", build_config())
+        for service, count in SERVICES.items():
+            for number in range(count):
+                await self._start_target(f"{service}-{number}", service)
+        store_address = self._serve_store()
+        peer_addresses = [free_address() for _ in range(ENTRY_COUNT)]
+        for number in range(ENTRY_COUNT):
+            self._start_entry(f"entry-{number}", number, store_address, peer_addresses)
+        with anyio.fail_after(START_TIMEOUT_SECONDS):
+            for name in self.entries:
+                while not await self.is_ready(name):
+                    await anyio.sleep(0.1)
+
+    async def is_ready(self, entry: str) -> bool:
+        """Return whether an entry answers its readiness probe with 200."""
+        url = f"http://{self.ready_addresses[entry]}/readyz"
+        try:
+            async with httpcore.AsyncConnectionPool() as pool:
+                timeout = {"timeout": {"connect": 0.5, "read": 0.5}}
+                response = await pool.request("GET", url, extensions=timeout)
+                return response.status == 200
+        except (httpcore.NetworkError, httpcore.TimeoutException):
+            return False
+
+    def restart(self, process: SoakProcess) -> None:
+        """Start a process that has ended once more."""
+        process.handle = _spawn(process.command, process.log)
+
+    def processes(self) -> list[SoakProcess]:
+        """Return the processes of all entries and targets."""
+        targets = [target.process for target in self.targets.values()]
+        return [*self.entries.values(), *targets]
+
+    def process_ids(self) -> list[int]:
+        """Return the ids of the processes that run."""
+        handles = [process.handle for process in self.processes()]
+        return [handle.pid for handle in handles if handle.poll() is None]
+
+    def stop(self) -> None:
+        """End every process that this deployment has started."""
+        for process in self.processes():
+            if process.handle.poll() is None:
+                process.handle.kill()
+        for process in self.processes():
+            process.handle.wait(STOP_TIMEOUT_SECONDS)
+
+    def _serve_store(self) -> str:
+        listener = open_listener(f"{HOST}:0")
+        server = HttpServer(self.store.app, [listener], 1)
+        self.tasks.start_soon(server.server.serve, [listener])
+        return "{}:{}".format(*listener.getsockname())
+
+    async def _start_target(self, name: str, service: str) -> None:
+        address = free_address()
+        host, _, port = address.partition(":")
+        proxy = LoopbackProxy(host, int(port))
+        listener = await anyio.create_tcp_listener(local_host=HOST)
+        proxy_port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.tasks.start_soon(proxy.serve, listener.listeners[0], self.tasks)
+        module = "briarthread_standins.recorded_worker"
+        command = [sys.executable, "-m", module, name, address]
+        process = self._start_process(name, command)
+        self.targets[name] = Target(process, proxy)
+        row = {
+            "service": service,
+            "address": f"{HOST}:{proxy_port}",
+            "zone": "palermo",
+            "slots": 12,
+            "state": "ready",
+        }
+        self.store.put("servers", name, row)
+
+    def _start_entry(
+        self, name: str, number: int, store_address: str, peer_addresses: list[str]
+    ) -> None:
+        self.callers_addresses[name] = free_address()
+        self.ready_addresses[name] = free_address()
+        settings = self.folder / f"{name}.ini"
+        text = ENTRY_SETTINGS.format(
+            name=name,
+            listen=peer_addresses[number],
+            callers=self.callers_addresses[name],
+            ready=self.ready_addresses[name],
+            store=store_address,
+            seeds=",".join(peer_addresses),
+        )
+        settings.write_text(text, encoding="utf-8")
+        command = [*installed_command("briarthread"), "direct", str(settings)]
+        self.entries[name] = self._start_process(name, command)
+
+    def _start_process(self, name: str, command: list[str]) -> SoakProcess:
+        log = self.folder / f"{name}.log"
+        return SoakProcess(name, command, log, _spawn(command, log))
+
+
+def free_address() -> str:
+    """Return an address that no process listens on now."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return "{}:{}".format(*probe.getsockname())
+
+
+def _spawn(command: list[str], log: Path) -> subprocess.Popen[bytes]:
+    with log.open("ab") as output:
+        return subprocess.Popen(command, stdout=output, stderr=output)
--- /dev/null
+++ b/tests/soak/soak_faults.py
@@ -0,0 +1,168 @@
+"""Faults of a soak: drawn from a seed, injected from outside the processes."""
+
+import random
+import signal
+import time
+from collections import defaultdict
+from dataclasses import dataclass
+from enum import StrEnum
+
+import anyio
+
+from soak.soak_deployment import SoakDeployment, SoakProcess
+
+FAULT_SECONDS = (0.8, 3.0)
+DELAY_SECONDS = (0.02, 0.2)
+RESTART_PAUSE_SECONDS = 0.3
+
+
+class FaultKind(StrEnum):
+    """Kinds of faults; those of targets disturb the paths to them."""
+
+    TARGET_SUSPENDED = "target-suspended"
+    TARGET_CUT = "target-cut"
+    REQUESTS_HELD = "requests-held"
+    RESPONSES_HELD = "responses-held"
+    CONNECTIONS_RESET = "connections-reset"
+    TARGET_DELAYED = "target-delayed"
+    TARGET_KILLED = "target-killed"
+    ENTRY_PAUSED = "entry-paused"
+    ENTRY_KILLED = "entry-killed"
+    ENTRY_STOPPED = "entry-stopped"
+
+
+HELD_DIRECTIONS = {
+    FaultKind.TARGET_SUSPENDED: (True, True),
+    FaultKind.TARGET_CUT: (True, True),
+    FaultKind.REQUESTS_HELD: (True, False),
+    FaultKind.RESPONSES_HELD: (False, True),
+}
+"""Directions that a fault holds: requests to the target, responses from it."""
+ENTRY_FAULTS = (
+    FaultKind.ENTRY_PAUSED,
+    FaultKind.ENTRY_KILLED,
+    FaultKind.ENTRY_STOPPED,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedFault:
+    """A fault of a process or its path; times are seconds from the start of faults."""
+
+    kind: FaultKind
+    subject: str
+    at: float
+    seconds: float
+    delay: float
+
+
+@dataclass(frozen=True, slots=True)
+class Disturbance:
+    """A fault that was injected, in seconds of the machine's steady clock."""
+
+    kind: FaultKind
+    subject: str
+    began_at: float
+    ended_at: float
+
+    def overlaps(self, first: float, last: float) -> bool:
+        """Return whether the disturbance overlaps a span of time."""
+        return self.began_at <= last and first <= self.ended_at
+
+
+def draw_faults(
+    rng: random.Random, entries: list[str], targets: list[str], seconds: float
+) -> list[PlannedFault]:
+    """
+    Return faults that overlap between processes, but not on the same process.
+
+    Each process has one series of faults with pauses.
+    """
+    faults = []
+    for subject in [*entries, *targets]:
+        kinds = [
+            kind for kind in FaultKind if (kind in ENTRY_FAULTS) == (subject in entries)
+        ]
+        at = rng.uniform(0.0, seconds / 2)
+        while at < seconds:
+            duration = rng.uniform(*FAULT_SECONDS)
+            delay = rng.uniform(*DELAY_SECONDS)
+            faults.append(PlannedFault(rng.choice(kinds), subject, at, duration, delay))
+            at += duration + rng.uniform(1.0, seconds / 2)
+    return faults
+
+
+class FaultInjector:
+    """Inject planned faults and record when they began and ended."""
+
+    def __init__(self, deployment: SoakDeployment) -> None:
+        self.deployment = deployment
+        self.disturbances: list[Disturbance] = []
+        self.locks: dict[str, anyio.Lock] = defaultdict(anyio.Lock)
+
+    async def run(self, faults: list[PlannedFault]) -> None:
+        """Inject all faults at their times."""
+        async with anyio.create_task_group() as tasks:
+            for fault in faults:
+                tasks.start_soon(self._inject, fault)
+
+    async def _inject(self, fault: PlannedFault) -> None:
+        await anyio.sleep(fault.at)
+        async with self.locks[fault.subject]:
+            began_at = time.monotonic()
+            if fault.subject in self.deployment.entries:
+                await self._disturb_entry(fault, self.deployment.entries[fault.subject])
+            else:
+                await self._disturb_target(fault)
+            self.disturbances.append(
+                Disturbance(fault.kind, fault.subject, began_at, time.monotonic())
+            )
+
+    async def _disturb_target(self, fault: PlannedFault) -> None:
+        target = self.deployment.targets[fault.subject]
+        proxy, handle = target.proxy, target.process.handle
+        match fault.kind:
+            case FaultKind.CONNECTIONS_RESET:
+                await proxy.reset_connections()
+            case FaultKind.TARGET_DELAYED:
+                proxy.delay = fault.delay
+                await anyio.sleep(fault.seconds)
+                proxy.delay = 0.0
+            case FaultKind.TARGET_KILLED:
+                await self._kill_and_restart(target.process, fault.seconds)
+            case _:
+                held = HELD_DIRECTIONS[fault.kind]
+                suspended = fault.kind is FaultKind.TARGET_SUSPENDED
+                proxy.hold_to_target, proxy.hold_to_caller = held
+                if suspended:
+                    handle.send_signal(signal.SIGSTOP)
+                await anyio.sleep(fault.seconds)
+                if suspended:
+                    handle.send_signal(signal.SIGCONT)
+                proxy.hold_to_target = proxy.hold_to_caller = False
+
+    async def _disturb_entry(self, fault: PlannedFault, entry: SoakProcess) -> None:
+        match fault.kind:
+            case FaultKind.ENTRY_PAUSED:
+                entry.handle.send_signal(signal.SIGSTOP)
+                await anyio.sleep(fault.seconds)
+                entry.handle.send_signal(signal.SIGCONT)
+            case FaultKind.ENTRY_KILLED:
+                await self._kill_and_restart(entry, fault.seconds)
+                await self._wait_until_ready(entry)
+            case FaultKind.ENTRY_STOPPED:
+                entry.handle.terminate()
+                await anyio.to_thread.run_sync(entry.handle.wait)
+                self.deployment.restart(entry)
+                await self._wait_until_ready(entry)
+
+    async def _kill_and_restart(self, process: SoakProcess, seconds: float) -> None:
+        process.handle.kill()
+        await anyio.to_thread.run_sync(process.handle.wait)
+        await anyio.sleep(seconds)
+        self.deployment.restart(process)
+        await anyio.sleep(RESTART_PAUSE_SECONDS)
+
+    async def _wait_until_ready(self, entry: SoakProcess) -> None:
+        while not await self.deployment.is_ready(entry.name):
+            await anyio.sleep(0.1)
