Name a busy machine in a soak's violation instead of excusing it

The check of GONE left out spans in which a process had waited 0.1 s for a processor. Now the violation stands and only says that a process waited.

--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -50,9 +50,9 @@
         self.disturbances = disturbances
 
     def violations(self, records: Iterable[CallerRecord]) -> list[str]:
-        """Return a line for each violation."""
+        """Return a line for each violation; a busy machine is named, not excused."""
         return [
-            f"{message}: {record}"
+            f"{message}{self._busy_note(record)}: {record}"
             for record in records
             for message in self._violations_of(record)
         ]
@@ -78,6 +78,11 @@
         if record.left_at is not None:
             yield from self._work_after_caller_left(record, arrivals)
 
+    def _busy_note(self, record: CallerRecord) -> str:
+        first = record.ended_at if record.sent_at is None else record.sent_at
+        busy = self.monitor.was_busy(first, record.ended_at + GONE_SECONDS)
+        return " (a process waited for a processor)" if busy else ""
+
     def _is_whole(self, record: CallerRecord) -> bool:
         if record.path != "/chat/":
             arrivals = self.log.arrivals.get(record.request, [])
@@ -107,8 +112,6 @@
     ) -> Iterator[str]:
         """Yield late arrivals and runs, from when the entry could know of the close."""
         known_at = self._close_known_at(record)
-        if self.monitor.was_busy(record.left_at, known_at + GONE_SECONDS):
-            return
         for at, target in arrivals:
             if at > known_at + GONE_SECONDS:
                 yield f"GONE: reached {target} {at - record.left_at:.2f} s later"
--- a/tests/soak/soak_monitor.py
+++ b/tests/soak/soak_monitor.py
@@ -1,4 +1,4 @@
-"""Detection of times in which the machine was too busy to judge delays."""
+"""Detection of times in which the machine was busy, for tracing a violation."""
 
 import time
 from collections.abc import Callable, Iterable
@@ -39,7 +39,7 @@
             before = delays
 
     def was_busy(self, first: float, last: float) -> bool:
-        """Return whether the machine was too busy at some time of a span."""
+        """Return whether the machine was busy at some time of a span."""
         return any(begin <= last and first <= end for begin, end in self.spans)
 
     def _run_delays(self) -> dict[int, float]:
