--- a/packages/agent/src/briarthread_agent/attempts/attempt_handler.py
+++ b/packages/agent/src/briarthread_agent/attempts/attempt_handler.py
@@ -1,11 +1,13 @@
 """HTTP handlers for attempts and revokes."""
 
+from dataclasses import dataclass
 from functools import partial
 
 import msgspec
 
 from briarthread_agent.attempts.attempt_runner import AttemptRunner
 from briarthread_agent.attempts.record import Record
+from briarthread_agent.attempts.response_buffer import Headers
 from briarthread_agent.reports.load_reporter import LoadReporter
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.error_response import ERROR_RESPONSES
@@ -25,11 +27,22 @@
     Attempt,
 )
 from briarthread_common.messages.revoke import RevokeAnswer, RevokeRequest
+from briarthread_common.text.service import Service
 from briarthread_common.text.text_view import TextView
 
 MAX_REVOKE_BYTES = 4096
 
 
+@dataclass(frozen=True, slots=True)
+class _Submission:
+    """An attempt as it was received, with the request to send to the target."""
+
+    attempt: Attempt
+    service: Service
+    headers: Headers
+    body: bytes
+
+
 class AttemptHandler:
     """Handle attempts and revokes sent by entries."""
 
@@ -50,15 +63,11 @@
     async def handle_attempt(self, call: Call) -> None:
         """Run an attempt and send its response, or refuse it at once."""
         try:
-            record = await self._submit(call)
+            submission = await self._read(call)
         except RequestError as error:
             await self._refuse(call, error)
             return
-        record.readers += 1
-        try:
-            await call.run_until_disconnect(partial(self._respond, call, record))
-        finally:
-            self.runner.remove_reader(record)
+        await call.run_until_disconnect(partial(self._serve, call, submission))
 
     async def handle_revoke(self, call: Call) -> None:
         """Revoke an attempt that has not started."""
@@ -70,7 +79,7 @@
         state = self.runner.record_store.revoke(request)
         await call.reply_json(RevokeAnswer(state))
 
-    async def _submit(self, call: Call) -> Record:
+    async def _read(self, call: Call) -> _Submission:
         attempt = _read_attempt(call)
         if attempt.incarnation != self.reporter.incarnation:
             raise RequestError(
@@ -85,16 +94,26 @@
             (k, v) for k, v in call.headers.items() if k in FORWARDED_REQUEST_HEADERS
         )
         body = await call.read_body(service.body_bytes)
-        return self.runner.submit(attempt, service, headers, body)
+        return _Submission(attempt, service, headers, body)
 
-    async def _respond(self, call: Call, record: Record) -> None:
+    async def _serve(self, call: Call, submission: _Submission) -> None:
         try:
-            await self._send_response(call, record)
+            await self._run(call, submission)
         except RequestError as error:
             if call.started:
                 raise ResponseAborted(str(error)) from error
             await self._refuse(call, error)
 
+    async def _run(self, call: Call, submission: _Submission) -> None:
+        record = self.runner.submit(
+            submission.attempt, submission.service, submission.headers, submission.body
+        )
+        record.readers += 1
+        try:
+            await self._send_response(call, record)
+        finally:
+            self.runner.remove_reader(record)
+
     async def _send_response(self, call: Call, record: Record) -> None:
         response = record.response
         await response.wait_for_head()
--- a/packages/common/src/briarthread_common/http/call.py
+++ b/packages/common/src/briarthread_common/http/call.py
@@ -23,6 +23,10 @@
 REPLY_TIMEOUT_SECONDS = 5.0
 """Time limit for sending a complete response to a slow client."""
 
+DISCONNECT_LOOP_ITERATIONS = 3
+"""Iterations of the event loop until a disconnect that arrived with its request is
+known: one each to read it, to close the connection and to wake the waiting task."""
+
 
 class CallerDisconnected(Exception):  # noqa: N818
     """The client disconnected before the request or the response was complete."""
@@ -134,11 +138,14 @@
         """
         Run a function, and cancel it once the client has disconnected.
 
-        Return whether it ran to its end.
+        Return whether it ran to its end. After a pause of this process the request and
+        the end of its connection may arrive together; the function is not called then.
         """
         completed = False
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.cancel_on_disconnect, tasks.cancel_scope)
+            for _ in range(DISCONNECT_LOOP_ITERATIONS):
+                await anyio.lowlevel.checkpoint()
             await run()
             completed = True
             tasks.cancel_scope.cancel()
--- a/packages/standins/src/briarthread_standins/fake_network.py
+++ b/packages/standins/src/briarthread_standins/fake_network.py
@@ -31,7 +31,8 @@
     An application that listens at an address, and the calls in progress there.
 
     With ``accepts_late_calls`` off, a delayed copy of a call is lost if the process
-    that it was sent to has gone, as with a TCP connection.
+    that it was sent to has gone, as with a TCP connection. A call to a ``suspended``
+    node is accepted and read once it resumes.
     """
 
     address: str
@@ -39,6 +40,7 @@
     app: Any
     accepts_late_calls: bool = True
     frozen: bool = False
+    suspended: bool = False
     calls: set[anyio.CancelScope] = field(default_factory=set)
 
 
@@ -89,6 +91,11 @@
             node.frozen = frozen
         self._notify_change()
 
+    def suspend(self, address: str, suspended: bool) -> None:
+        """Suspend or resume the reading of new calls at an address."""
+        self.nodes[address].suspended = suspended
+        self._notify_change()
+
     def partition(self, first: str, second: str) -> None:
         """Partition two sites from each other."""
         self.partitions.add(frozenset((first, second)))
@@ -149,6 +156,8 @@
             await self._serve(node, fake_call)
 
     async def _serve(self, node: Node, fake_call: FakeCall) -> None:
+        while node.suspended:
+            await self.changed.wait()
         with anyio.CancelScope() as scope:
             node.calls.add(scope)
             try:
--- a/tests/common/test_server.py
+++ b/tests/common/test_server.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
 import pytest
@@ -11,6 +12,7 @@
 from briarthread_common.core.run_loop import run_loop
 from briarthread_common.http.app import App, ResponseAborted, Route
 from briarthread_common.http.call import Call
+from briarthread_common.http.call_connection import RESET_ON_CLOSE
 from briarthread_common.http.channel import ChannelRequest
 from briarthread_common.http.channel_calls import read_bounded
 from briarthread_common.http.channel_options import ChannelOptions
@@ -48,8 +50,26 @@
     raise ResponseAborted("on purpose")
 
 
+class Work:
+    """Handler that notes which requests began to be worked on and which ended."""
+
+    def __init__(self) -> None:
+        self.begun: list[str] = []
+        self.completed: list[bool] = []
+
+    async def handle(self, call: Call) -> None:
+        await call.read_body(10**6)
+        self.completed.append(await call.run_until_disconnect(partial(self.work, call)))
+
+    async def work(self, call: Call) -> None:
+        self.begun.append(call.path)
+        await call.reply(200, b"done")
+
+
+WORK = Work()
 APP = App(
     [
+        Route("POST", "/work/", WORK.handle),
         Route("POST", "/early", reply_before_body),
         Route("POST", "/length", reply_with_length),
         Route("POST", "/cut", abort_response),
@@ -127,6 +147,40 @@
     run_with_server(client)
 
 
+@pytest.mark.parametrize("size", [0, 3, 100_000])
+@pytest.mark.parametrize("reset", [False, True])
+def test_request_whose_caller_left_before_it_was_read_is_not_begun(
+    size: int, reset: bool
+) -> None:
+    path = f"/work/{size}/{reset}"
+
+    async def client(address: str, _: HttpServer) -> None:
+        host, port = address.split(":")
+        connection = socket.create_connection((host, int(port)))
+        head = f"POST {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {size}\r\n\r\n"
+        connection.sendall(head.encode() + b"x" * size)
+        if reset:
+            connection.setsockopt(*RESET_ON_CLOSE)
+        connection.close()
+        await anyio.sleep(0.1)
+
+    run_with_server(client)
+    assert path not in WORK.begun
+
+
+def test_request_of_a_caller_that_stays_is_completed() -> None:
+    async def client(address: str, _: HttpServer) -> None:
+        channel = HttpChannel()
+        request = ChannelRequest("POST", address, "/work/stays", body=b"abc")
+        async with channel.stream(request) as response:
+            assert await read_bounded(response.body, 10) == b"done"
+        await channel.close()
+
+    run_with_server(client)
+    assert WORK.begun.count("/work/stays") == 1
+    assert WORK.completed[-1]
+
+
 @pytest.mark.parametrize("chunk_size", [1000, 10 * MAX_HEADER_BYTES])
 def test_oversized_incomplete_head_is_rejected(chunk_size: int) -> None:
     async def client(address: str, _: HttpServer) -> None:
--- a/tests/direct/test_streams.py
+++ b/tests/direct/test_streams.py
@@ -9,6 +9,7 @@
 
 SIZE = {"x-token-count": "100,30"}
 EVENT_IDS = [1, 2, 3, 4, 5, 6]
+LEAVES_AFTER_SECONDS = 0.1
 
 
 def test_stream_is_whole_and_complete() -> None:
@@ -129,6 +130,27 @@
     run_in_direct_world(scenario)
 
 
+def test_request_whose_caller_left_while_it_waited_for_capacity_is_not_sent() -> None:
+    async def scenario(world: DirectWorld) -> None:
+        started = anyio.current_time()
+        async with anyio.create_task_group() as tasks:
+            for _ in range(120):
+                tasks.start_soon(_call_briefly, world)
+        await anyio.sleep(1.0)
+        events = list(world.entries["entry-1"].events.ring)
+        left = {e.request for e in events if e.decision == "caller-left"}
+        sent = {e.request for e in events if e.decision == "attempt-abandoned"}
+        assert len(left - sent) > 0
+        arrivals = [t for worker in world.workers.values() for t in worker.arrivals]
+        assert max(arrivals) < started + LEAVES_AFTER_SECONDS + 0.01
+
+    run_in_direct_world(scenario)
+
+
+async def _call_briefly(world: DirectWorld) -> None:
+    await world.call("entry-1", "/chat/1", SIZE, client_timeout=LEAVES_AFTER_SECONDS)
+
+
 def test_event_that_a_resumed_run_repeats_is_passed_on_once() -> None:
     async def scenario(world: DirectWorld) -> None:
         for worker in world.workers.values():
--- a/tests/world/test_at_most_once.py
+++ b/tests/world/test_at_most_once.py
@@ -154,6 +154,23 @@
     run_in_world(scenario)
 
 
+def test_booking_whose_caller_left_before_the_agent_read_it_is_not_run() -> None:
+    async def scenario(world: World) -> None:
+        agents = [world.instances[name].address for name in world.services]
+        for address in agents:
+            world.network.suspend(address, True)
+        with anyio.move_on_after(0.2) as scope:
+            await world.call(ENTRIES[0], "diary/b", "salon-0", body=b"one")
+        assert scope.cancelled_caught
+        await anyio.sleep(0.1)
+        for address in agents:
+            world.network.suspend(address, False)
+        await anyio.sleep(0.5)
+        assert world.run_count("one") == 0
+
+    run_in_world(scenario)
+
+
 def test_inherited_share_stays_in_quarantine_after_hand_over() -> None:
     async def scenario(world: World) -> None:
         await send_booking(world, ENTRIES[0], "k", "one")
