--- a/packages/common/src/briarthread_common/direct/direct_service.py
+++ b/packages/common/src/briarthread_common/direct/direct_service.py
@@ -14,10 +14,25 @@
     ``engine`` is set for model engines only, ``experts`` only for those whose experts
     are distributed over ranks.
 
-    A target accepts ``max_connections`` connections from all callers together.
+    A target accepts ``max_connections`` connections from all callers together. It is
+    cold for ``cold_seconds`` after its start and then tolerates ``cold_rate`` requests
+    per second from all entries together; 0.0 means that the service has no such limit.
+    ``priorities`` are the distinct priorities of the routes to the service, the most
+    urgent first.
+
+    >>> DirectService("model", 100, priorities=(0, 2)).has_priorities
+    True
     """
 
     name: str
     max_connections: int
     engine: EngineProfile | None = None
     experts: ExpertLayout | None = None
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
+    priorities: tuple[int, ...] = ()
+
+    @property
+    def has_priorities(self) -> bool:
+        """Tell whether the routes to the service differ in priority."""
+        return len(self.priorities) > 1
--- a/packages/common/src/briarthread_common/direct/platform_adapter.py
+++ b/packages/common/src/briarthread_common/direct/platform_adapter.py
@@ -49,6 +49,10 @@
         """Return the configuration of a feed, ``None`` if it has none."""
         ...
 
+    def decode_evacuated(self, items: dict[str, str]) -> frozenset[str]:
+        """Return the data centres that the operator has evacuated."""
+        ...
+
     def decode_target(self, name: str, row: str) -> DirectTarget:
         """Return one target of a feed."""
         ...
