Evacuate data centres at the operator's request

Cause: the operator's request that nothing more is sent to a data centre was decoded from the feed of the configuration, and nothing acted on it.

Change: Evacuations holds the evacuated data centres of the feed, whether or not the configuration in it is valid. TargetRegistry.accepts_requests is false for their targets, so that no choice, wait, retry, resumed stream or probe leads there; issuers deny tokens for them. A request without a rank outside evacuated data centres is refused at once with no-target instead of waiting for the group. At the end, on_assumed_cold receives the names of the targets before they are used again; DirectEntry does nothing with them yet. A gauge, a counter, log lines and the status page show evacuations. The detail of a no-target error no longer claims that no target is listed.

Result: tests of direct, platform and the doctests of entry and common pass.

--- a/packages/common/src/briarthread_common/core/metrics.py
+++ b/packages/common/src/briarthread_common/core/metrics.py
@@ -1,6 +1,12 @@
 """Metrics of a process."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
 
 REQUEST_BUCKETS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.42, 1.0, 2.5, 10.0)
 
@@ -71,6 +77,17 @@
             "Answers given from memory to a key asked again.",
             registry=self.registry,
         )
+        self.evacuated_data_centres = Gauge(
+            "briarthread_evacuated_data_centres",
+            "Data centres that the operator has evacuated.",
+            registry=self.registry,
+        )
+        self.evacuation_changes = Counter(
+            "briarthread_evacuation_changes",
+            "Evacuations of data centres that started or ended.",
+            ["change"],
+            registry=self.registry,
+        )
         self.request_seconds = Histogram(
             "briarthread_request_seconds",
             "Seconds from a request's arrival to the end of its answer.",
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -1,6 +1,7 @@
 """Composition of an entry that sends to targets directly."""
 
 import random
+from collections.abc import Sequence
 
 import anyio
 from anyio.abc import TaskGroup
@@ -26,6 +27,7 @@
 from briarthread_entry.direct.assigned_slots import AssignedSlots
 from briarthread_entry.direct.attempt_sender import AttemptSender
 from briarthread_entry.direct.crash_tracker import CrashTracker
+from briarthread_entry.direct.evacuations import Evacuations
 from briarthread_entry.direct.group_admission import GroupAdmission
 from briarthread_entry.direct.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.group_membership import GroupMembership
@@ -87,13 +89,16 @@
         self.backoffs = TargetBackoffs(self.metrics, rng)
         self.crashes = CrashTracker(self._note_crash_decision)
         self.leaving_targets = LeavingTargets()
+        self.evacuations = Evacuations(self.feeds.routes, adapter, self.metrics)
         self.registry = TargetRegistry(
             self.feeds.targets,
             adapter,
             self.replicator.healthy_since,
             self.leaving_targets,
+            self.evacuations,
         )
         self.registry.on_removed = self._discard_removed_targets
+        self.registry.on_assumed_cold = self._assume_cold
         self.peer_reports = PeerReports(self.limits, self.crashes, self.leaving_targets)
         self.group_reports = GroupReports()
         self.membership = GroupMembership(self.directory)
@@ -183,6 +188,7 @@
         tasks.start_soon(self.replicator.run)
         tasks.start_soon(self.routes.follow)
         tasks.start_soon(self.registry.follow)
+        tasks.start_soon(self.evacuations.follow)
         tasks.start_soon(self.running_watcher.run)
         tasks.start_soon(self.group_watcher.run)
         tasks.start_soon(self.slow_ranks.run)
@@ -216,6 +222,9 @@
         self.tokens.retain(self.registry.states)
         self.leaving_targets.retain(self.registry.states)
 
+    def _assume_cold(self, names: Sequence[str]) -> None:
+        """Assume that targets are cold from now on; cold targets get no rate yet."""
+
     async def _ensure_registered(self) -> None:
         await self.replicator.started.wait()
         row = Instance(
@@ -267,6 +276,7 @@
                 }
                 for name, state in self.registry.states.items()
             },
+            "evacuated": self.evacuations.names(),
             "limits": {
                 name: known.per_second
                 for name, known in self.limits.known.items()
--- a/packages/entry/src/briarthread_entry/direct/final_error.py
+++ b/packages/entry/src/briarthread_entry/direct/final_error.py
@@ -48,7 +48,7 @@
     if not failures:
         pause = retry_after_refusal(ErrorKind.NO_TARGET, caller_time_left, jitter)
         return RequestError(
-            ErrorKind.NO_TARGET, "no target is listed", retry_after=pause
+            ErrorKind.NO_TARGET, "no target accepts requests", retry_after=pause
         )
     last = failures[-1]
     if isinstance(last, NotRun) and none_ran:
--- a/packages/entry/src/briarthread_entry/direct/group_admission.py
+++ b/packages/entry/src/briarthread_entry/direct/group_admission.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.exceptions import RequestError
 from briarthread_common.direct.group_id import GroupId
 from briarthread_common.messages.running_report import RunningReport
@@ -14,6 +15,7 @@
     Refuse,
     Start,
     decide_admission,
+    retry_after_refusal,
 )
 from briarthread_entry.direct.client_retry_detector import ClientRetryDetector
 from briarthread_entry.direct.direct_request import DirectRequest
@@ -97,6 +99,8 @@
             now = anyio.current_time()
             wait_left = self._wait_deadline(request, place, max_wait) - now
             capacities = self.capacity.capacities(request, now)
+            if not capacities and self.capacity.registry.evacuations.data_centres:
+                raise self._evacuated_error(request, now)
             match self._decide(request, place, capacities, wait_left, now):
                 case Start():
                     return self._allowed_groups(capacities)
@@ -106,6 +110,18 @@
                     )
             await anyio.sleep(POLL_INTERVAL_SECONDS)
 
+    def _evacuated_error(self, request: DirectRequest, now: float) -> RequestError:
+        """
+        Return the error for a request without a rank outside evacuated data centres.
+
+        Waiting is useless, since evacuations last for minutes.
+        """
+        pause = retry_after_refusal(
+            ErrorKind.NO_TARGET, request.caller_time_left(now), self.rng.random()
+        )
+        reason = f"no rank of {request.service.name} outside evacuated data centres"
+        return RequestError(ErrorKind.NO_TARGET, reason, retry_after=pause)
+
     def _allowed_groups(self, capacities: GroupCapacities) -> set[GroupId]:
         """
         Return the groups that a request that starts now may go to.
--- a/packages/entry/src/briarthread_entry/direct/target_registry.py
+++ b/packages/entry/src/briarthread_entry/direct/target_registry.py
@@ -1,6 +1,6 @@
 """Registry of the direct targets that an entry knows."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import anyio
 from loguru import logger
@@ -9,6 +9,7 @@
 from briarthread_common.direct.direct_target import DirectTarget
 from briarthread_common.direct.platform_adapter import PlatformAdapter
 from briarthread_common.feeds.feed import Feed
+from briarthread_entry.direct.evacuations import Evacuations
 from briarthread_entry.direct.leaving_targets import LeavingTargets
 from briarthread_entry.direct.target_state import DirectTargetState
 
@@ -24,7 +25,8 @@
     During an outage of the platform rows expire although their targets still run. A
     target that is removed from the list during an outage, or soon after, therefore
     stays in use until the time for listing it again is over. ``on_removed`` is called
-    after targets have been removed.
+    after targets have been removed. ``on_assumed_cold`` is called with the names of
+    targets that must be assumed cold from now on, before they are used again.
     """
 
     def __init__(
@@ -33,15 +35,19 @@
         adapter: PlatformAdapter,
         healthy_since: Callable[[], float],
         leaving_targets: LeavingTargets,
+        evacuations: Evacuations,
     ) -> None:
         self.feed = feed
         self.adapter = adapter
         self.healthy_since = healthy_since
         self.leaving_targets = leaving_targets
+        self.evacuations = evacuations
+        evacuations.on_ended = self._assume_cold
         self.applied_number = -1
         self.raw_rows: dict[str, str] = {}
         self.states: dict[str, DirectTargetState] = {}
         self.on_removed: Callable[[], None] = _do_nothing
+        self.on_assumed_cold: Callable[[Sequence[str]], None] = _ignore_names
 
     async def follow(self) -> None:
         """Apply each version of the feed on arrival, not only when it is needed."""
@@ -61,21 +67,28 @@
 
     def accepts_requests(self, state: DirectTargetState) -> bool:
         """Return whether new requests may be sent to a target."""
+        if self.evacuations.data_centres and self.is_evacuated(state):
+            return False
         return state.is_usable() and not self.is_leaving(state)
 
+    def is_evacuated(self, state: DirectTargetState) -> bool:
+        """Return whether the operator has evacuated a target's data centre."""
+        return state.target.data_centre in self.evacuations.data_centres
+
     def is_leaving(self, state: DirectTargetState) -> bool:
         """Return whether a target is leaving according to the list or a response."""
         name = state.target.name
         return state.target.leaving or self.leaving_targets.is_leaving(name)
 
     def refresh(self, now: float) -> None:
-        """Apply the current version of the feed."""
+        """Apply the current version of the feeds."""
         # A target that was removed and listed again must not inherit the old state.
         self._remove_expired(now)
         if self.applied_number != self.feed.number:
             self.applied_number = self.feed.number
             self._apply_feed(now)
             self._remove_expired(now)
+        self.evacuations.refresh()
 
     def _remove_expired(self, now: float) -> None:
         expired = [
@@ -91,9 +104,9 @@
             self.on_removed()
 
     def find(self, name: str) -> DirectTarget | None:
-        """Return a target by name, ``None`` if it is unknown."""
+        """Return a target by name, ``None`` if it is unknown or evacuated."""
         state = self.states.get(name)
-        return None if state is None else state.target
+        return None if state is None or self.is_evacuated(state) else state.target
 
     def _apply_feed(self, now: float) -> None:
         for name, raw in self.feed.items.items():
@@ -127,6 +140,15 @@
         state.target = target
         state.removed_at = None
 
+    def _assume_cold(self, data_centres: frozenset[str]) -> None:
+        """Report the targets of data centres whose evacuation has ended."""
+        names = [
+            name
+            for name, state in self.states.items()
+            if state.target.data_centre in data_centres
+        ]
+        self.on_assumed_cold(names)
+
     def _expires_at(self, state: DirectTargetState) -> float:
         """Return when a target that was removed from the list expires."""
         removed = state.removed_at or 0.0
@@ -136,3 +158,7 @@
 
 def _do_nothing() -> None:
     """Ignore the removal of targets."""
+
+
+def _ignore_names(names: Sequence[str]) -> None:
+    """Ignore the names of targets."""
