Bound the requests to cold targets

Cause: a target that was started recently crashes well above its service's cold rate, and entries sent it their usual load.

Change: ColdTargets knows until when each target is cold, from rows, response headers, other entries and events. While it is cold, each attempt needs a token. Tokens come from the existing mechanism, but only from the first two entries in the order of issuers. IssuerMembers keeps the order safe while entries know different lists. Warm targets with a free slot come first, and the capacity of a group counts a cold rank with what it may get.

--- a/packages/common/src/briarthread_common/core/metrics.py
+++ b/packages/common/src/briarthread_common/core/metrics.py
@@ -38,6 +38,18 @@
             ["decision"],
             registry=self.registry,
         )
+        self.cold_attempts = Counter(
+            "briarthread_cold_attempts",
+            "Attempts at cold targets, by what became of their request for a token.",
+            ["decision"],
+            registry=self.registry,
+        )
+        self.cold_reports = Counter(
+            "briarthread_cold_reports",
+            "Targets that became cold in this entry's view, by the source.",
+            ["source"],
+            registry=self.registry,
+        )
         self.backoffs = Counter(
             "briarthread_backoffs",
             "Pauses that targets asked for.",
--- a/packages/common/src/briarthread_common/direct/header_names.py
+++ b/packages/common/src/briarthread_common/direct/header_names.py
@@ -13,7 +13,8 @@
     that the target did not run the request. ``target_stamp`` is present on every
     response that a target itself produced. ``rate_limit`` is the number of requests
     per second that a target accepts from all callers together while it limits its
-    load. ``leaving`` announces that the target is shutting down.
+    load. ``leaving`` announces that the target is shutting down. ``cold_time`` is the
+    number of milliseconds for which the target is still cold.
     """
 
     request_id: str
@@ -26,5 +27,6 @@
     faulty_target: str
     rate_limit: str
     leaving: str
+    cold_time: str
     token_counts: str
     resume_from: str
--- a/packages/common/src/briarthread_common/messages/running_report.py
+++ b/packages/common/src/briarthread_common/messages/running_report.py
@@ -29,7 +29,8 @@
     targets stated in responses to the entry, ``crashes`` is what it knows of requests
     that crash targets, ``leaving`` are the targets that announced their shutdown to the
     entry, ``backoffs`` the remaining seconds of the backoffs that targets requested
-    from it.
+    from it, ``cold`` the remaining seconds for which the rate of cold targets is
+    bounded.
     """
 
     running: dict[str, int] = {}
@@ -38,6 +39,7 @@
     crashes: CrashWords = CrashWords()
     leaving: tuple[str, ...] = ()
     backoffs: dict[str, float] = {}
+    cold: dict[str, float] = {}
 
     def same_as(self, other: "RunningReport") -> bool:
         """Return whether another report need not be sent after this one."""
@@ -47,6 +49,8 @@
             return False
         if self.backoffs.keys() != other.backoffs.keys():
             return False
+        if self.cold.keys() != other.cold.keys():
+            return False
         return self.crashes.same_as(other.crashes) and all(
             limit.per_second == other.limits[target].per_second
             for target, limit in self.limits.items()
@@ -74,7 +78,10 @@
     crashes = merge_crash_words(report.crashes for report in reports)
     leaving = merge_names(report.leaving for report in reports)
     backoffs = longest_backoffs(report.backoffs for report in reports)
-    return RunningReport(dict(running), each, limits, crashes, leaving, backoffs)
+    cold = longest_backoffs(report.cold for report in reports)
+    return RunningReport(
+        dict(running), each, limits, crashes, leaving, backoffs, cold=cold
+    )
 
 
 def merge_names(name_lists: Iterable[tuple[str, ...]]) -> tuple[str, ...]:
@@ -84,7 +91,7 @@
 
 def longest_backoffs(backoff_maps: Iterable[Mapping[str, float]]) -> dict[str, float]:
     """
-    Return the longest remaining backoff of each target.
+    Return the longest remaining backoff, or other time, of each target.
 
     >>> longest_backoffs([{"t": 1.0}, {"t": 2.5, "u": 0.5}])
     {'t': 2.5, 'u': 0.5}
--- a/packages/common/src/briarthread_common/spread/long_poll_replicator.py
+++ b/packages/common/src/briarthread_common/spread/long_poll_replicator.py
@@ -101,6 +101,11 @@
         """Return the seconds since the platform's last answer."""
         return self.health.age(anyio.current_time())
 
+    def contact_age(self) -> float:
+        """Return the seconds since the platform answered this process or a poller."""
+        now = anyio.current_time()
+        return min(self.health.age(now), self.peer_health.age(now))
+
     def source_healthy_seconds(self) -> float:
         """Return the seconds for which the platform has been up, 0 if it is down."""
         return self.health.healthy_for(anyio.current_time())
--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -21,6 +21,7 @@
     StreamRelayed,
     TargetResponse,
 )
+from briarthread_entry.direct.cold_targets import ColdTargets
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.event_reader import EventReader
 from briarthread_entry.direct.leaving_targets import LeavingTargets
@@ -50,12 +51,14 @@
         limits: TargetLimits,
         backoffs: TargetBackoffs,
         leaving_targets: LeavingTargets,
+        cold_targets: ColdTargets,
     ) -> None:
         self.channel = channel
         self.names = names
         self.limits = limits
         self.backoffs = backoffs
         self.leaving_targets = leaving_targets
+        self.cold_targets = cold_targets
 
     async def send(
         self, request: DirectRequest, state: DirectTargetState, relay: ResponseRelay
@@ -114,7 +117,7 @@
     def _record_head(
         self, state: DirectTargetState, response: ChannelResponse, sent_at: float
     ) -> None:
-        """Record limit, backoff and shutdown, but not of a 421 from another target."""
+        """Record what the head says of the target, but not a 421 from another one."""
         if response.status == MISDIRECTED_REQUEST:
             return
         name = state.target.name
@@ -129,6 +132,11 @@
         self.backoffs.note_response(name, signals, now)
         if signals.leaving:
             self.leaving_targets.note_leaving(name)
+        if self.names.cold_time in response.headers:
+            values = [
+                raw for field, raw in response.fields if field == self.names.cold_time
+            ]
+            self.cold_targets.note_response(name, values, now)
 
     def _check_response(self, response: ChannelResponse) -> None:
         """Raise InvalidResponseError for a success that the target did not produce."""
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -10,6 +10,8 @@
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.core.logs import set_up_logs
 from briarthread_common.core.metrics import Metrics
+from briarthread_common.direct.direct_service import DirectService
+from briarthread_common.direct.direct_target import DirectTarget
 from briarthread_common.direct.platform_adapter import PlatformAdapter
 from briarthread_common.direct.route_view import RouteView
 from briarthread_common.feeds.feed_set import DIRECT_FEEDS, FeedSet
@@ -25,12 +27,14 @@
 from briarthread_common.utils.clock import Clock
 from briarthread_entry.direct.assigned_slots import AssignedSlots
 from briarthread_entry.direct.attempt_sender import AttemptSender
+from briarthread_entry.direct.cold_targets import ColdTargets
 from briarthread_entry.direct.crash_tracker import CrashTracker
 from briarthread_entry.direct.group_admission import GroupAdmission
 from briarthread_entry.direct.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.group_membership import GroupMembership
 from briarthread_entry.direct.group_reports import GroupReports
 from briarthread_entry.direct.group_watcher import GroupWatcher
+from briarthread_entry.direct.issuer_members import IssuerMembers
 from briarthread_entry.direct.leaving_targets import LeavingTargets
 from briarthread_entry.direct.limit_tokens import LimitTokens
 from briarthread_entry.direct.peer_reports import PeerReports
@@ -94,7 +98,13 @@
             self.leaving_targets,
         )
         self.registry.on_removed = self._discard_removed_targets
-        self.peer_reports = PeerReports(self.limits, self.crashes, self.leaving_targets)
+        self.cold_targets = ColdTargets(
+            self.registry.find, self._find_service, self.metrics
+        )
+        self.registry.on_listed = self._note_listed
+        self.peer_reports = PeerReports(
+            self.limits, self.crashes, self.leaving_targets, self.cold_targets
+        )
         self.group_reports = GroupReports()
         self.membership = GroupMembership(self.directory)
         self.slow_ranks = SlowRanks(self.registry, self.membership, self.group_reports)
@@ -105,6 +115,7 @@
             self.slow_ranks,
             self.limits,
             self.backoffs,
+            self.cold_targets,
         )
         self.admission = GroupAdmission(self.capacity, rng)
         self.running_watcher = RunningWatcher(
@@ -122,6 +133,9 @@
             rng,
         )
         self.budget = SharedRetryBudget(settings.allowance, self._entries)
+        self.issuer_members = IssuerMembers(
+            settings.name, self.directory, self.replicator.contact_age
+        )
         self.tokens = LimitTokens(
             settings.name,
             self.directory,
@@ -129,6 +143,8 @@
             self.registry.find,
             peer_channel,
             self.metrics,
+            self.cold_targets,
+            self.issuer_members,
         )
         self.runner = RequestRunner(
             TargetChooser(
@@ -141,6 +157,7 @@
                 self.tokens,
                 self.backoffs,
                 self.crashes,
+                self.events,
                 rng,
             ),
             AttemptSender(
@@ -149,6 +166,7 @@
                 self.limits,
                 self.backoffs,
                 self.leaving_targets,
+                self.cold_targets,
             ),
             self.crashes,
             self.budget,
@@ -186,6 +204,7 @@
         tasks.start_soon(self.running_watcher.run)
         tasks.start_soon(self.group_watcher.run)
         tasks.start_soon(self.slow_ranks.run)
+        tasks.start_soon(self.issuer_members.follow)
         tasks.start_soon(self._ensure_registered)
 
     def apply(self, settings: DirectSettings) -> None:
@@ -211,10 +230,18 @@
         return ""
 
     def _discard_removed_targets(self) -> None:
-        """Drop the limits and announced shutdowns of removed targets."""
+        """Drop what is known of removed targets, such as their limits."""
         self.limits.retain(self.registry.states)
         self.tokens.retain(self.registry.states)
         self.leaving_targets.retain(self.registry.states)
+        self.cold_targets.retain(self.registry.states)
+
+    def _note_listed(self, target: DirectTarget) -> None:
+        self.cold_targets.note_row(target, anyio.current_time())
+
+    def _find_service(self, name: str) -> DirectService | None:
+        routes = self.routes.current()
+        return None if routes is None else routes.services.get(name)
 
     async def _ensure_registered(self) -> None:
         await self.replicator.started.wait()
@@ -233,7 +260,8 @@
         limit_reports, crashes = self.limits.report(now), self.crashes.report(now)
         leaving = self.leaving_targets.own_names()
         backoffs = self.backoffs.seconds_left(now)
-        if not limit_reports and not crashes and not leaving and not backoffs:
+        cold = self.cold_targets.report(now)
+        if not (limit_reports or crashes or leaving or backoffs or cold):
             return report
         return replace(
             report,
@@ -241,6 +269,7 @@
             crashes=crashes,
             leaving=leaving,
             backoffs=backoffs,
+            cold=cold,
         )
 
     def _note_crash_decision(self, decision: str, digest: str, reason: str) -> None:
@@ -273,6 +302,7 @@
                 if known.per_second is not None
             },
             "backoff_seconds": self.backoffs.seconds_left(now),
+            "cold_seconds": self.cold_targets.seconds_left(now),
             "shut_out": sorted(self.crashes.blocked),
             "groups": {
                 str(group): {"serving": not health.broken}
--- a/packages/entry/src/briarthread_entry/direct/group_capacity.py
+++ b/packages/entry/src/briarthread_entry/direct/group_capacity.py
@@ -16,6 +16,7 @@
 from briarthread_common.direct.direct_service import DirectService
 from briarthread_common.direct.group_id import GroupId
 from briarthread_entry.direct.admission_rule import GroupCapacity
+from briarthread_entry.direct.cold_targets import ColdTargets
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.group_concurrency import (
     initial_request_cost,
@@ -55,6 +56,7 @@
         slow_ranks: SlowRanks,
         limits: TargetLimits,
         backoffs: TargetBackoffs,
+        cold_targets: ColdTargets,
     ) -> None:
         self.registry = registry
         self.peer_reports = peer_reports
@@ -62,6 +64,7 @@
         self.slow_ranks = slow_ranks
         self.limits = limits
         self.backoffs = backoffs
+        self.cold_targets = cold_targets
         self.meters: dict[GroupId, PassMeter] = {}
         self.healths: dict[GroupId, GroupHealth] = {}
         self.running_counts: dict[GroupId, tuple[float, int]] = {}
@@ -134,7 +137,7 @@
         return GroupCapacity(
             serving=self._serves(service, group, now),
             running=self._running(states, now),
-            limit=min(limit, sum(self._rank_limit(state, now) for state in states)),
+            limit=min(limit, self._sum_rank_limits(states, now)),
             recovers_in=self.health(group).seconds_to_recovery(now),
             opens_in=self._opens_in(states, now),
         )
@@ -144,23 +147,61 @@
         opens = (self.backoffs.opens_at(state.target.name, now) for state in states)
         return max(min(opens, default=now) - now, 0.0)
 
-    def _rank_limit(self, state: DirectTargetState, now: float) -> int:
+    def _sum_rank_limits(self, states: Sequence[DirectTargetState], now: float) -> int:
+        """
+        Return how many requests the ranks may run at once.
+
+        Cold ranks for which this entry gets no tokens get no additional requests. If
+        the group has no other ranks, the choice of the target refuses the request.
+        """
+        if not self.cold_targets.ends:
+            return sum(self._rank_limit(state, now) for state in states)
+        usual = _usual_response_seconds(states)
+        limits = [self._rank_limit(state, now, usual) for state in states]
+        closed = [
+            self.cold_targets.is_without_issuer(state.target.name, now)
+            for state in states
+        ]
+        if all(closed):
+            return sum(limits)
+        return sum(
+            min(limit, self._running([state], now)) if is_closed else limit
+            for state, limit, is_closed in zip(states, limits, closed, strict=True)
+        )
+
+    def _rank_limit(
+        self, state: DirectTargetState, now: float, usual: float | None = None
+    ) -> int:
         """
         Return how many requests a rank may run at once.
 
-        A rank with a rate limit runs the requests that the limit admits during one
-        response time. A rank in backoff gets no additional requests, a rank in slow
+        A rank with a rate limit, or a cold rank, runs the requests that its rate
+        admits during one response time, which is ``usual`` seconds for a rank that has
+        not responded yet. A rank in backoff gets no additional requests, a rank in slow
         start only a few.
         """
         slots = state.target.slots
-        limit = self.limits.limit_of(state.target.name)
-        if limit is not None and state.response_seconds.samples:
-            slots = min(math.ceil(limit * state.response_seconds.value), slots)
+        limit = self._rate_limit(state, now)
+        seconds = (
+            state.response_seconds.value if state.response_seconds.samples else usual
+        )
+        if limit is not None and seconds is not None:
+            slots = min(math.ceil(limit * seconds), slots)
         free_attempts = self.backoffs.free_attempts(state.target.name, now)
         if free_attempts is None:
             return slots
         return min(self._running([state], now) + free_attempts, slots)
 
+    def _rate_limit(self, state: DirectTargetState, now: float) -> float | None:
+        """Return the requests per second that a rank may get, ``None`` for any."""
+        stated = self.limits.limit_of(state.target.name)
+        if not self.cold_targets.ends:
+            return stated
+        cold_rate = self.cold_targets.rate(state.target.name, now)
+        return min(
+            (rate for rate in (stated, cold_rate) if rate is not None), default=None
+        )
+
     def _serves(self, service: DirectService, group: GroupId, now: float) -> bool:
         """
         Return whether a group serves, from all available information.
@@ -251,6 +292,16 @@
             logger.info("group: {} serves again", group)
 
 
+def _usual_response_seconds(states: Sequence[DirectTargetState]) -> float | None:
+    """Return the mean response time of the ranks that have responded."""
+    observed = [
+        state.response_seconds.value
+        for state in states
+        if state.response_seconds.samples
+    ]
+    return sum(observed) / len(observed) if observed else None
+
+
 def groups_with_capacity(capacities: Mapping[GroupId, GroupCapacity]) -> set[GroupId]:
     """Return the serving groups with free capacity."""
     return {
--- a/packages/entry/src/briarthread_entry/direct/issuer_order.py
+++ b/packages/entry/src/briarthread_entry/direct/issuer_order.py
@@ -17,6 +17,9 @@
 SECOND_ISSUER_SHARE = 0.5
 """Fraction of a limit that the second entry issues in place of the first."""
 
+COLD_ISSUERS = 2
+"""Number of entries that issue tokens for a cold target."""
+
 
 def issuers_of(target: DirectTarget, entries: Mapping[str, Instance]) -> list[str]:
     """
@@ -33,6 +36,18 @@
     return rendezvous_order(target.name, local or entries)
 
 
+def cold_share(issuer: str, order: list[str]) -> float:
+    """
+    Return the fraction of a cold target's rate that an entry issues.
+
+    Entries after the second one issue nothing: a cold target crashes above its rate.
+
+    >>> [cold_share(name, ["a", "b", "c"]) for name in "abc"]
+    [1.0, 0.5, 0.0]
+    """
+    return issued_share(issuer, order) if issuer in order[:COLD_ISSUERS] else 0.0
+
+
 def issued_share(issuer: str, order: list[str]) -> float:
     """
     Return the fraction of a limit that an entry issues.
--- a/packages/entry/src/briarthread_entry/direct/limit_tokens.py
+++ b/packages/entry/src/briarthread_entry/direct/limit_tokens.py
@@ -1,4 +1,4 @@
-"""Rate-limit tokens for attempts at targets that state a limit."""
+"""Rate-limit tokens for attempts at targets that state a limit or are cold."""
 
 from collections.abc import Callable, Container
 
@@ -21,7 +21,13 @@
 )
 from briarthread_common.spread.directory import Directory
 from briarthread_common.utils.recent_failures import RecentFailures
-from briarthread_entry.direct.issuer_order import issued_share, issuers_of
+from briarthread_entry.direct.cold_targets import ColdTargets
+from briarthread_entry.direct.issuer_members import IssuerMembers
+from briarthread_entry.direct.issuer_order import (
+    cold_share,
+    issued_share,
+    issuers_of,
+)
 from briarthread_entry.direct.target_limits import TargetLimits
 from briarthread_entry.direct.token_issuer import TokenIssuer
 
@@ -34,15 +40,21 @@
 """Pause in seconds before an issuer that does not know the target is asked again."""
 MAX_ISSUERS_ASKED = 2
 """Maximum number of issuers that are asked before an entry issues its own tokens."""
+UNSTATED_LIMIT = LimitReport(None, age=86400.0)
+"""What an entry sends about a cold target that states no limit. It is so old that it
+ends no limit that the issuer knows."""
 
 FindTarget = Callable[[str], DirectTarget | None]
 
 
 class LimitTokens:
     """
-    Acquire tokens for attempts at targets with a limit and issue them to other entries.
+    Acquire tokens for attempts at limited targets and issue them to other entries.
 
-    ``find`` returns a known target by its name.
+    A target is limited if it states a limit or is cold; the lower rate applies to a
+    target that does both. While a target is cold, only the first two entries in the
+    order of ``members`` issue tokens for it, and an entry that gets no answer from
+    either sends nothing there. ``find`` returns a known target by its name.
     """
 
     def __init__(
@@ -53,6 +65,8 @@
         find: FindTarget,
         channel: Channel,
         metrics: Metrics,
+        cold: ColdTargets,
+        members: IssuerMembers,
     ) -> None:
         self.name = name
         self.directory = directory
@@ -60,6 +74,8 @@
         self.find = find
         self.channel = channel
         self.metrics = metrics
+        self.cold = cold
+        self.members = members
         self.issuer = TokenIssuer()
         self.unresponsive = RecentFailures(SKIP_SECONDS)
         self.denied_until: dict[str, float] = {}
@@ -70,7 +86,13 @@
 
     def is_limited(self, target: str) -> bool:
         """Return whether attempts at a target need a token."""
-        return self.limits.limit_of(target) is not None
+        if self.limits.limit_of(target) is not None:
+            return True
+        return bool(self.cold.ends) and self.is_cold(target)
+
+    def is_cold(self, target: str) -> bool:
+        """Return whether attempts at a target need a token because it is cold."""
+        return self.cold.is_limited(target, anyio.current_time())
 
     def opens_at(self, target: str, now: float) -> float:
         """Return when a token may be requested, ``now`` if it may be already."""
@@ -90,18 +112,58 @@
 
         If it is denied, ``opens_at`` returns when to ask again.
         """
-        limit = self.limits.latest(target.name, anyio.current_time())
+        now = anyio.current_time()
+        limit = self.limits.latest(target.name, now)
+        if self.is_cold(target.name):
+            return await self._acquire_cold(target, limit or UNSTATED_LIMIT, wait)
         if limit is None or limit.per_second is None:
             return True
         ask = TokenRequest(self.name, target.name, limit, wait)
         answer = await self._request(target, ask)
         self.metrics.limited_attempts.labels(_decision(answer)).inc()
+        return await self._apply(target, answer)
+
+    async def _apply(self, target: DirectTarget, answer: TokenAnswer) -> bool:
+        """Wait for a granted token; record when to ask again after a denial."""
         if answer.granted:
             await anyio.sleep(answer.pause)
             return True
         self.denied_until[target.name] = anyio.current_time() + answer.pause
         return False
 
+    async def _acquire_cold(
+        self, target: DirectTarget, limit: LimitReport, wait: float
+    ) -> bool:
+        """Acquire a token for a cold target from one of its two issuers."""
+        answer = await self._request_cold(target, limit, wait)
+        now = anyio.current_time()
+        if answer is None:
+            self.metrics.cold_attempts.labels("no-issuer").inc()
+            pause = min(SKIP_SECONDS, self.cold.left(target.name, now))
+            self.cold.note_no_issuer(target.name, pause, now)
+            answer = TokenAnswer(False, pause)
+        else:
+            self.metrics.cold_attempts.labels(_decision(answer)).inc()
+        return await self._apply(target, answer)
+
+    async def _request_cold(
+        self, target: DirectTarget, limit: LimitReport, wait: float
+    ) -> TokenAnswer | None:
+        """Return the answer of an issuer of a cold target, ``None`` without one."""
+        now = anyio.current_time()
+        left = self.cold.own_left(target.name, now)
+        ask = TokenRequest(self.name, target.name, limit, wait, left)
+        order = self.members.order(target, now)
+        entries = self.members.entries(now)
+        for name in self.unresponsive.without_recent(order):
+            if name == self.name:
+                answer = self._issue_cold(ask, target)
+            else:
+                answer = await self._call(entries[name], ask)
+            if answer is not None and answer.cold_left > 0:
+                return answer
+        return None
+
     async def _request(self, target: DirectTarget, ask: TokenRequest) -> TokenAnswer:
         """Return the answer of the first issuer that responds."""
         entries = self._entries()
@@ -131,14 +193,16 @@
             )
             self.unresponsive.add(issuer.name)
             return None
-        self._merge(issuer.name, ask.target, answer.word)
+        self._merge(issuer.name, ask.target, answer.word, answer.cold_left)
         return answer
 
     async def _handle_request(self, ask: TokenRequest) -> TokenAnswer:
-        self._merge(ask.asker, ask.target, ask.word)
+        self._merge(ask.asker, ask.target, ask.word, ask.cold_left)
         target = self.find(ask.target)
         if target is None:
             return TokenAnswer(False, UNKNOWN_TARGET_SECONDS)
+        if ask.cold_left > 0 or self.is_cold(ask.target):
+            return self._issue_cold(ask, target)
         return self._issue(ask, issuers_of(target, self._entries()))
 
     def _issue(self, ask: TokenRequest, order: list[str]) -> TokenAnswer:
@@ -151,12 +215,37 @@
         answer = self.issuer.issue(ask.asker, ask.target, rate, ask.wait, now)
         return TokenAnswer(answer.granted, answer.pause, limit)
 
+    def _issue_cold(self, ask: TokenRequest, target: DirectTarget) -> TokenAnswer:
+        """
+        Issue a token for a cold target, if this entry is one of its two issuers.
+
+        ``cold_left`` of the answer is 0.0 if it is not.
+        """
+        now = anyio.current_time()
+        limit = self.limits.latest(ask.target, now)
+        rate = self.cold.rate(ask.target, now)
+        share = cold_share(self.name, self.members.order(target, now))
+        if rate is None or not share or not self.members.may_issue(now):
+            return TokenAnswer(False, UNKNOWN_TARGET_SECONDS, limit)
+        if limit is not None and limit.per_second is not None:
+            rate = min(rate, limit.per_second)
+        left = self.cold.left(ask.target, now)
+        answer = self.issuer.issue(
+            ask.asker, ask.target, rate * share, min(ask.wait, left), now
+        )
+        pause = answer.pause if answer.granted else min(answer.pause, left)
+        return TokenAnswer(answer.granted, pause, limit, round(left, 3))
+
     def _entries(self) -> dict[str, Instance]:
         return self.directory.of_role(InstanceRole.ENTRY)
 
-    def _merge(self, source: str, target: str, limit: LimitReport | None) -> None:
+    def _merge(
+        self, source: str, target: str, limit: LimitReport | None, cold_left: float
+    ) -> None:
+        now = anyio.current_time()
         if limit is not None:
-            self.limits.merge(source, {target: limit}, anyio.current_time())
+            self.limits.merge(source, {target: limit}, now)
+        self.cold.merge(target, cold_left, now)
 
 
 def _decision(answer: TokenAnswer) -> str:
--- a/packages/entry/src/briarthread_entry/direct/peer_reports.py
+++ b/packages/entry/src/briarthread_entry/direct/peer_reports.py
@@ -1,7 +1,7 @@
 """Running reports of the other entries, and their sums."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from msgspec.structs import replace
@@ -14,6 +14,7 @@
     longest_backoffs,
     merge_names,
 )
+from briarthread_entry.direct.cold_targets import ColdTargets
 from briarthread_entry.direct.crash_tracker import CrashTracker
 from briarthread_entry.direct.leaving_targets import LeavingTargets
 from briarthread_entry.direct.target_limits import TargetLimits
@@ -35,19 +36,26 @@
     def report_at(self, now: float) -> RunningReport:
         """Return the report with ages and remaining times updated to ``now``."""
         report = self.report
-        if not report.limits and not report.crashes and not report.backoffs:
+        if not (report.limits or report.crashes or report.backoffs or report.cold):
             return report
         limits = {
             target: LimitReport(word.per_second, word.age + now - self.received_at)
             for target, word in self.report.limits.items()
         }
         crashes = self.report.crashes.aged(now - self.received_at)
-        backoffs = {
+        backoffs = self._left(report.backoffs, now)
+        cold = self._left(report.cold, now)
+        return replace(
+            report, limits=limits, crashes=crashes, backoffs=backoffs, cold=cold
+        )
+
+    def _left(self, times: Mapping[str, float], now: float) -> dict[str, float]:
+        """Return the remaining times, in seconds, that are not over."""
+        return {
             target: left
-            for target, seconds in report.backoffs.items()
+            for target, seconds in times.items()
             if (left := round(seconds - (now - self.received_at), 3)) > 0
         }
-        return replace(report, limits=limits, crashes=crashes, backoffs=backoffs)
 
 
 class PeerReports:
@@ -55,8 +63,8 @@
     Store the newest report of each other entry, and the sums of all reports.
 
     Times are the runtime's, in seconds. Reported limits of targets are passed on to
-    ``limits``, requests that crash targets to ``crashes`` and targets that are
-    shutting down to ``leaving_targets``.
+    ``limits``, requests that crash targets to ``crashes``, targets that are
+    shutting down to ``leaving_targets`` and cold targets to ``cold_targets``.
 
     >>> reports = PeerReports()
     >>> reports.put("entry-2", RunningReport({"t-1": 3}), now=10.0)
@@ -69,10 +77,12 @@
         limits: TargetLimits | None = None,
         crashes: CrashTracker | None = None,
         leaving_targets: LeavingTargets | None = None,
+        cold_targets: ColdTargets | None = None,
     ) -> None:
         self.limits = limits or TargetLimits()
         self.crashes = crashes or CrashTracker()
         self.leaving_targets = leaving_targets or LeavingTargets()
+        self.cold_targets = cold_targets
         self.received: dict[str, _ReceivedReport] = {}
         self.totals: Counter[str] = Counter()
         self.backoff_until: dict[str, float] = {}
@@ -92,6 +102,7 @@
         self.crashes.merge(entry, report.crashes, now)
         self.leaving_targets.set_reported(entry, report.leaving)
         self._extend_backoffs(report, now)
+        self._note_cold(report, now)
         self.totals.update(report.running)
 
     def is_backing_off(self, target: str, now: float) -> bool:
@@ -104,6 +115,11 @@
             until = max(self.backoff_until.get(target, now), now + seconds)
             self.backoff_until[target] = until
 
+    def _note_cold(self, report: RunningReport, now: float) -> None:
+        if self.cold_targets is not None:
+            for target, seconds in report.cold.items():
+                self.cold_targets.merge(target, seconds, now)
+
     def drop(self, entry: str) -> None:
         """Remove the reports of an entry."""
         self._remove_report(entry)
@@ -163,8 +179,9 @@
         backoffs = longest_backoffs(
             [own_report.backoffs, *(one.backoffs for one in others)]
         )
+        cold = longest_backoffs([own_report.cold, *(one.cold for one in others)])
         return RunningReport(
-            dict(+running), request_costs, limits, crashes, leaving, backoffs
+            dict(+running), request_costs, limits, crashes, leaving, backoffs, cold=cold
         )
 
     def request_cost(self, group: str, now: float) -> float | None:
--- a/packages/entry/src/briarthread_entry/direct/target_chooser.py
+++ b/packages/entry/src/briarthread_entry/direct/target_chooser.py
@@ -5,6 +5,7 @@
 import anyio
 
 from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.core.event_log import EventLog
 from briarthread_common.direct.group_id import GroupId
 from briarthread_entry.direct.assigned_slots import AssignedSlots
 from briarthread_entry.direct.choose_target import choose_plain, choose_rank
@@ -33,7 +34,8 @@
 
     A rate limit does not mean that a target is slow or failing: the target is chosen
     like any other while its limit leaves room, and skipped while it does not. A target
-    in backoff is not chosen, and no token is acquired for it.
+    in backoff is not chosen, and no token is acquired for it. A cold target, which
+    also needs a token, is chosen only if no warm target has a free slot.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         tokens: LimitTokens,
         backoffs: TargetBackoffs,
         crashes: CrashTracker,
+        events: EventLog,
         rng: random.Random,
     ) -> None:
         self.data_centre = data_centre
@@ -58,6 +61,7 @@
         self.tokens = tokens
         self.backoffs = backoffs
         self.crashes = crashes
+        self.events = events
         self.rng = rng
 
     async def choose(
@@ -86,7 +90,8 @@
             if not open_states:
                 await self._wait(states, now, wait_left)
                 continue
-            candidates = self._preferred(self._without_suspects(open_states), now)
+            warm_first = self._warm_first(open_states, now)
+            candidates = self._preferred(self._without_suspects(warm_first), now)
             state = self._select(request, candidates, now)
             if state is None or not self.tokens.is_limited(state.target.name):
                 return state
@@ -95,10 +100,12 @@
                 self.tokens.is_limited(s.target.name) for s in open_states
             )
             wait = max(wait_left, 0.0) if all_limited else 0.0
-            if await self.tokens.acquire(state.target, wait) and self._still_open(
-                state
-            ):
+            is_cold = self.tokens.is_cold(state.target.name)
+            granted = await self.tokens.acquire(state.target, wait)
+            if granted and self._still_open(state):
                 return state
+            if is_cold and not granted:
+                self._note_denied(request, state)
 
     def _open_targets(
         self, states: list[DirectTargetState], allow_limited: bool, now: float
@@ -111,6 +118,32 @@
             and (allow_limited or not self.tokens.is_limited(state.target.name))
         ]
 
+    def _note_denied(self, request: DirectRequest, state: DirectTargetState) -> None:
+        """Add an event for a cold target that gets no request now."""
+        now = anyio.current_time()
+        opens_in = self._opens_at(state, now) - now
+        reason = f"no token for a cold target, the next one in {opens_in:.3f} s"
+        self.events.add("cold-target-skipped", state.target.name, reason, request.id)
+
+    def _warm_first(
+        self, states: list[DirectTargetState], now: float
+    ) -> list[DirectTargetState]:
+        """
+        Return the warm targets that have a free slot, or all targets without any.
+
+        Slots are counted over all entries. An ejected target counts as full.
+        """
+        if not self.tokens.cold.ends:
+            return states
+        free = [
+            state
+            for state in states
+            if not self.tokens.is_cold(state.target.name)
+            and state.ejected_until <= now
+            and self._total_running(state, now) < state.target.slots
+        ]
+        return free or states
+
     def _preferred(
         self, states: list[DirectTargetState], now: float
     ) -> list[DirectTargetState]:
--- a/packages/entry/src/briarthread_entry/direct/target_registry.py
+++ b/packages/entry/src/briarthread_entry/direct/target_registry.py
@@ -24,7 +24,8 @@
     During an outage of the platform rows expire although their targets still run. A
     target that is removed from the list during an outage, or soon after, therefore
     stays in use until the time for listing it again is over. ``on_removed`` is called
-    after targets have been removed.
+    after targets have been removed, ``on_listed`` with the target of each new or
+    changed row.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         self.raw_rows: dict[str, str] = {}
         self.states: dict[str, DirectTargetState] = {}
         self.on_removed: Callable[[], None] = _do_nothing
+        self.on_listed: Callable[[DirectTarget], None] = _ignore_row
 
     async def follow(self) -> None:
         """Apply each version of the feed on arrival, not only when it is needed."""
@@ -115,6 +117,7 @@
             return
         self.raw_rows[name] = raw
         self._update(target)
+        self.on_listed(target)
 
     def _update(self, target: DirectTarget) -> None:
         state = self.states.get(target.name)
@@ -134,5 +137,9 @@
         return relist_deadline if removed < relist_deadline else removed
 
 
+def _ignore_row(target: DirectTarget) -> None:
+    """Ignore the row of a target."""
+
+
 def _do_nothing() -> None:
     """Ignore the removal of targets."""
--- a/packages/entry/src/briarthread_entry/direct/token_issuer.py
+++ b/packages/entry/src/briarthread_entry/direct/token_issuer.py
@@ -43,9 +43,9 @@
 
     >>> issuer = TokenIssuer()
     >>> issuer.issue("entry-1", "t-1", 2.0, wait=0.0, now=10.0)
-    TokenAnswer(granted=False, pause=0.5, word=None)
+    TokenAnswer(granted=False, pause=0.5, word=None, cold_left=0.0)
     >>> issuer.issue("entry-1", "t-1", 2.0, wait=0.2, now=10.4)
-    TokenAnswer(granted=True, pause=0.1, word=None)
+    TokenAnswer(granted=True, pause=0.1, word=None, cold_left=0.0)
     """
 
     def __init__(self) -> None:
--- a/packages/standins/src/briarthread_standins/direct_worker.py
+++ b/packages/standins/src/briarthread_standins/direct_worker.py
@@ -46,7 +46,7 @@
     worker it refuses new requests; running streams stall until ``stalled_until`` and
     are then cut off. ``refusals`` sets when it responds 503 with Retry-After.
     ``leaving`` is the value of the server-leaving header, which is omitted for
-    ``None``.
+    ``None``. Until ``cold_until`` it states in its responses how long it is cold.
     """
 
     def __init__(self, name: str, event_count: int = 6) -> None:
@@ -59,6 +59,7 @@
         self.rate_limit: str | None = None
         self.refusals = Refusals()
         self.leaving: str | None = None
+        self.cold_until = 0.0
         self.arrivals: list[float] = []
         self.crash_body: bytes | None = None
         self.on_crash: Callable[[DirectWorker], None] | None = None
@@ -112,6 +113,9 @@
             fields.append(("server-limit", self.rate_limit))
         if self.leaving is not None:
             fields.append(("server-leaving", self.leaving))
+        cold_left = self.cold_until - anyio.current_time()
+        if cold_left > 0:
+            fields.append(("x-cold-ms", str(int(cold_left * 1000))))
         return fields
 
     async def _run(
--- a/packages/standins/src/briarthread_standins/direct_world.py
+++ b/packages/standins/src/briarthread_standins/direct_world.py
@@ -81,6 +81,7 @@
         service: str,
         data_centre: str = "palermo",
         state: str = "ready",
+        cold_seconds: float = 0.0,
     ) -> None:
         """Write a worker's row into the ``servers`` table of the store."""
         row = {
@@ -90,6 +91,8 @@
             "slots": 6,
             "state": state,
         }
+        if cold_seconds:
+            row["coldLeftMs"] = cold_seconds * 1000
         self.store.put("servers", name, row)
 
     def add_entry(self, name: str, data_centre: str = "palermo") -> DirectEntry:
--- a/tests/platform/test_folder.py
+++ b/tests/platform/test_folder.py
@@ -33,6 +33,7 @@
     "maxAttempts",
     "apiKeys",
     "coldLeftMs",
+    "x-cold-ms",
     "x-expect-instance",
     "x-not-executed",
     "x-server-stamp",
