--- a/packages/entry/src/briarthread_entry/direct/target_registry.py
+++ b/packages/entry/src/briarthread_entry/direct/target_registry.py
@@ -25,8 +25,9 @@
     During an outage of the platform rows expire although their targets still run. A
     target that is removed from the list during an outage, or soon after, therefore
     stays in use until the time for listing it again is over. ``on_removed`` is called
-    after targets have been removed. ``on_assumed_cold`` is called with the names of
-    targets that must be assumed cold from now on, before they are used again.
+    after targets have been removed, ``on_listed`` with the target of each new or
+    changed row, and ``on_assumed_cold`` with the names of targets that must be assumed
+    cold from now on, before they are used again.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         self.states: dict[str, DirectTargetState] = {}
         self.on_removed: Callable[[], None] = _do_nothing
         self.on_assumed_cold: Callable[[Sequence[str]], None] = _ignore_names
+        self.on_listed: Callable[[DirectTarget], None] = _ignore_row
 
     async def follow(self) -> None:
         """Apply each version of the feed on arrival, not only when it is needed."""
@@ -104,7 +106,12 @@
             self.on_removed()
 
     def find(self, name: str) -> DirectTarget | None:
-        """Return a target by name, ``None`` if it is unknown or evacuated."""
+        """Return a target by name, ``None`` if it is unknown."""
+        state = self.states.get(name)
+        return None if state is None else state.target
+
+    def find_outside_evacuations(self, name: str) -> DirectTarget | None:
+        """Return a target by name, ``None`` if unknown or its data centre evacuated."""
         state = self.states.get(name)
         return None if state is None or self.is_evacuated(state) else state.target
 
@@ -128,6 +135,7 @@
             return
         self.raw_rows[name] = raw
         self._update(target)
+        self.on_listed(target)
 
     def _update(self, target: DirectTarget) -> None:
         state = self.states.get(target.name)
@@ -156,6 +164,10 @@
         return relist_deadline if removed < relist_deadline else removed
 
 
+def _ignore_row(target: DirectTarget) -> None:
+    """Ignore the row of a target."""
+
+
 def _do_nothing() -> None:
     """Ignore the removal of targets."""
 
