Test that an ejected warm target keeps no requests from a cold one

Cause: the rule that an ejected target counts as full had no test.

Change: one test. No product code changes.

--- a/tests/direct/test_cold_targets.py
+++ b/tests/direct/test_cold_targets.py
@@ -245,6 +245,21 @@
     assert arrivals(world, "diary-0", since, since + 2.0) >= 0.7 * COLD_RATE * 2.0
 
 
+def test_ejected_warm_target_does_not_keep_requests_from_a_cold_one() -> None:
+    """Guards against requests to a failing target because the others are cold."""
+
+    async def change(world: DirectWorld) -> None:
+        list_cold(world, "diary-0")
+        until = anyio.current_time() + 60.0
+        for entry in world.entries.values():
+            entry.registry.states["diary-1"].ejected_until = until
+
+    world, results = simulate(change)
+    check_bound(world, ["diary-0"], results.began + 0.3)
+    since = results.began + 0.8
+    assert arrivals(world, "diary-0", since, since + 2.0) >= 0.7 * COLD_RATE * 2.0
+
+
 @pytest.mark.parametrize("killed", [1, 2])
 def test_bound_holds_when_issuers_are_killed(killed: int) -> None:
     """
