Bound the bytes that an entry holds for its requests

Cause: request bodies and buffered responses of all requests together had no bound, and a response in the server's write buffer stayed there for as long as its caller did not read it.

Change: with memory_mb in [direct], requests reserve the bytes of bodies and buffered responses before or while they are read. Responses are sent in chunks of 64 KiB, and a connection that is closed with unread data is aborted after 5 s. Without the setting nothing is counted and replies are sent as before.

--- a/packages/common/src/briarthread_common/conf/convert.py
+++ b/packages/common/src/briarthread_common/conf/convert.py
@@ -32,6 +32,8 @@
             value = int(raw)
         case OptionKind.NUMBER | OptionKind.SECONDS:
             value = float(raw)
+        case OptionKind.OPTIONAL_NUMBER:
+            value = float(raw) if raw else 0.0
         case OptionKind.FLAG:
             value = FLAGS[raw.lower()] if raw.lower() in FLAGS else _fail(raw)
         case OptionKind.NAMES:
--- a/packages/common/src/briarthread_common/conf/option_kind.py
+++ b/packages/common/src/briarthread_common/conf/option_kind.py
@@ -9,6 +9,7 @@
     TEXT = "text"
     INTEGER = "a whole number"
     NUMBER = "a number"
+    OPTIONAL_NUMBER = "a number or empty"
     SECONDS = "seconds, above 0"
     FLAG = "yes or no"
     NAMES = "names separated by commas"
--- a/packages/common/src/briarthread_common/core/metrics.py
+++ b/packages/common/src/briarthread_common/core/metrics.py
@@ -1,6 +1,12 @@
 """Metrics of a process."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
 
 REQUEST_BUCKETS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.42, 1.0, 2.5, 10.0)
 
@@ -66,6 +72,17 @@
             ["answered"],
             registry=self.registry,
         )
+        self.memory_decisions = Counter(
+            "briarthread_memory_decisions",
+            "Decisions on requests because of the memory budget or slow readers.",
+            ["decision"],
+            registry=self.registry,
+        )
+        self.held_bytes = Gauge(
+            "briarthread_held_bytes",
+            "Bytes reserved for request bodies and buffered responses.",
+            registry=self.registry,
+        )
         self.replays = Counter(
             "briarthread_replays",
             "Answers given from memory to a key asked again.",
--- a/packages/common/src/briarthread_common/http/call.py
+++ b/packages/common/src/briarthread_common/http/call.py
@@ -23,6 +23,11 @@
 REPLY_TIMEOUT_SECONDS = 5.0
 """Time limit for sending a complete response to a slow client."""
 
+REPLY_CHUNK_BYTES = 64 * 1024
+"""Largest part of a response that is passed to the server's write buffer at a time."""
+MIN_READ_BYTES_PER_SECOND = 64 * 1024
+"""Rate below which a client reads a response too slowly: a sixth of a 3 Mbit/s link."""
+
 DISCONNECT_LOOP_ITERATIONS = 3
 """Iterations of the event loop until a disconnect that arrived with its request is
 known: one each to read it, to close the connection and to wake the waiting task."""
@@ -94,8 +99,14 @@
     def _has_header(self, name: bytes, value: str) -> bool:
         return (name, value.encode()) in self.scope["headers"]
 
-    async def read_body(self, limit: int) -> bytes:
-        """Return the body; raise RequestError if it exceeds ``limit`` bytes."""
+    async def read_body(
+        self, limit: int, reserve: Callable[[int], None] | None = None
+    ) -> bytes:
+        """
+        Return the body; raise RequestError if it exceeds ``limit`` bytes.
+
+        ``reserve`` is called with the size of each part before the next one is read.
+        """
         parts: list[bytes] = []
         size = 0
         while True:
@@ -108,6 +119,8 @@
                 raise RequestError(
                     ErrorKind.BODY_TOO_LARGE, f"body is over {limit} bytes"
                 )
+            if reserve is not None:
+                reserve(len(part))
             parts.append(part)
             if not message.get("more_body", False):
                 return b"".join(parts)
@@ -163,6 +176,32 @@
             await self.send({"type": "http.response.body", "body": body})
             self.finished = True
 
+    async def reply_in_chunks(
+        self, status: int, body: bytes, headers: Headers = ()
+    ) -> None:
+        """
+        Send a complete response only as fast as the client reads it.
+
+        The response stays unfinished if the client accepts nothing for
+        REPLY_TIMEOUT_SECONDS or reads below MIN_READ_BYTES_PER_SECOND. The send is
+        shielded from cancellation like that of reply().
+        """
+        longest = REPLY_TIMEOUT_SECONDS + len(body) / MIN_READ_BYTES_PER_SECOND
+        with anyio.move_on_after(longest, shield=True):
+            await self.start(status, [*headers, ("content-length", str(len(body)))])
+            for begin in range(0, max(len(body), 1), REPLY_CHUNK_BYTES):
+                end = begin + REPLY_CHUNK_BYTES
+                with anyio.move_on_after(REPLY_TIMEOUT_SECONDS) as scope:
+                    await self._send_part(body[begin:end], end < len(body))
+                if scope.cancelled_caught:
+                    return
+            self.finished = True
+
+    async def _send_part(self, part: bytes, more_body: bool) -> None:
+        await self.send(
+            {"type": "http.response.body", "body": part, "more_body": more_body}
+        )
+
     async def reply_json(self, message: object, status: int = 200) -> None:
         """Send a message as JSON, compressed if the caller accepts that."""
         body = msgspec.json.encode(message)
@@ -193,9 +232,7 @@
 
     async def send_chunk(self, chunk: bytes) -> None:
         """Send one chunk of the body."""
-        await self.send(
-            {"type": "http.response.body", "body": chunk, "more_body": True}
-        )
+        await self._send_part(chunk, True)
 
     async def finish(self) -> None:
         """Terminate a body sent in chunks; without this it counts as truncated."""
--- a/packages/common/src/briarthread_common/http/channel_calls.py
+++ b/packages/common/src/briarthread_common/http/channel_calls.py
@@ -1,6 +1,6 @@
 """JSON calls over a channel."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import TypeVar
 
 import anyio
@@ -22,18 +22,37 @@
 """Largest message between processes; a services text of full size is 1 MB."""
 
 
-async def read_bounded(chunks: AsyncIterator[bytes], limit: int) -> bytes:
-    """Join a body's chunks; raise BrokenCallError if they exceed ``limit`` bytes."""
+async def read_bounded(
+    chunks: AsyncIterator[bytes],
+    limit: int,
+    reserve: Callable[[int], Awaitable[None]] | None = None,
+) -> bytes:
+    """
+    Join a body's chunks; raise BrokenCallError if they exceed ``limit`` bytes.
+
+    ``reserve`` is awaited with the size of each chunk before the next one is read.
+    """
     parts: list[bytes] = []
     size = 0
     async for chunk in chunks:
         size += len(chunk)
         if size > limit:
             raise BrokenCallError(f"answer larger than {limit} bytes")
+        if reserve is not None:
+            await reserve(len(chunk))
         parts.append(chunk)
     return b"".join(parts)
 
 
+async def discard_bounded(chunks: AsyncIterator[bytes], limit: int) -> None:
+    """Read a body without keeping it; raise BrokenCallError as read_bounded() does."""
+    size = 0
+    async for chunk in chunks:
+        size += len(chunk)
+        if size > limit:
+            raise BrokenCallError(f"answer larger than {limit} bytes")
+
+
 async def call_json(
     channel: Channel,
     address: str,
--- a/packages/common/src/briarthread_common/http/server.py
+++ b/packages/common/src/briarthread_common/http/server.py
@@ -1,5 +1,6 @@
 """HTTP server of a process, based on uvicorn."""
 
+import asyncio
 import contextlib
 import logging
 import signal
@@ -12,6 +13,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from briarthread_common.core.exceptions import ListenError
+from briarthread_common.http.closing_transport import ClosingTransport
 
 KEEPALIVE_SECONDS = 75
 """Longer than the client's idle timeout, so that the client closes first."""
@@ -92,23 +94,43 @@
             raise _HeadTooLarge
 
 
+class _UnreadDroppingProtocol(_LimitedProtocol):
+    """A connection that does not stay open for a client that has stopped reading."""
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Start serving a connection."""
+        super().connection_made(ClosingTransport(transport))
+
+    def on_response_complete(self) -> None:
+        """Drop what was received of a body that the response did not wait for."""
+        if self.cycle.response_complete:
+            self.cycle.body = bytearray()
+        super().on_response_complete()
+
+
 class HttpServer:
     """
     Serve an application and shut it down gracefully.
 
     On SIGTERM or SIGINT the ``on_drain`` callback runs first; it announces that
     the process is leaving and may wait until the announcement has spread. Then the
-    listeners are closed and the requests in flight are awaited.
+    listeners are closed and the requests in flight are awaited. With ``drops_unread``
+    less is buffered for each connection, and a closed connection is aborted if its
+    client does not read the rest.
     """
 
     def __init__(
-        self, app: Any, listeners: Sequence[socket.socket], drain_timeout: float
+        self,
+        app: Any,
+        listeners: Sequence[socket.socket],
+        drain_timeout: float,
+        drops_unread: bool = False,
     ) -> None:
         self.listeners = list(listeners)
         UVICORN_LOGGER.setLevel(logging.CRITICAL)
         self.config = uvicorn.Config(
             app,
-            http=_LimitedProtocol,
+            http=_UnreadDroppingProtocol if drops_unread else _LimitedProtocol,
             lifespan="off",
             log_config=None,
             access_log=False,
--- a/packages/entry/src/briarthread_entry/commands/direct.py
+++ b/packages/entry/src/briarthread_entry/commands/direct.py
@@ -65,7 +65,12 @@
             )
         )
         app = PortApp({callers.getsockname()[1]: entry.app}, entry.peer_app)
-        server = HttpServer(app, [callers, ready, peers], settings.drain_timeout)
+        server = HttpServer(
+            app,
+            [callers, ready, peers],
+            settings.drain_timeout,
+            drops_unread=settings.memory_mb > 0,
+        )
         async with anyio.create_task_group() as tasks:
             entry.start(tasks)
             tasks.start_soon(reload_on_signal, path, load_direct_settings, entry.apply)
--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -13,7 +13,7 @@
 from briarthread_common.direct.header_names import HeaderNames
 from briarthread_common.direct.response_signals import read_response_signals
 from briarthread_common.http.channel import Channel, ChannelRequest, ChannelResponse
-from briarthread_common.http.channel_calls import read_bounded
+from briarthread_common.http.channel_calls import discard_bounded
 from briarthread_entry.direct.attempt_outcome import (
     DirectOutcome,
     NotRun,
@@ -24,13 +24,15 @@
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.event_reader import EventReader
 from briarthread_entry.direct.leaving_targets import LeavingTargets
+from briarthread_entry.direct.read_response import (
+    MAX_RESPONSE_BYTES,
+    read_response,
+)
 from briarthread_entry.direct.response_relay import HeaderFields, ResponseRelay
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.target_limits import TargetLimits
 from briarthread_entry.direct.target_state import DirectTargetState
 
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-"""Largest response of a plain service that is buffered until it is complete."""
 DROPPED_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "content-length", "trailer"}
 )
@@ -84,7 +86,7 @@
         names = self.names
         headers = response.headers
         if names.not_run in headers or response.status == MISDIRECTED_REQUEST:
-            await read_bounded(response.body, MAX_RESPONSE_BYTES)
+            await discard_bounded(response.body, MAX_RESPONSE_BYTES)
             faulty_rank = headers.get(names.faulty_target, "")
             kind = ErrorKind.GROUP_BROKEN if faulty_rank else ErrorKind.OVERLOADED
             return NotRun(
@@ -97,9 +99,9 @@
         self._check_response(response)
         forwarded = tuple(f for f in response.fields if f[0] not in DROPPED_HEADERS)
         if request.route.kind is CallKind.STREAM and response.status == STREAM_STATUS:
-            await self._relay_stream(response, forwarded, relay)
+            await self._relay_stream(request, response, forwarded, relay)
             return StreamRelayed(relay.first_event_at, relay.longest_pause)
-        body = await read_bounded(response.body, MAX_RESPONSE_BYTES)
+        body = await read_response(request, response)
         return TargetResponse(response.status, forwarded, body)
 
     def _check_request_id(
@@ -142,12 +144,18 @@
             raise InvalidResponseError("response has an unrequested content encoding")
 
     async def _relay_stream(
-        self, response: ChannelResponse, headers: HeaderFields, relay: ResponseRelay
+        self,
+        request: DirectRequest,
+        response: ChannelResponse,
+        headers: HeaderFields,
+        relay: ResponseRelay,
     ) -> None:
         reader = EventReader()
         async for chunk in response.body:
             for event in reader.feed(chunk):
                 await relay.forward_event(response.status, headers, event)
+            if request.held is not None:
+                await request.held.cover_event(len(reader.incomplete), request.id)
         if reader.incomplete:
             raise InvalidResponseError("stream ended within an event")
         await relay.finish(response.status, headers)
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -33,6 +33,7 @@
 from briarthread_entry.direct.group_watcher import GroupWatcher
 from briarthread_entry.direct.leaving_targets import LeavingTargets
 from briarthread_entry.direct.limit_tokens import LimitTokens
+from briarthread_entry.direct.memory_budget import MemoryBudget
 from briarthread_entry.direct.peer_reports import PeerReports
 from briarthread_entry.direct.read_request import RequestReader
 from briarthread_entry.direct.request_handler import RequestHandler
@@ -70,6 +71,7 @@
         self.settings = settings
         self.metrics = Metrics()
         self.events = EventLog(clock, "entry")
+        self.memory = MemoryBudget(settings.memory_mb, self.metrics, self.events)
         self.draining = False
         self.feeds = FeedSet(DIRECT_FEEDS)
         self.directory = Directory(self.feeds.instances)
@@ -163,6 +165,7 @@
             self.routes,
             RequestReader(adapter.headers, rng),
             self.runner,
+            self.memory,
             self.metrics,
             self.events,
             lambda: self.draining,
@@ -189,7 +192,7 @@
         tasks.start_soon(self._ensure_registered)
 
     def apply(self, settings: DirectSettings) -> None:
-        """Apply reloaded settings; addresses change only on a restart."""
+        """Apply reloaded settings; addresses and memory change only on a restart."""
         set_up_logs(settings.log_level, settings.log_json)
         self.budget.allowance = settings.allowance
 
--- a/packages/entry/src/briarthread_entry/direct/direct_request.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_request.py
@@ -4,6 +4,7 @@
 
 from briarthread_common.direct.direct_service import DirectService
 from briarthread_common.direct.host_route import HostRoute
+from briarthread_entry.direct.held_bytes import HeldBytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,7 +16,8 @@
     ``deadline`` are seconds of the runtime's clock; the deadline is the earlier of the
     caller's and the route's. ``caller_timeout`` is the number of seconds for which the
     caller waits, ``None`` if it did not state any. ``digest`` is the same for identical
-    requests of one account.
+    requests of one account. ``held`` counts the bytes that are held for the request,
+    ``None`` if they are not counted.
     """
 
     id: str
@@ -34,6 +36,7 @@
     answer_tokens: int = 0
     last_event_id: int | None = None
     digest: str = ""
+    held: HeldBytes | None = None
 
     def caller_time_left(self, now: float) -> float:
         """Return the seconds for which the caller still waits."""
--- a/packages/entry/src/briarthread_entry/direct/read_request.py
+++ b/packages/entry/src/briarthread_entry/direct/read_request.py
@@ -1,6 +1,9 @@
 """Parser of callers' requests to direct targets."""
 
+import math
 import random
+from collections.abc import Callable
+from functools import partial
 
 import anyio
 
@@ -11,7 +14,14 @@
 from briarthread_common.direct.host_route import HostRoute
 from briarthread_common.direct.route_map import RouteMap
 from briarthread_common.http.call import Call
+from briarthread_entry.direct.admission_rule import (
+    MIN_RETRY_AFTER_SECONDS,
+    retry_after_backoff,
+    retry_after_outage,
+)
 from briarthread_entry.direct.direct_request import DirectRequest
+from briarthread_entry.direct.held_bytes import HeldBytes
+from briarthread_entry.direct.memory_rule import Granted, MemoryFull, TooLarge
 from briarthread_entry.direct.request_digest import request_digest
 
 CONNECTION_HEADERS = frozenset(
@@ -50,15 +60,18 @@
             }
         )
 
-    async def read(self, call: Call, routes: RouteMap, arrived: float) -> DirectRequest:
-        """Return the request of a call, including its body."""
+    async def read(
+        self, call: Call, routes: RouteMap, arrived: float, held: HeldBytes
+    ) -> DirectRequest:
+        """Return the request of a call; the bytes of its body are reserved first."""
         headers = call.headers
         host = headers.get("host", "").partition(":")[0].lower()
         route = routes.match(host, call.raw_path)
         if route is None:
             raise RequestError(ErrorKind.UNKNOWN_SERVICE, f"no route for host {host}")
         account = self._account(headers, route, routes)
-        body = await self._read_body(call, headers, routes)
+        reserve = partial(self._reserve, headers, route, held)
+        body = await self._read_body(call, headers, routes, reserve)
         service = routes.services[self._choose_service(route)]
         prompt_tokens, answer_tokens = _parse_token_counts(
             headers.get(self.names.token_counts, "")
@@ -84,6 +97,7 @@
             answer_tokens=answer_tokens,
             last_event_id=_parse_event_id(headers.get(self.names.resume_from)),
             digest=request_digest(account.name, call.method, call.raw_target, body),
+            held=held,
         )
 
     def _account(
@@ -97,18 +111,65 @@
         return NO_ACCOUNT
 
     async def _read_body(
-        self, call: Call, headers: dict[str, str], routes: RouteMap
+        self,
+        call: Call,
+        headers: dict[str, str],
+        routes: RouteMap,
+        reserve: Callable[[int], None],
     ) -> bytes | None:
         if "content-length" not in headers and "transfer-encoding" not in headers:
             return None
+        limit = routes.limits.max_body_bytes
+        stated_length = headers.get("content-length", "")
+        is_known = stated_length.isdecimal()
+        if is_known:
+            reserve(min(int(stated_length), limit))
         try:
             with anyio.fail_after(routes.limits.idle_timeout):
-                return await call.read_body(routes.limits.max_body_bytes)
+                return await call.read_body(limit, None if is_known else reserve)
         except TimeoutError as error:
             raise RequestError(
                 ErrorKind.BODY_TOO_SLOW, "request body not received in time"
             ) from error
 
+    def _reserve(
+        self, headers: dict[str, str], route: HostRoute, held: HeldBytes, size: int
+    ) -> None:
+        """Reserve bytes of a body, or raise RequestError."""
+        match held.reserve(size):
+            case Granted():
+                return
+            case TooLarge(limit=limit):
+                reason = f"body exceeds the {limit} bytes that a request may hold"
+                held.budget.count("body-too-large")
+                raise RequestError(ErrorKind.BODY_TOO_LARGE, reason)
+            case MemoryFull(shortfall=shortfall):
+                held.budget.count("body-refused")
+                pause = self._retry_after(headers, route, held, shortfall)
+                raise RequestError(
+                    ErrorKind.OVERLOADED,
+                    f"no memory for a body of {size} bytes",
+                    retry_after=pause,
+                )
+
+    def _retry_after(
+        self, headers: dict[str, str], route: HostRoute, held: HeldBytes, shortfall: int
+    ) -> float:
+        """
+        Return the seconds after which enough memory is expected to be free.
+
+        All bytes that are held now are released within the route's time limit. If none
+        was released lately, the request is repeated as late as callers honour.
+        """
+        caller_timeout = self._caller_timeout(headers)
+        time_left = route.timeout if caller_timeout is None else caller_timeout
+        opens_in = held.budget.opens_in(shortfall)
+        jitter = self.rng.random()
+        if opens_in == math.inf:
+            return retry_after_outage(time_left, opens_in, jitter)
+        opens_in = max(min(opens_in, route.timeout), MIN_RETRY_AFTER_SECONDS)
+        return retry_after_backoff(time_left, opens_in, jitter)
+
     def _choose_service(self, route: HostRoute) -> str:
         if len(route.shares) == 1:
             return route.shares[0].service
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/read_response.py
@@ -0,0 +1,39 @@
+"""Reading of a buffered response within the memory budget."""
+
+from briarthread_common.http.channel import ChannelResponse
+from briarthread_common.http.channel_calls import read_bounded
+from briarthread_entry.direct.direct_request import DirectRequest
+
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+"""Largest response of a plain service that is buffered until it is complete."""
+NOT_MODIFIED = 304
+"""A status whose content length is that of a body that is not sent."""
+
+
+async def read_response(request: DirectRequest, response: ChannelResponse) -> bytes:
+    """
+    Return the body of a response.
+
+    Its bytes are reserved first, those of a body of unknown length as they arrive.
+    While there is no memory for them the target has to wait.
+    """
+    held = request.held
+    if held is None or not held.is_bounded:
+        return await read_bounded(response.body, MAX_RESPONSE_BYTES)
+
+    async def reserve(size: int) -> None:
+        await held.reserve_waiting(size, request.id)
+
+    length = _stated_length(request, response)
+    if length is None:
+        return await read_bounded(response.body, MAX_RESPONSE_BYTES, reserve)
+    await reserve(min(length, MAX_RESPONSE_BYTES))
+    return await read_bounded(response.body, MAX_RESPONSE_BYTES)
+
+
+def _stated_length(request: DirectRequest, response: ChannelResponse) -> int | None:
+    """Return the length of the body, ``None`` if it is not known."""
+    if request.method == "HEAD" or response.status == NOT_MODIFIED:
+        return 0
+    raw = response.headers.get("content-length", "")
+    return int(raw) if raw.isdecimal() else None
--- a/packages/entry/src/briarthread_entry/direct/request_handler.py
+++ b/packages/entry/src/briarthread_entry/direct/request_handler.py
@@ -15,6 +15,8 @@
 from briarthread_common.http.call import Call
 from briarthread_common.http.problem import problem_body, problem_headers
 from briarthread_entry.direct.direct_request import DirectRequest
+from briarthread_entry.direct.held_bytes import HeldBytes
+from briarthread_entry.direct.memory_budget import MemoryBudget
 from briarthread_entry.direct.read_request import RequestReader
 from briarthread_entry.direct.request_runner import RequestRunner
 
@@ -27,6 +29,7 @@
         routes: RouteView,
         reader: RequestReader,
         runner: RequestRunner,
+        memory: MemoryBudget,
         metrics: Metrics,
         events: EventLog,
         is_draining: Callable[[], bool],
@@ -34,16 +37,21 @@
         self.routes = routes
         self.reader = reader
         self.runner = runner
+        self.memory = memory
         self.metrics = metrics
         self.events = events
         self.is_draining = is_draining
 
     async def handle(self, call: Call) -> None:
-        """Serve one call."""
+        """Serve one call and release the bytes held for it."""
+        with self.memory.hold() as held:
+            await self._handle(call, held)
+
+    async def _handle(self, call: Call, held: HeldBytes) -> None:
         call.close_connection = self.is_draining()
         arrived = anyio.current_time()
         try:
-            request = await self._read(call, arrived)
+            request = await self._read(call, arrived, held)
         except RequestError as error:
             self.metrics.refusals.labels(str(error.kind)).inc()
             self.events.add("request-refused", call.path, error.detail)
@@ -53,11 +61,11 @@
         await self._run(request, call)
         self.metrics.request_seconds.observe(anyio.current_time() - arrived)
 
-    async def _read(self, call: Call, arrived: float) -> DirectRequest:
+    async def _read(self, call: Call, arrived: float, held: HeldBytes) -> DirectRequest:
         routes = self.routes.current()
         if routes is None:
             raise RequestError(ErrorKind.NOT_READY, "no configuration yet")
-        return await self.reader.read(call, routes, arrived)
+        return await self.reader.read(call, routes, arrived, held)
 
     async def _run(self, request: DirectRequest, call: Call) -> None:
         if not await call.run_until_disconnect(partial(self._respond, request, call)):
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -118,7 +118,7 @@
                 case StreamRelayed():
                     return
                 case TargetResponse(status=status) if status < SERVER_ERROR:
-                    await _send_response(call, outcome)
+                    await _send_response(request, call, outcome)
                     return
                 case NotRun(written=False):
                     pass
@@ -256,7 +256,7 @@
     ) -> None:
         last_outcome = failures[-1]
         if isinstance(last_outcome, TargetResponse) and not call.started:
-            await _send_response(call, last_outcome)
+            await _send_response(request, call, last_outcome)
             return
         raise self._final_error(request, failures)
 
@@ -270,9 +270,17 @@
         return final_error(failures, time_left, self.rng.random(), closed)
 
 
-async def _send_response(call: Call, response: TargetResponse) -> None:
+async def _send_response(
+    request: DirectRequest, call: Call, response: TargetResponse
+) -> None:
     if call.started:
         raise ResponseAborted(
             "a started stream cannot be completed with a buffered response"
         )
-    await call.reply(response.status, response.body, response.headers)
+    held = request.held
+    if held is None or not held.is_bounded:
+        await call.reply(response.status, response.body, response.headers)
+        return
+    await call.reply_in_chunks(response.status, response.body, response.headers)
+    if not call.finished:
+        held.note_unread(request.id)
--- a/packages/entry/src/briarthread_entry/direct/settings.py
+++ b/packages/entry/src/briarthread_entry/direct/settings.py
@@ -51,6 +51,14 @@
             "10",
             "Time over which retries are counted, s.",
         ),
+        Option(
+            "memory_mb",
+            OptionKind.OPTIONAL_NUMBER,
+            "",
+            "Memory of the instance, MB; a share of it bounds the bodies and responses "
+            "held. Empty or 0: no bound.",
+            minimum=0,
+        ),
     ),
 )
 DIRECT_SECTIONS = (instance_section(), CALLERS, DIRECT, PEERS, LOGS)
@@ -73,6 +81,7 @@
     spread: ReplicationOptions
     log_level: str
     log_json: bool
+    memory_mb: float = 0.0
 
 
 def load_direct_settings(path: Path) -> DirectSettings:
@@ -95,4 +104,5 @@
         ),
         log_level=values["logs"]["level"],
         log_json=values["logs"]["json"],
+        memory_mb=direct["memory_mb"],
     )
--- a/packages/standins/src/briarthread_standins/direct_world.py
+++ b/packages/standins/src/briarthread_standins/direct_world.py
@@ -50,6 +50,7 @@
 
     tasks: TaskGroup
     seed: int = 1
+    memory_mb: float = 0.0
     entries: dict[str, DirectEntry] = field(default_factory=dict)
     workers: dict[str, DirectWorker] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
@@ -111,6 +112,7 @@
             spread=ReplicationOptions(name, data_centre, ("10.1.0.1:9",), 4.0, 2.0),
             log_level="INFO",
             log_json=False,
+            memory_mb=self.memory_mb,
         )
         channel = self.network.channel(peer_address, data_centre)
         entry = DirectEntry(
--- a/tests/common/test_http_channel.py
+++ b/tests/common/test_http_channel.py
@@ -15,6 +15,8 @@
 from briarthread_common.http.http_channel import HttpChannel
 
 BODY = b"x" * 65536
+LARGE_BODY = b"x" * 16 * 1024 * 1024
+"""More than the kernel's send buffer holds, so that the rest waits in the process."""
 RECEIVE_BUFFER_BYTES = 4096
 """Far smaller than BODY, so that most of a request waits in the sender's kernel."""
 ABANDONED_AFTER_SECONDS = 0.1
@@ -111,6 +113,22 @@
     run_with_target(client)
 
 
+def test_large_body_that_its_target_never_reads_is_dropped_when_abandoned() -> None:
+    """Guards against a body that stays in the buffer of an abandoned connection."""
+
+    async def client(channel: HttpChannel, target: SuspendedTarget) -> None:
+        request = ChannelRequest("POST", target.address, "/", body=LARGE_BODY)
+        with anyio.move_on_after(ABANDONED_AFTER_SECONDS):
+            async with channel.stream(request):
+                pass
+        assert channel.pools[target.address, False].connections == []
+        received = target.read_to_end(target.accept())
+        assert received.reset
+        assert len(received.data) < len(LARGE_BODY) / 2
+
+    run_with_target(client)
+
+
 @pytest.mark.parametrize(
     "part",
     [
--- a/tests/direct_builders.py
+++ b/tests/direct_builders.py
@@ -86,16 +86,18 @@
     ranks: int = 3,
     config: dict[str, object] | None = None,
     data_centres: tuple[str, ...] = ("palermo",),
+    memory_mb: float = 0.0,
 ) -> None:
     """
     Run a scenario in virtual time in a started world.
 
-    Entries are assigned to the data centres round-robin.
+    Entries are assigned to the data centres round-robin. ``memory_mb`` is the memory of
+    each entry's instance, 0 for no bound.
     """
 
     async def run() -> None:
         async with anyio.create_task_group() as tasks:
-            world = DirectWorld(tasks)
+            world = DirectWorld(tasks, memory_mb=memory_mb)
             world.store.put("op", "config", config or build_config())
             for number in range(diaries):
                 world.add_worker(f"diary-{number}", DIARY)
