--- a/packages/common/src/briarthread_common/core/metrics.py
+++ b/packages/common/src/briarthread_common/core/metrics.py
@@ -84,6 +84,17 @@
             ["answered"],
             registry=self.registry,
         )
+        self.memory_decisions = Counter(
+            "briarthread_memory_decisions",
+            "Decisions on requests because of the memory budget or slow readers.",
+            ["decision"],
+            registry=self.registry,
+        )
+        self.held_bytes = Gauge(
+            "briarthread_held_bytes",
+            "Bytes reserved for request bodies and buffered responses.",
+            registry=self.registry,
+        )
         self.replays = Counter(
             "briarthread_replays",
             "Answers given from memory to a key asked again.",
