Choose plain targets by their durations at the present load

Cause: one mean duration per target, whatever its load, kept a target that was slow once out of use, and a target without any response counted as faster than its service.

--- a/packages/common/src/briarthread_common/core/metrics.py
+++ b/packages/common/src/briarthread_common/core/metrics.py
@@ -54,6 +54,18 @@
             ["decision"],
             registry=self.registry,
         )
+        self.target_conditions = Counter(
+            "briarthread_target_conditions",
+            "Changes of the condition of plain targets, by the new condition.",
+            ["condition"],
+            registry=self.registry,
+        )
+        self.plain_choices = Counter(
+            "briarthread_plain_choices",
+            "Plain targets chosen as a probe or despite their distance.",
+            ["decision"],
+            registry=self.registry,
+        )
         self.callers_left = Counter(
             "briarthread_callers_left",
             "Requests whose caller left before the answer was complete.",
--- a/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
@@ -16,6 +16,7 @@
 from briarthread_entry.direct.crash_tracker import CrashTracker
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.group_capacity import GroupCapacityTracker
+from briarthread_entry.direct.plain_targets import PlainTargets
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.target_state import DirectTargetState
 
@@ -39,12 +40,14 @@
         capacity: GroupCapacityTracker,
         crashes: CrashTracker,
         backoffs: TargetBackoffs,
+        plain_targets: PlainTargets,
         metrics: Metrics,
         events: EventLog,
     ) -> None:
         self.capacity = capacity
         self.backoffs = backoffs
         self.crashes = crashes
+        self.plain_targets = plain_targets
         self.metrics = metrics
         self.events = events
 
@@ -55,13 +58,17 @@
         outcome: DirectOutcome,
         began: float,
         unanswered: bool,
+        running: int = 0,
     ) -> None:
         """
         Record an attempt that started at ``began`` on the event loop's clock.
 
-        ``unanswered`` is true if no event has been received.
+        ``unanswered`` is true if no event has been received. ``running`` is the number
+        of attempts of all entries that ran at the target when this one started.
         """
         seconds = anyio.current_time() - began
+        if request.service.engine is None and _is_served(outcome):
+            self.plain_targets.note_served(state, seconds, running, began)
         self._note_crash(request, state, outcome, began, unanswered)
         match outcome:
             case StreamRelayed():
@@ -164,6 +171,17 @@
             self.capacity.note_refused(group, refusal.faulty_rank)
 
 
+def _is_served(outcome: DirectOutcome) -> bool:
+    """Return whether an attempt ended with a response that is not a failure."""
+    match outcome:
+        case StreamRelayed():
+            return True
+        case TargetResponse(status=status):
+            return status < SERVER_ERROR
+        case _:
+            return False
+
+
 def _describe_stream(request: DirectRequest, stream: StreamRelayed) -> str:
     """Return the figures that the latency objectives of a stream apply to."""
     if stream.first_event_at is None:
--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -64,7 +64,10 @@
         channel_request = self._build_request(request, state, relay)
         sent_at = anyio.current_time()
         try:
-            with self.backoffs.attempt(state.target.name):
+            with (
+                self.backoffs.attempt(state.target.name),
+                state.unanswered.attempt(sent_at),
+            ):
                 async with self.channel.stream(channel_request) as response:
                     self._check_request_id(request, response)
                     self._record_head(state, response, sent_at)
@@ -119,6 +122,7 @@
             return
         name = state.target.name
         now = anyio.current_time()
+        state.unanswered.note_answer(sent_at, now)
         limit_values = [
             raw for field, raw in response.fields if field == self.names.rate_limit
         ]
--- a/packages/entry/src/briarthread_entry/direct/choose_target.py
+++ b/packages/entry/src/briarthread_entry/direct/choose_target.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Callable, Mapping, Sequence
 
+from briarthread_entry.direct.plain_option import PlainOption
 from briarthread_entry.direct.target_state import DirectTargetState
 
 RunningElsewhere = Callable[[str], int]
@@ -72,28 +73,34 @@
 
 
 def choose_plain(
-    states: Sequence[DirectTargetState],
-    elsewhere: RunningElsewhere,
+    options: Sequence[PlainOption],
     data_centre: str,
-    now: float,
+    seconds_left: float,
     rng: random.Random,
-) -> DirectTargetState | None:
-    """Return the target with the lowest expected cost, ``None`` if there are none."""
-    usable = without_ejected(states, now)
-    if not usable:
+) -> PlainOption | None:
+    """
+    Return the target with the lowest expected cost, ``None`` if there are none.
+
+    A target of another data centre has to be clearly faster to be chosen. It need not
+    be if it usually answers within ``seconds_left``, the time in which the response is
+    not late, and no target of this data centre does.
+    """
+    if not options:
         return None
+    near = [o for o in options if o.state.target.data_centre == data_centre]
+    near_is_late = all(option.usual_seconds > seconds_left for option in near)
 
-    def cost(state: DirectTargetState) -> float:
-        near = state.target.data_centre == data_centre
-        expected = state.cost(elsewhere(state.target.name))
-        return expected * (1.0 if near else REMOTE_PENALTY)
+    def cost(option: PlainOption) -> float:
+        remote = option.state.target.data_centre != data_centre
+        saves_time = near_is_late and option.usual_seconds <= seconds_left
+        return option.cost * (REMOTE_PENALTY if remote and not saves_time else 1.0)
 
-    costs = [cost(state) for state in usable]
+    costs = [cost(option) for option in options]
     least = min(costs)
     return rng.choice(
         [
-            s
-            for s, c in zip(usable, costs, strict=True)
+            o
+            for o, c in zip(options, costs, strict=True)
             if c <= least + COST_TOLERANCE_SECONDS
         ]
     )
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -34,6 +34,7 @@
 from briarthread_entry.direct.leaving_targets import LeavingTargets
 from briarthread_entry.direct.limit_tokens import LimitTokens
 from briarthread_entry.direct.peer_reports import PeerReports
+from briarthread_entry.direct.plain_targets import PlainTargets
 from briarthread_entry.direct.read_request import RequestReader
 from briarthread_entry.direct.request_handler import RequestHandler
 from briarthread_entry.direct.request_runner import RequestRunner
@@ -132,7 +133,7 @@
         )
         self.runner = RequestRunner(
             TargetChooser(
-                settings.data_centre,
+                PlainTargets(settings.data_centre, self.metrics, self.events, rng),
                 self.registry,
                 self.peer_reports,
                 self.capacity,
@@ -263,6 +264,7 @@
                     "service": state.target.service,
                     "leaving": self.registry.is_leaving(state),
                     "running": state.running,
+                    "condition": state.condition,
                     "ejected_seconds": max(state.ejected_until - now, 0.0),
                 }
                 for name, state in self.registry.states.items()
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -73,7 +73,7 @@
         self.slow_ranks = slow_ranks
         self.metrics = metrics
         self.attempt_recorder = AttemptRecorder(
-            capacity, crashes, sender.backoffs, metrics, events
+            capacity, crashes, sender.backoffs, chooser.plain_targets, metrics, events
         )
         self.rng = rng
 
@@ -164,6 +164,7 @@
         may_change_rank: bool,
     ) -> DirectOutcome:
         started = anyio.current_time()
+        running = self.chooser.total_running(state, started)
         group = self.capacity.membership.group_of(state.target)
         relay.begin_attempt(partial(self.capacity.note_event, request.service, group))
         self.crashes.note_start(request.digest, state.target.name)
@@ -183,7 +184,12 @@
             state.prompt_tokens -= request.prompt_tokens
             self.crashes.note_end(request.digest, state.target.name)
         self.attempt_recorder.record(
-            request, state, outcome, started, relay.last_attempt_event_at is None
+            request,
+            state,
+            outcome,
+            started,
+            relay.last_attempt_event_at is None,
+            running,
         )
         return outcome
 
--- a/packages/entry/src/briarthread_entry/direct/target_chooser.py
+++ b/packages/entry/src/briarthread_entry/direct/target_chooser.py
@@ -7,13 +7,14 @@
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.direct.group_id import GroupId
 from briarthread_entry.direct.assigned_slots import AssignedSlots
-from briarthread_entry.direct.choose_target import choose_plain, choose_rank
+from briarthread_entry.direct.choose_target import choose_rank
 from briarthread_entry.direct.crash_tracker import CrashTracker
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.group_admission import MAX_WAIT_SECONDS
 from briarthread_entry.direct.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.limit_tokens import LimitTokens
 from briarthread_entry.direct.peer_reports import PeerReports
+from briarthread_entry.direct.plain_targets import PlainTargets
 from briarthread_entry.direct.slow_ranks import SlowRanks
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.target_registry import TargetRegistry
@@ -38,7 +39,7 @@
 
     def __init__(
         self,
-        data_centre: str,
+        plain_targets: PlainTargets,
         registry: TargetRegistry,
         peer_reports: PeerReports,
         capacity: GroupCapacityTracker,
@@ -49,7 +50,7 @@
         crashes: CrashTracker,
         rng: random.Random,
     ) -> None:
-        self.data_centre = data_centre
+        self.plain_targets = plain_targets
         self.registry = registry
         self.peer_reports = peer_reports
         self.capacity = capacity
@@ -126,11 +127,11 @@
             state
             for state in states
             if not self.peer_reports.is_backing_off(state.target.name, now)
-            and self._total_running(state, now) < state.target.slots
+            and self.total_running(state, now) < state.target.slots
         ]
         return preferred or states
 
-    def _total_running(self, state: DirectTargetState, now: float) -> int:
+    def total_running(self, state: DirectTargetState, now: float) -> int:
         """Return the number of attempts that all entries are running at a target."""
         return state.running + self.peer_reports.running_elsewhere(
             state.target.name, now
@@ -189,7 +190,7 @@
             return self.peer_reports.running_elsewhere(name, now)
 
         if request.service.engine is None:
-            return choose_plain(states, elsewhere, self.data_centre, now, self.rng)
+            return self.plain_targets.choose(request, states, elsewhere, now)
         listed = self.registry.available_targets(service, now)
         assigned = self.assigned_slots.per_rank(
             service, [state.target for state in listed]
--- a/packages/entry/src/briarthread_entry/direct/target_state.py
+++ b/packages/entry/src/briarthread_entry/direct/target_state.py
@@ -4,6 +4,10 @@
 
 from briarthread_common.direct.direct_target import DirectTarget
 from briarthread_common.utils.decaying_mean import DecayingMean
+from briarthread_entry.direct.load_durations import LoadDurations
+from briarthread_entry.direct.probe_schedule import ProbeSchedule
+from briarthread_entry.direct.target_condition import TargetCondition
+from briarthread_entry.direct.unanswered_attempts import UnansweredAttempts
 
 EJECTION_FAILURES = 2
 """Consecutive failures after which a target is ejected. Healthy targets occasionally
@@ -29,7 +33,8 @@
     ``running`` is the number of attempts that this entry is running at the target.
     ``replaced`` is true if another target answers at its address. ``removed_at`` is the
     time when the target was removed from the platform's list. Times are in seconds on
-    the event loop's clock.
+    the event loop's clock. ``condition``, ``durations`` and ``probe`` are kept for
+    targets of plain services only.
     """
 
     target: DirectTarget
@@ -46,6 +51,10 @@
     response_seconds: DecayingMean = field(
         default_factory=lambda: DecayingMean(SAMPLE_WEIGHT)
     )
+    condition: TargetCondition = TargetCondition.NORMAL
+    durations: LoadDurations = field(default_factory=LoadDurations)
+    unanswered: UnansweredAttempts = field(default_factory=UnansweredAttempts)
+    probe: ProbeSchedule = field(default_factory=ProbeSchedule)
 
     def note_success(self, seconds: float) -> None:
         """Record a successful attempt and its duration."""
@@ -72,22 +81,18 @@
         """Return whether the target may get new requests, apart from ejections."""
         return not self.target.leaving and not self.replaced
 
-    def cost(self, running_elsewhere: int) -> float:
+    def fill(self, running: int) -> float:
+        """Return the share of the slots that running attempts use, 1.0 if all."""
+        return running / max(self.target.slots, 1)
+
+    def cost(self, seconds: float, running: int) -> float:
         """
-        Return the expected duration of one more call in seconds.
+        Return what one more call costs in comparison with other targets, in seconds.
 
-        The duration includes the retries of calls that fail at the current failure
-        rate.
+        ``seconds`` is the usual duration of a call, ``running`` the number of attempts
+        of all entries. The cost grows with the load, and includes the retries of calls
+        that fail at the current failure rate.
         """
-        seconds = (
-            self.response_seconds.value
-            if self.response_seconds.samples
-            else DEFAULT_RESPONSE_SECONDS
-        )
-        total_running = self.running + running_elsewhere
-        slots = max(self.target.slots, 1)
         return (
-            seconds
-            * (1 + total_running / slots)
-            / max(1 - self.failure_share.value, 0.05)
+            seconds * (1 + self.fill(running)) / max(1 - self.failure_share.value, 0.05)
         )
--- a/packages/standins/src/briarthread_standins/direct_worker.py
+++ b/packages/standins/src/briarthread_standins/direct_worker.py
@@ -46,13 +46,17 @@
     worker it refuses new requests; running streams stall until ``stalled_until`` and
     are then cut off. ``refusals`` sets when it responds 503 with Retry-After.
     ``leaving`` is the value of the server-leaving header, which is omitted for
-    ``None``.
+    ``None``. A request takes ``slow_delay`` instead of ``delay`` if it comes before
+    ``slow_until`` while ``slow_running`` others are in progress.
     """
 
     def __init__(self, name: str, event_count: int = 6) -> None:
         self.name = name
         self.event_count = event_count
         self.delay = 0.02
+        self.slow_delay = 0.0
+        self.slow_until = 0.0
+        self.slow_running = 0
         self.event_interval = 0.06
         self.events_before_cut = 2
         self.repeats_last_event = False
@@ -120,12 +124,17 @@
         finished = False
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(call.cancel_on_disconnect, tasks.cancel_scope)
-            await anyio.sleep(self.delay)
+            await anyio.sleep(self._current_delay())
             await self._respond(call, headers, fault)
             finished = True
             tasks.cancel_scope.cancel()
         self.cancelled_requests += not finished
 
+    def _current_delay(self) -> float:
+        others = self.in_progress - 1
+        is_slow = anyio.current_time() < self.slow_until and others >= self.slow_running
+        return self.slow_delay if is_slow else self.delay
+
     async def _respond(
         self, call: Call, headers: dict[str, str], fault: WorkerFault | None
     ) -> None:
--- a/packages/standins/src/briarthread_standins/limit_scenario.py
+++ b/packages/standins/src/briarthread_standins/limit_scenario.py
@@ -1,4 +1,4 @@
-"""Description of a load on targets that announce a limit or request backoff."""
+"""Description of a load on targets that change while it lasts."""
 
 from dataclasses import dataclass
 
@@ -32,7 +32,37 @@
     retry_after: float = 3.0
 
 
-Step = LimitStep | RefusalStep
+@dataclass(frozen=True, slots=True)
+class SlowStep:
+    """
+    From ``at`` seconds on, calls to the first ``targets`` take ``delay`` seconds.
+
+    Only calls count that come within ``seconds`` while ``running`` others are in
+    progress. With a ``delay`` beyond the callers' deadlines, a target never answers.
+    """
+
+    at: float
+    delay: float
+    seconds: float = 1e6
+    running: int = 0
+    targets: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseStep:
+    """
+    At ``at`` seconds, another target replaces the target of a number.
+
+    Its calls take ``delay`` seconds during its first ``seconds``.
+    """
+
+    at: float
+    target: int
+    delay: float
+    seconds: float
+
+
+Step = LimitStep | RefusalStep | SlowStep | ReleaseStep
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +74,8 @@
     entry gets ``first_entry_share`` of them, the others equal shares of the rest. At
     ``fault_at`` one entry is killed and restarted one second later (``restarted``) or
     isolated from all others for four seconds (``cut_off``). It is the first entry that
-    others ask for limit tokens of the first target.
+    others ask for limit tokens of the first target. A call to a plain target takes
+    ``delay``; ``kind`` is that of the route to a plain service.
     """
 
     entries: int = 9
@@ -58,3 +89,5 @@
     restarted: bool = False
     cut_off: bool = False
     seed: int = 1
+    delay: float = 0.02
+    kind: str = "safe"
--- a/packages/standins/src/briarthread_standins/limit_simulation.py
+++ b/packages/standins/src/briarthread_standins/limit_simulation.py
@@ -1,5 +1,5 @@
 """
-Simulation of a load on targets that announce rate limits or request backoff.
+Simulation of a load on targets that announce limits or backoff or change in speed.
 
 It runs real entries in virtual time.
 """
@@ -21,6 +21,8 @@
     LimitScenario,
     LimitStep,
     RefusalStep,
+    ReleaseStep,
+    SlowStep,
     Step,
 )
 from briarthread_standins.virtual_time import run_virtual
@@ -78,14 +80,15 @@
 
 def _start_world(tasks: TaskGroup, scenario: LimitScenario) -> DirectWorld:
     world = DirectWorld(tasks, scenario.seed)
-    kind = "stream" if scenario.service == MODEL else "safe"
+    kind = "stream" if scenario.service == MODEL else scenario.kind
     route = build_route_row(
         "/ask/", scenario.service, kind, maxAttempts=2, resumable=True
     )
     world.store.put("op", "config", build_config(routes=[route]))
     for number in range(scenario.targets):
         name = f"target-{number}"
-        world.add_worker(name, scenario.service, data_centre_of(name))
+        worker = world.add_worker(name, scenario.service, data_centre_of(name))
+        worker.delay = scenario.delay
     for name in entry_names(scenario):
         world.add_entry(name, data_centre_of(name))
     return world
@@ -95,10 +98,24 @@
     start = anyio.current_time()
     for step in scenario.steps:
         await anyio.sleep(start + step.at - anyio.current_time())
+        if isinstance(step, ReleaseStep):
+            _release(world, scenario, step)
+            continue
         for worker in list(world.workers.values())[: step.targets]:
             _apply_step(worker, step)
 
 
+def _release(world: DirectWorld, scenario: LimitScenario, step: ReleaseStep) -> None:
+    name = f"target-{step.target}"
+    world.store.delete("servers", name)
+    worker = world.add_worker(
+        f"released-{step.target}", scenario.service, data_centre_of(name)
+    )
+    worker.delay = scenario.delay
+    worker.slow_delay = step.delay
+    worker.slow_until = anyio.current_time() + step.seconds
+
+
 def _apply_step(worker: DirectWorker, step: Step) -> None:
     match step:
         case LimitStep(limit=limit):
@@ -106,6 +123,10 @@
         case RefusalStep(seconds=seconds, retry_after=retry_after):
             now = anyio.current_time()
             worker.refusals.refuse(now, now + seconds, retry_after)
+        case SlowStep(delay=delay, seconds=seconds, running=running):
+            worker.slow_delay = delay
+            worker.slow_until = anyio.current_time() + seconds
+            worker.slow_running = running
 
 
 async def _inject_fault(world: DirectWorld, scenario: LimitScenario) -> None:
@@ -151,8 +172,4 @@
     except ChannelError:
         results.statuses[0] += 1
         return
-    results.statuses[reply.status if reply.complete else 0] += 1
-    if reply.status == 503:
-        results.retry_after_seconds.append(float(reply.headers["retry-after"]))
-        duration = anyio.current_time() - sent_at
-        results.slowest_refusal = max(results.slowest_refusal, duration)
+    results.note_response(reply, anyio.current_time() - sent_at)
