--- a/packages/entry/src/briarthread_entry/direct/attempt_outcome.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_outcome.py
@@ -66,4 +66,22 @@
     factor: float
 
 
-DirectOutcome = TargetResponse | StreamRelayed | NotRun | OutcomeUnknown | RankTooSlow
+@dataclass(frozen=True, slots=True)
+class TargetSilent:
+    """
+    The attempt was cancelled so that the request is repeated at another target.
+
+    ``seconds`` is for how long the attempt was not answered.
+    """
+
+    seconds: float
+
+
+DirectOutcome = (
+    TargetResponse
+    | StreamRelayed
+    | NotRun
+    | OutcomeUnknown
+    | RankTooSlow
+    | TargetSilent
+)
--- a/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
@@ -12,6 +12,7 @@
     RankTooSlow,
     StreamRelayed,
     TargetResponse,
+    TargetSilent,
 )
 from briarthread_entry.direct.crash_tracker import CrashTracker
 from briarthread_entry.direct.direct_request import DirectRequest
@@ -87,6 +88,10 @@
             case RankTooSlow(factor=factor):
                 reason = f"{factor:.1f} times slower, continuing on another rank"
                 self.events.add("attempt-moved", state.target.name, reason, request.id)
+            case TargetSilent(seconds=silent):
+                self.plain_targets.note_moved(state, silent, running)
+                reason = f"nothing answered for {silent:.3f} s, repeated elsewhere"
+                self.events.add("attempt-moved", state.target.name, reason, request.id)
             case NotRun():
                 self._note_refused(request, state, outcome)
 
--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -66,11 +66,11 @@
         try:
             with (
                 self.backoffs.attempt(state.target.name),
-                state.unanswered.attempt(sent_at),
+                state.unanswered.attempt(sent_at) as number,
             ):
                 async with self.channel.stream(channel_request) as response:
                     self._check_request_id(request, response)
-                    self._record_head(state, response, sent_at)
+                    self._record_head(state, response, sent_at, number)
                     return await self._read(request, response, relay)
         except RequestNotSentError as error:
             return NotRun(_request_error(ErrorKind.NO_TARGET, error), written=False)
@@ -115,14 +115,22 @@
             )
 
     def _record_head(
-        self, state: DirectTargetState, response: ChannelResponse, sent_at: float
+        self,
+        state: DirectTargetState,
+        response: ChannelResponse,
+        sent_at: float,
+        number: int,
     ) -> None:
-        """Record limit, backoff and shutdown, but not of a 421 from another target."""
+        """
+        Record the answer, limit, backoff and shutdown.
+
+        A 421 comes from another target and says nothing of this one.
+        """
         if response.status == MISDIRECTED_REQUEST:
             return
         name = state.target.name
         now = anyio.current_time()
-        state.unanswered.note_answer(sent_at, now)
+        state.unanswered.note_answer(number, now)
         limit_values = [
             raw for field, raw in response.fields if field == self.names.rate_limit
         ]
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -187,6 +187,7 @@
         tasks.start_soon(self.running_watcher.run)
         tasks.start_soon(self.group_watcher.run)
         tasks.start_soon(self.slow_ranks.run)
+        tasks.start_soon(self.runner.silent_attempts.run)
         tasks.start_soon(self._ensure_registered)
 
     def apply(self, settings: DirectSettings) -> None:
--- a/packages/entry/src/briarthread_entry/direct/final_error.py
+++ b/packages/entry/src/briarthread_entry/direct/final_error.py
@@ -14,11 +14,13 @@
     NotRun,
     OutcomeUnknown,
     RankTooSlow,
+    TargetSilent,
 )
 from briarthread_entry.direct.targets_closed import TargetsClosed
 
 SLOW_RANK = "slow-rank"
-"""Reason of a retry without a failure, in addition to the kinds of errors."""
+SILENT_TARGET = "silent-target"
+"""Reasons of retries without a failure, in addition to the kinds of errors."""
 
 
 def final_error(
@@ -66,6 +68,8 @@
             return str(error.kind)
         case RankTooSlow():
             return SLOW_RANK
+        case TargetSilent():
+            return SILENT_TARGET
         case _:
             return str(ErrorKind.TARGET_FAILED)
 
@@ -76,5 +80,7 @@
             return error.detail
         case RankTooSlow():
             return "no other rank continued the stream of a slow rank"
+        case TargetSilent(seconds=seconds):
+            return f"the target answered nothing for {seconds:.3f} s"
         case _:
             return "the target responded with a failure"
--- a/packages/entry/src/briarthread_entry/direct/load_durations.py
+++ b/packages/entry/src/briarthread_entry/direct/load_durations.py
@@ -6,11 +6,10 @@
 
 FULL_BAND = 4
 """Number of the band of a full target; each band below it is a quarter of the slots."""
-MEMORY_SECONDS = 10.0
+MEMORY_SECONDS = 60.0
 """Time in seconds after which a band without samples is forgotten. Requests avoid a
-band that is slow, so a target that has recovered would otherwise be avoided forever."""
-MIN_SAMPLES = 3
-"""Samples that a band needs before it counts; single calls may be long."""
+band that is slow, so a target that has recovered would otherwise be avoided forever.
+Each time, an entry learns a slow band again at the cost of a late response."""
 STEEP_FACTOR = 2.0
 """Growth of the duration with the load above which the bands are used. Every cost
 grows by up to this factor between an empty and a full target, without any observation.
@@ -37,12 +36,11 @@
     exact. Times are in seconds.
 
     >>> durations = LoadDurations()
-    >>> for _ in range(3):
-    ...     durations.add(0.0, 0.02, now=1.0)
-    ...     durations.add(0.9, 0.2, now=1.0)
+    >>> durations.add(0.0, 0.02, now=1.0)
+    >>> durations.add(0.9, 0.2, now=1.0)
     >>> [durations.seconds_at(fill, now=2.0) for fill in (0.1, 0.5, 0.8)]
     [0.02, 0.02, 0.2]
-    >>> durations.seconds_at(0.8, now=20.0) is None
+    >>> durations.seconds_at(0.8, now=70.0) is None
     True
     """
 
@@ -76,7 +74,7 @@
         return {
             number: band.mean.value
             for number, band in self.bands.items()
-            if band.mean.samples >= MIN_SAMPLES and now - band.seen_at <= MEMORY_SECONDS
+            if now - band.seen_at <= MEMORY_SECONDS
         }
 
 
--- a/packages/entry/src/briarthread_entry/direct/plain_targets.py
+++ b/packages/entry/src/briarthread_entry/direct/plain_targets.py
@@ -3,12 +3,12 @@
 import random
 from collections.abc import Sequence
 
+import anyio
 from loguru import logger
 
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.core.metrics import Metrics
 from briarthread_common.direct.call_kind import CallKind
-from briarthread_common.utils.decaying_mean import DecayingMean
 from briarthread_entry.direct.choose_target import (
     RunningElsewhere,
     choose_plain,
@@ -17,32 +17,32 @@
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.plain_option import PlainOption
 from briarthread_entry.direct.probe_schedule import FIRST_INTERVAL_SECONDS
+from briarthread_entry.direct.service_record import ServiceRecord
 from briarthread_entry.direct.target_condition import TargetCondition
 from briarthread_entry.direct.target_state import (
     DEFAULT_RESPONSE_SECONDS,
     DirectTargetState,
 )
 
-SERVICE_SAMPLE_WEIGHT = 0.05
-"""Weight of one sample in a service's mean duration, which then covers about twenty
-responses of all its targets."""
 SLOW_FACTOR = 2.0
 """Mean duration relative to the service's from which a target is slow. The means of
 equal targets differ by less, since each covers about seven responses."""
 RECOVERED_FACTOR = 1.5
 """Mean duration relative to the service's up to which a slow target is normal again;
 it is lower than SLOW_FACTOR so that a target does not change at each response."""
-SILENCE_FACTOR = 5.0
+SILENCE_FACTOR = 4.0
 """Time without any answer, relative to the target's usual duration, from which a target
-is silent. About one call in 150 is longer if durations are distributed exponentially.
-"""
-MIN_SILENCE_SECONDS = 0.3
+is silent. About one call in 50 is longer if durations are distributed exponentially,
+and a target in use answers others meanwhile."""
+MIN_SILENCE_SECONDS = 0.25
 """Shortest time in seconds without any answer that is a silence. Calls that usually
 take milliseconds wait that long for a garbage collection or a lost packet."""
 UNSAFE_PROBE_DELAY_SECONDS = 2.0
 """Time in seconds for which a probe that is due is left to requests that may be
-retried. An unsafe request can be sent to one target only and is lost if that one does
-not answer."""
+retried. An unsafe request can be sent to one target only."""
+UNSAFE_SILENT_PROBE_DELAY_SECONDS = 10.0
+"""The same for a silent target, at which an unsafe request is lost if the target still
+does not answer."""
 
 
 class PlainTargets:
@@ -66,7 +66,7 @@
         self.metrics = metrics
         self.events = events
         self.rng = rng
-        self.service_seconds: dict[str, DecayingMean] = {}
+        self.services: dict[str, ServiceRecord] = {}
 
     def choose(
         self,
@@ -79,7 +79,7 @@
         for state in states:
             self._update_condition(state, now)
         healthy = without_ejected(states, now)
-        accepting = [s for s in healthy if _accepts(s, request, now)]
+        accepting = [s for s in healthy if self._accepts(s, request, now)]
         options = [
             self._option(s, request, elsewhere(s.target.name), now)
             for s in accepting or healthy
@@ -100,15 +100,22 @@
 
         The result of a probe replaces what was known of the target before.
         """
-        service = state.target.service
-        mean = self.service_seconds.setdefault(
-            service, DecayingMean(SERVICE_SAMPLE_WEIGHT)
-        )
-        mean.add(seconds)
+        self._record_of(state).seconds.add(seconds)
         if state.probe.takes_result(began):
             state.response_seconds.samples = 0
         state.durations.add(state.fill(running), seconds, began + seconds)
 
+    def note_moved(
+        self, state: DirectTargetState, seconds: float, running: int
+    ) -> None:
+        """
+        Record an attempt that was moved off the target because it was not answered.
+
+        Its age is a lower bound of the duration at that load. It does not enter the
+        mean over all loads, by which a silence is recognised.
+        """
+        state.durations.add(state.fill(running), seconds, anyio.current_time())
+
     def _option(
         self, state: DirectTargetState, request: DirectRequest, running: int, now: float
     ) -> PlainOption:
@@ -128,30 +135,67 @@
         service_seconds = self._service_seconds(state) or DEFAULT_RESPONSE_SECONDS
         if not state.response_seconds.samples:
             return service_seconds
-        if state.condition is TargetCondition.SLOW and _probe_due(state, request, now):
+        if state.condition is TargetCondition.SLOW and self._probe_due(
+            state, request, now
+        ):
             return min(state.response_seconds.value, service_seconds)
         by_load = state.durations.seconds_at(fill, now)
         return state.response_seconds.value if by_load is None else by_load
 
     def _service_seconds(self, state: DirectTargetState) -> float | None:
         """Return the mean duration of a service's calls, ``None`` if there is none."""
-        mean = self.service_seconds.get(state.target.service)
-        return None if mean is None else mean.value
+        mean = self._record_of(state).seconds
+        return mean.value if mean.samples else None
+
+    def _record_of(self, state: DirectTargetState) -> ServiceRecord:
+        return self.services.setdefault(state.target.service, ServiceRecord())
+
+    def silence_limit(self, state: DirectTargetState) -> float | None:
+        """
+        Return the seconds without an answer after which a target is silent.
+
+        Return ``None`` while no target of its service has answered.
+        """
+        usual = self._service_seconds(state)
+        if usual is None:
+            return None
+        if state.response_seconds.samples:
+            usual = state.response_seconds.value
+        return max(SILENCE_FACTOR * usual, MIN_SILENCE_SECONDS)
+
+    def _accepts(
+        self, state: DirectTargetState, request: DirectRequest, now: float
+    ) -> bool:
+        """Return whether a target may be chosen for a request, also as a probe."""
+        match state.condition:
+            case TargetCondition.NEW:
+                is_idle = not state.unanswered.sent_at
+                return is_idle and self._probe_due(state, request, now)
+            case TargetCondition.SILENT:
+                return self._probe_due(state, request, now)
+            case _:
+                return True
+
+    def _probe_due(
+        self, state: DirectTargetState, request: DirectRequest, now: float
+    ) -> bool:
+        if now < state.probe.next_at + _probe_delay(state.condition, request):
+            return False
+        is_new = state.condition is TargetCondition.NEW
+        return is_new or self._record_of(state).may_probe()
 
     def _judge(self, state: DirectTargetState, now: float) -> TargetCondition:
         service_seconds = self._service_seconds(state)
-        if service_seconds is None:
+        silence = self.silence_limit(state)
+        if service_seconds is None or silence is None:
             return TargetCondition.NORMAL
-        has_samples = state.response_seconds.samples > 0
-        usual = state.response_seconds.value if has_samples else service_seconds
-        silence = max(SILENCE_FACTOR * usual, MIN_SILENCE_SECONDS)
         if state.unanswered.silent_seconds(now) > silence:
             return TargetCondition.SILENT
-        if not has_samples:
+        if not state.response_seconds.samples:
             return TargetCondition.NEW
         was_slow = state.condition is TargetCondition.SLOW
         factor = RECOVERED_FACTOR if was_slow else SLOW_FACTOR
-        if usual > factor * service_seconds:
+        if state.response_seconds.value > factor * service_seconds:
             return TargetCondition.SLOW
         return TargetCondition.NORMAL
 
@@ -181,11 +225,14 @@
     ) -> None:
         """Count and record a choice that an equal service would not have led to."""
         state = chosen.state
-        if state.condition is not TargetCondition.NORMAL and _probe_due(
+        record = self._record_of(state)
+        record.choices += 1
+        if state.condition is not TargetCondition.NORMAL and self._probe_due(
             state, request, now
         ):
             if state.condition is not TargetCondition.NEW:
                 state.probe.note_sent(now)
+                record.choices = 0
             self._note_decision(request, state, f"probe-{state.condition}")
         elif state.target.data_centre != self.data_centre and any(
             option.state.target.data_centre == self.data_centre
@@ -202,20 +249,13 @@
         self.events.add(decision, state.target.name, reason, request.id)
 
 
-def _accepts(state: DirectTargetState, request: DirectRequest, now: float) -> bool:
-    """Return whether a target may be chosen for a request, also as a probe."""
-    match state.condition:
-        case TargetCondition.NEW:
-            return not state.unanswered.sent_at and _probe_due(state, request, now)
-        case TargetCondition.SILENT:
-            return _probe_due(state, request, now)
-        case _:
-            return True
-
-
-def _probe_due(state: DirectTargetState, request: DirectRequest, now: float) -> bool:
-    delay = 0.0 if request.route.retryable else UNSAFE_PROBE_DELAY_SECONDS
-    return now >= state.probe.next_at + delay
+def _probe_delay(condition: TargetCondition, request: DirectRequest) -> float:
+    """Return for how long a request leaves a probe that is due to others."""
+    if request.route.retryable:
+        return 0.0
+    if condition is TargetCondition.SILENT:
+        return UNSAFE_SILENT_PROBE_DELAY_SECONDS
+    return UNSAFE_PROBE_DELAY_SECONDS
 
 
 def _time_to_objective(request: DirectRequest, now: float) -> float:
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -1,6 +1,8 @@
 """Execution of a request by attempts at direct targets."""
 
 import random
+from collections.abc import Callable
+from contextlib import AbstractContextManager
 from functools import partial
 
 import anyio
@@ -18,6 +20,7 @@
     RankTooSlow,
     StreamRelayed,
     TargetResponse,
+    TargetSilent,
 )
 from briarthread_entry.direct.attempt_recorder import SERVER_ERROR, AttemptRecorder
 from briarthread_entry.direct.attempt_sender import AttemptSender
@@ -29,6 +32,7 @@
 from briarthread_entry.direct.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.response_relay import ResponseRelay
 from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
+from briarthread_entry.direct.silent_attempts import SilentAttempts
 from briarthread_entry.direct.slow_ranks import SlowRanks
 from briarthread_entry.direct.target_chooser import TargetChooser
 from briarthread_entry.direct.target_state import DirectTargetState
@@ -71,6 +75,7 @@
         self.admission = admission
         self.capacity = capacity
         self.slow_ranks = slow_ranks
+        self.silent_attempts = SilentAttempts(chooser.plain_targets)
         self.metrics = metrics
         self.attempt_recorder = AttemptRecorder(
             capacity, crashes, sender.backoffs, chooser.plain_targets, metrics, events
@@ -112,8 +117,8 @@
             if state is None:
                 raise self._final_error(request, failures)
             tried.add(state.target.name)
-            may_change_rank = self._may_change_rank(request, sent)
-            outcome = await self._attempt(request, state, relay, may_change_rank)
+            may_move = self._may_move(request, sent)
+            outcome = await self._attempt(request, state, relay, tried, may_move)
             match outcome:
                 case StreamRelayed():
                     return
@@ -161,7 +166,8 @@
         request: DirectRequest,
         state: DirectTargetState,
         relay: ResponseRelay,
-        may_change_rank: bool,
+        tried: set[str],
+        may_move: bool,
     ) -> DirectOutcome:
         started = anyio.current_time()
         running = self.chooser.total_running(state, started)
@@ -171,8 +177,8 @@
         state.running += 1
         state.prompt_tokens += request.prompt_tokens
         try:
-            if may_change_rank:
-                outcome = await self._send_until_slow(request, state, relay)
+            if may_move:
+                outcome = await self._send_until_moved(request, state, relay, tried)
             else:
                 outcome = await self.sender.send(request, state, relay)
         except anyio.get_cancelled_exc_class():
@@ -193,35 +199,50 @@
         )
         return outcome
 
-    def _may_change_rank(self, request: DirectRequest, sent: int) -> bool:
-        """Return whether a stream may continue at another rank if its own gets slow."""
-        attempts_left = sent + 1 < request.route.max_attempts
-        return (
-            attempts_left
-            and request.service.engine is not None
-            and request.route.retryable
-        )
+    def _may_move(self, request: DirectRequest, sent: int) -> bool:
+        """Return whether a running attempt may be moved to another target."""
+        return sent + 1 < request.route.max_attempts and request.route.retryable
 
-    async def _send_until_slow(
-        self, request: DirectRequest, state: DirectTargetState, relay: ResponseRelay
+    async def _send_until_moved(
+        self,
+        request: DirectRequest,
+        state: DirectTargetState,
+        relay: ResponseRelay,
+        tried: set[str],
     ) -> DirectOutcome:
-        """Send an attempt; cancel it if its rank gets slow and a retry is allowed."""
-        outcomes: list[RankTooSlow] = []
+        """Send an attempt; cancel it if it should move and a retry is allowed."""
+        outcomes: list[DirectOutcome] = []
 
-        def leave(factor: float) -> None:
-            outcome = RankTooSlow(factor)
+        def leave(outcome: DirectOutcome) -> None:
             if self._spend_retry(request, retry_reason(outcome)):
                 outcomes.append(outcome)
                 scope.cancel()
 
-        service = request.service.name
-        with (
-            anyio.CancelScope() as scope,
-            self.slow_ranks.watch(service, state, leave),
-        ):
+        with anyio.CancelScope() as scope, self._watch(request, state, tried, leave):
             return await self.sender.send(request, state, relay)
         return outcomes[0]
 
+    def _watch(
+        self,
+        request: DirectRequest,
+        state: DirectTargetState,
+        tried: set[str],
+        leave: Callable[[DirectOutcome], None],
+    ) -> AbstractContextManager[None]:
+        """Call ``leave`` when the attempt should continue at another target."""
+        if request.service.engine is not None:
+            return self.slow_ranks.watch(
+                request.service.name,
+                state,
+                lambda factor: leave(RankTooSlow(factor)),
+            )
+
+        def leave_silent(seconds: float) -> None:
+            if self.chooser.has_answering_target(request, tried):
+                leave(TargetSilent(seconds))
+
+        return self.silent_attempts.watch(state, leave_silent)
+
     def _may_retry(
         self,
         request: DirectRequest,
@@ -235,7 +256,7 @@
         ``has_alternative`` is true if another group has free capacity.
         """
         outcome = failures[-1]
-        if isinstance(outcome, RankTooSlow):
+        if isinstance(outcome, RankTooSlow | TargetSilent):
             return True
         if sent >= request.route.max_attempts or len(failures) >= MAX_FAILED_ATTEMPTS:
             return False
--- a/packages/entry/src/briarthread_entry/direct/target_chooser.py
+++ b/packages/entry/src/briarthread_entry/direct/target_chooser.py
@@ -17,6 +17,7 @@
 from briarthread_entry.direct.plain_targets import PlainTargets
 from briarthread_entry.direct.slow_ranks import SlowRanks
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
+from briarthread_entry.direct.target_condition import TargetCondition
 from briarthread_entry.direct.target_registry import TargetRegistry
 from briarthread_entry.direct.target_state import DirectTargetState
 from briarthread_entry.direct.targets_closed import TargetsClosed
@@ -101,6 +102,16 @@
             ):
                 return state
 
+    def has_answering_target(self, request: DirectRequest, tried: set[str]) -> bool:
+        """Return whether a target is left to try that is not known to be silent."""
+        now = anyio.current_time()
+        return any(
+            state.ejected_until <= now
+            and state.condition is not TargetCondition.SILENT
+            and self._opens_at(state, now) <= now
+            for state in self._candidates(request, tried, None, now)
+        )
+
     def _open_targets(
         self, states: list[DirectTargetState], allow_limited: bool, now: float
     ) -> list[DirectTargetState]:
--- a/packages/entry/src/briarthread_entry/direct/unanswered_attempts.py
+++ b/packages/entry/src/briarthread_entry/direct/unanswered_attempts.py
@@ -13,36 +13,39 @@
     Measure for how long a target has not answered anything that it was sent.
 
     The head of any response is an answer. ``sent_at`` holds the times at which the
-    unanswered attempts were sent, the oldest first. ``lost_after`` is the silence that
-    the last attempt left behind when it ended without an answer, so that a target is
-    not forgiven when its callers give up. Times are in seconds on the event loop's
-    clock.
+    unanswered attempts were sent by their numbers, the oldest first. ``lost_after`` is
+    the silence that the last attempt left behind when it ended without an answer, so
+    that a target is not forgiven when its callers give up. Times are in seconds on the
+    event loop's clock.
 
-    >>> attempts = UnansweredAttempts(sent_at=[3.0], last_answer=4.0)
+    >>> attempts = UnansweredAttempts(sent_at={1: 3.0}, last_answer=4.0)
     >>> attempts.silent_seconds(now=6.0)
     2.0
-    >>> attempts.note_answer(3.0, now=6.0)
+    >>> attempts.note_answer(1, now=6.0)
     >>> attempts.silent_seconds(now=7.0)
     0.0
     """
 
-    sent_at: list[float] = field(default_factory=list)
+    sent_at: dict[int, float] = field(default_factory=dict)
     last_answer: float = float("-inf")
     lost_after: float = 0.0
+    count: int = 0
 
     @contextmanager
-    def attempt(self, sent_at: float) -> Iterator[None]:
-        """Count an attempt as unanswered until ``note_answer`` or the end."""
-        self.sent_at.append(sent_at)
+    def attempt(self, sent_at: float) -> Iterator[int]:
+        """Count an attempt as unanswered until ``note_answer`` with its number."""
+        self.count += 1
+        number = self.count
+        self.sent_at[number] = sent_at
         try:
-            yield
+            yield number
         finally:
-            if sent_at in self.sent_at:
-                self._end_unanswered(sent_at, anyio.current_time())
+            if number in self.sent_at:
+                self._end_unanswered(number, anyio.current_time())
 
-    def note_answer(self, sent_at: float, now: float) -> None:
-        """Record the head of the response to the attempt sent at a time."""
-        self.sent_at.remove(sent_at)
+    def note_answer(self, number: int, now: float) -> None:
+        """Record the head of the response to an attempt."""
+        del self.sent_at[number]
         self.last_answer = now
         self.lost_after = 0.0
 
@@ -50,9 +53,9 @@
         """Return for how long nothing has been answered, 0.0 if nothing is missing."""
         if not self.sent_at:
             return self.lost_after
-        return max(now - max(self.sent_at[0], self.last_answer), self.lost_after)
+        oldest = next(iter(self.sent_at.values()))
+        return max(now - max(oldest, self.last_answer), self.lost_after)
 
-    def _end_unanswered(self, sent_at: float, now: float) -> None:
-        silent = now - max(sent_at, self.last_answer)
+    def _end_unanswered(self, number: int, now: float) -> None:
+        silent = now - max(self.sent_at.pop(number), self.last_answer)
         self.lost_after = max(self.lost_after, silent)
-        self.sent_at.remove(sent_at)
--- a/packages/measure/src/briarthread_measure/plain_policies.py
+++ b/packages/measure/src/briarthread_measure/plain_policies.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Sequence
+from contextlib import nullcontext
 
 from briarthread_entry.direct.choose_target import (
     COST_TOLERANCE_SECONDS,
@@ -18,7 +19,11 @@
 
 
 def one_mean(entry: DirectEntry) -> None:
-    """Let an entry choose by one mean duration per target, whatever its load."""
+    """
+    Let an entry choose by one mean duration per target, whatever its load.
+
+    Attempts are not moved off silent targets.
+    """
     plain_targets = entry.runner.chooser.plain_targets
     rng = random.Random(plain_targets.rng.random())
 
@@ -45,6 +50,7 @@
         )
 
     plain_targets.choose = choose
+    entry.runner.silent_attempts.watch = lambda state, on_silent: nullcontext()
 
 
 def _mean_seconds(state: DirectTargetState) -> float:
--- a/packages/measure/src/briarthread_measure/uneven_run.py
+++ b/packages/measure/src/briarthread_measure/uneven_run.py
@@ -13,7 +13,6 @@
 the mean and the 95th percentile of the durations in milliseconds.
 """
 
-from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
 
@@ -35,13 +34,26 @@
 )
 """Ten of 18 slots are in use on average."""
 RELEASE = tuple(ReleaseStep(2.0 + 3.0 * n, n, 0.6, 2.5) for n in range(3))
+FULL_IS_SLOW = SlowStep(0.0, 0.25, running=6, targets=3)
+STEEP = replace(
+    BASE,
+    entries=3,
+    rate=60.0,
+    seconds=20.0,
+    delay_sigma=0.4,
+    steps=(FULL_IS_SLOW, SlowStep(0.0, 0.35, running=3)),
+)
 LOADS = {
     "equal": BASE,
     "equal, full": replace(BASE, rate=170.0),
+    "equal, durations vary": replace(BASE, delay_sigma=0.8),
     "equal, unsafe": replace(BASE, kind="unsafe"),
     "one 6 times slower": replace(BASE, steps=(SlowStep(0.0, 0.6),)),
     "one 12 times slower for 4 s": replace(BASE, steps=(SlowStep(2.0, 1.2, 4.0),)),
-    "one slow when nearly full": replace(BASE, steps=(SlowStep(0.0, 0.6, running=3),)),
+    "one slower from half its slots on, all when full": STEEP,
+    "the same, 6 times slower, 6 entries": replace(
+        STEEP, entries=6, steps=(FULL_IS_SLOW, SlowStep(0.0, 0.6, running=3))
+    ),
     "one never answers": replace(BASE, steps=(SlowStep(2.0, 1e6),)),
     "one never answers, unsafe": replace(
         BASE, kind="unsafe", steps=(SlowStep(2.0, 1e6),)
--- a/packages/standins/src/briarthread_standins/limit_scenario.py
+++ b/packages/standins/src/briarthread_standins/limit_scenario.py
@@ -75,7 +75,8 @@
     ``fault_at`` one entry is killed and restarted one second later (``restarted``) or
     isolated from all others for four seconds (``cut_off``). It is the first entry that
     others ask for limit tokens of the first target. A call to a plain target takes
-    ``delay``; ``kind`` is that of the route to a plain service.
+    ``delay``, times a log-normal factor with ``delay_sigma``; ``kind`` is that of the
+    route to a plain service.
     """
 
     entries: int = 9
@@ -90,4 +91,5 @@
     cut_off: bool = False
     seed: int = 1
     delay: float = 0.02
+    delay_sigma: float = 0.0
     kind: str = "safe"
--- a/packages/standins/src/briarthread_standins/limit_simulation.py
+++ b/packages/standins/src/briarthread_standins/limit_simulation.py
@@ -89,6 +89,7 @@
         name = f"target-{number}"
         worker = world.add_worker(name, scenario.service, data_centre_of(name))
         worker.delay = scenario.delay
+        worker.delay_sigma = scenario.delay_sigma
     for name in entry_names(scenario):
         world.add_entry(name, data_centre_of(name))
     return world
@@ -112,6 +113,7 @@
         f"released-{step.target}", scenario.service, data_centre_of(name)
     )
     worker.delay = scenario.delay
+    worker.delay_sigma = scenario.delay_sigma
     worker.slow_delay = step.delay
     worker.slow_until = anyio.current_time() + step.seconds
 
