--- a/packages/entry/src/briarthread_entry/direct/plain_targets.py
+++ b/packages/entry/src/briarthread_entry/direct/plain_targets.py
@@ -116,6 +116,19 @@
         """
         state.durations.add(state.fill(running), seconds, anyio.current_time())
 
+    def silence_limit(self, state: DirectTargetState) -> float | None:
+        """
+        Return the seconds without an answer after which a target is silent.
+
+        Return ``None`` while no target of its service has answered.
+        """
+        usual = self._service_seconds(state)
+        if usual is None:
+            return None
+        if state.response_seconds.samples:
+            usual = state.response_seconds.value
+        return max(SILENCE_FACTOR * usual, MIN_SILENCE_SECONDS)
+
     def _option(
         self, state: DirectTargetState, request: DirectRequest, running: int, now: float
     ) -> PlainOption:
@@ -150,19 +163,6 @@
     def _record_of(self, state: DirectTargetState) -> ServiceRecord:
         return self.services.setdefault(state.target.service, ServiceRecord())
 
-    def silence_limit(self, state: DirectTargetState) -> float | None:
-        """
-        Return the seconds without an answer after which a target is silent.
-
-        Return ``None`` while no target of its service has answered.
-        """
-        usual = self._service_seconds(state)
-        if usual is None:
-            return None
-        if state.response_seconds.samples:
-            usual = state.response_seconds.value
-        return max(SILENCE_FACTOR * usual, MIN_SILENCE_SECONDS)
-
     def _accepts(
         self, state: DirectTargetState, request: DirectRequest, now: float
     ) -> bool:
