--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -69,10 +69,13 @@
         channel_request = self._build_request(request, state, relay)
         sent_at = anyio.current_time()
         try:
-            with self.backoffs.attempt(state.target.name):
+            with (
+                self.backoffs.attempt(state.target.name),
+                state.unanswered.attempt(sent_at) as number,
+            ):
                 async with self.channel.stream(channel_request) as response:
                     self._check_request_id(request, response)
-                    self._record_head(state, response, sent_at)
+                    self._record_head(state, response, sent_at, number)
                     return await self._read(request, response, relay)
         except RequestNotSentError as error:
             return NotRun(_request_error(ErrorKind.NO_TARGET, error), written=False)
@@ -117,13 +120,18 @@
             )
 
     def _record_head(
-        self, state: DirectTargetState, response: ChannelResponse, sent_at: float
+        self,
+        state: DirectTargetState,
+        response: ChannelResponse,
+        sent_at: float,
+        number: int,
     ) -> None:
         """Record what the head says of the target, but not a 421 from another one."""
         if response.status == MISDIRECTED_REQUEST:
             return
         name = state.target.name
         now = anyio.current_time()
+        state.unanswered.note_answer(number, now)
         limit_values = [
             raw for field, raw in response.fields if field == self.names.rate_limit
         ]
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -41,6 +41,7 @@
 from briarthread_entry.direct.limit_tokens import LimitTokens
 from briarthread_entry.direct.memory_budget import MemoryBudget
 from briarthread_entry.direct.peer_reports import PeerReports
+from briarthread_entry.direct.plain_targets import PlainTargets
 from briarthread_entry.direct.read_request import RequestReader
 from briarthread_entry.direct.request_handler import RequestHandler
 from briarthread_entry.direct.request_runner import RequestRunner
@@ -155,7 +156,7 @@
         )
         self.runner = RequestRunner(
             TargetChooser(
-                settings.data_centre,
+                PlainTargets(settings.data_centre, self.metrics, self.events, rng),
                 self.registry,
                 self.peer_reports,
                 self.capacity,
@@ -214,6 +215,7 @@
         tasks.start_soon(self.group_watcher.run)
         tasks.start_soon(self.slow_ranks.run)
         tasks.start_soon(self.issuer_members.follow)
+        tasks.start_soon(self.runner.silent_attempts.run)
         tasks.start_soon(self._ensure_registered)
 
     def apply(self, settings: DirectSettings) -> None:
@@ -309,6 +311,7 @@
                     "service": state.target.service,
                     "leaving": self.registry.is_leaving(state),
                     "running": state.running,
+                    "condition": state.condition,
                     "ejected_seconds": max(state.ejected_until - now, 0.0),
                 }
                 for name, state in self.registry.states.items()
--- a/packages/entry/src/briarthread_entry/direct/target_chooser.py
+++ b/packages/entry/src/briarthread_entry/direct/target_chooser.py
@@ -8,15 +8,17 @@
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.direct.group_id import GroupId
 from briarthread_entry.direct.assigned_slots import AssignedSlots
-from briarthread_entry.direct.choose_target import choose_plain, choose_rank
+from briarthread_entry.direct.choose_target import choose_rank
 from briarthread_entry.direct.crash_tracker import CrashTracker
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.group_admission import MAX_WAIT_SECONDS
 from briarthread_entry.direct.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.limit_tokens import LimitTokens
 from briarthread_entry.direct.peer_reports import PeerReports
+from briarthread_entry.direct.plain_targets import PlainTargets
 from briarthread_entry.direct.slow_ranks import SlowRanks
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
+from briarthread_entry.direct.target_condition import TargetCondition
 from briarthread_entry.direct.target_registry import TargetRegistry
 from briarthread_entry.direct.target_state import DirectTargetState
 from briarthread_entry.direct.targets_closed import TargetsClosed
@@ -40,7 +42,7 @@
 
     def __init__(
         self,
-        data_centre: str,
+        plain_targets: PlainTargets,
         registry: TargetRegistry,
         peer_reports: PeerReports,
         capacity: GroupCapacityTracker,
@@ -52,7 +54,7 @@
         events: EventLog,
         rng: random.Random,
     ) -> None:
-        self.data_centre = data_centre
+        self.plain_targets = plain_targets
         self.registry = registry
         self.peer_reports = peer_reports
         self.capacity = capacity
@@ -107,6 +109,16 @@
             if is_cold and not granted:
                 self._note_denied(request, state)
 
+    def has_answering_target(self, request: DirectRequest, tried: set[str]) -> bool:
+        """Return whether a target is left to try that is not known to be silent."""
+        now = anyio.current_time()
+        return any(
+            state.ejected_until <= now
+            and state.condition is not TargetCondition.SILENT
+            and self._opens_at(state, now) <= now
+            for state in self._candidates(request, tried, None, now)
+        )
+
     def _open_targets(
         self, states: list[DirectTargetState], allow_limited: bool, now: float
     ) -> list[DirectTargetState]:
@@ -159,11 +171,11 @@
             state
             for state in states
             if not self.peer_reports.is_backing_off(state.target.name, now)
-            and self._total_running(state, now) < state.target.slots
+            and self.total_running(state, now) < state.target.slots
         ]
         return preferred or states
 
-    def _total_running(self, state: DirectTargetState, now: float) -> int:
+    def total_running(self, state: DirectTargetState, now: float) -> int:
         """Return the number of attempts that all entries are running at a target."""
         return state.running + self.peer_reports.running_elsewhere(
             state.target.name, now
@@ -222,7 +234,7 @@
             return self.peer_reports.running_elsewhere(name, now)
 
         if request.service.engine is None:
-            return choose_plain(states, elsewhere, self.data_centre, now, self.rng)
+            return self.plain_targets.choose(request, states, elsewhere, now)
         listed = self.registry.available_targets(service, now)
         assigned = self.assigned_slots.per_rank(
             service, [state.target for state in listed]
