Discard what is known of a target when it is restarted under its name

Cause: the list may state another start time under the same name, and an entry kept the limit, backoff, announced shutdown, tokens, failures and response times of the former run for the new one. Rows of other writers with replaced bytes, an empty data centre or other types in unused fields were taken for targets.

Change: TargetRuns compares start times. At another one the registry replaces the state, marks the former one as ended and calls on_restarted; DirectEntry drops limit, tokens, backoff, shutdown, suspect requests and received reports, and reports the target as one to be assumed cold. Running reports and token requests carry start times in fields with defaults; what concerns another run is ignored, not passed on, and counted. Responses to attempts at the former run are not recorded, and a strike is withdrawn by its own run only. A row that is no UTF-8, has an empty service or data centre, or other types in version or seq is rejected; a rejected row is decoded and logged once.

--- a/packages/common/src/briarthread_common/core/metrics.py
+++ b/packages/common/src/briarthread_common/core/metrics.py
@@ -88,6 +88,17 @@
             ["change"],
             registry=self.registry,
         )
+        self.target_restarts = Counter(
+            "briarthread_target_restarts",
+            "Targets that were started anew under their name.",
+            registry=self.registry,
+        )
+        self.former_run_reports = Counter(
+            "briarthread_former_run_reports",
+            "Reports on former runs of targets that were ignored, by what they state.",
+            ["kind"],
+            registry=self.registry,
+        )
         self.request_seconds = Histogram(
             "briarthread_request_seconds",
             "Seconds from a request's arrival to the end of its answer.",
--- a/packages/common/src/briarthread_common/messages/running_report.py
+++ b/packages/common/src/briarthread_common/messages/running_report.py
@@ -29,7 +29,9 @@
     targets stated in responses to the entry, ``crashes`` is what it knows of requests
     that crash targets, ``leaving`` are the targets that announced their shutdown to the
     entry, ``backoffs`` the remaining seconds of the backoffs that targets requested
-    from it.
+    from it. ``starts`` are the start times of the targets in ``limits``, ``leaving``
+    and ``backoffs``, in milliseconds, as far as they are known: the report is about
+    these runs of the targets.
     """
 
     running: dict[str, int] = {}
@@ -38,12 +40,13 @@
     crashes: CrashWords = CrashWords()
     leaving: tuple[str, ...] = ()
     backoffs: dict[str, float] = {}
+    starts: dict[str, int] = {}
 
     def same_as(self, other: "RunningReport") -> bool:
         """Return whether another report need not be sent after this one."""
         if self.running != other.running or self.limits.keys() != other.limits.keys():
             return False
-        if self.leaving != other.leaving:
+        if self.leaving != other.leaving or self.starts != other.starts:
             return False
         if self.backoffs.keys() != other.backoffs.keys():
             return False
@@ -74,7 +77,10 @@
     crashes = merge_crash_words(report.crashes for report in reports)
     leaving = merge_names(report.leaving for report in reports)
     backoffs = longest_backoffs(report.backoffs for report in reports)
-    return RunningReport(dict(running), each, limits, crashes, leaving, backoffs)
+    starts = merge_starts(report.starts for report in reports)
+    return RunningReport(
+        dict(running), each, limits, crashes, leaving, backoffs, starts
+    )
 
 
 def merge_names(name_lists: Iterable[tuple[str, ...]]) -> tuple[str, ...]:
@@ -82,6 +88,11 @@
     return tuple(sorted({name for names in name_lists for name in names}))
 
 
+def merge_starts(start_maps: Iterable[Mapping[str, int]]) -> dict[str, int]:
+    """Return the start times of all targets; reports on former runs are not merged."""
+    return {name: start for starts in start_maps for name, start in starts.items()}
+
+
 def longest_backoffs(backoff_maps: Iterable[Mapping[str, float]]) -> dict[str, float]:
     """
     Return the longest remaining backoff of each target.
--- a/packages/common/src/briarthread_common/messages/token_messages.py
+++ b/packages/common/src/briarthread_common/messages/token_messages.py
@@ -14,13 +14,15 @@
     Ask for a token for one attempt at a target.
 
     ``word`` is what the sender knows of the limit; ``wait`` is how many seconds it
-    may wait.
+    may wait. ``started_ms`` is the start time of the target's run as the sender knows
+    it, ``None`` if it is not stated.
     """
 
     asker: str
     target: str
     word: LimitReport
     wait: float = 0.0
+    started_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
@@ -62,6 +62,9 @@
         ``unanswered`` is true if no event has been received.
         """
         seconds = anyio.current_time() - began
+        if state.ended:
+            reason = "the target was restarted during the attempt"
+            self.events.add("former-run", state.target.name, reason, request.id)
         self._note_crash(request, state, outcome, began, unanswered)
         match outcome:
             case StreamRelayed():
@@ -107,20 +110,22 @@
     ) -> None:
         """Pass on what an attempt shows about a crash of its target."""
         now = anyio.current_time()
-        name = state.target.name
+        name, started_ms = state.target.name, state.target.started_ms
         match outcome:
             case StreamRelayed() | TargetResponse():
                 self.crashes.note_complete_response(request.digest, now)
-                self.crashes.note_alive(name, began)
+                self.crashes.note_alive(name, began, started_ms)
             case NotRun(written=True, replaced=False, faulty_rank=""):
-                self.crashes.note_alive(name, began)
+                self.crashes.note_alive(name, began, started_ms)
             case OutcomeUnknown(connection_lost=True) if (
                 not self.capacity.registry.is_leaving(state)
             ):
                 in_group = request.service.engine is not None
                 stalled = in_group and now - began > GROUP_STALL_SECONDS
                 if unanswered and not stalled:
-                    self.crashes.note_crash(request.digest, name, began, now)
+                    self.crashes.note_crash(
+                        request.digest, name, began, now, started_ms
+                    )
 
     def _note_served(
         self,
@@ -150,7 +155,7 @@
     ) -> None:
         name = state.target.name
         self._note_attempt_failed(request, state, reason)
-        if state.note_failure(anyio.current_time()):
+        if state.note_failure(anyio.current_time()) and not state.ended:
             self.events.add("target-ejected", name, reason)
 
     def _note_refused(
--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -114,8 +114,13 @@
     def _record_head(
         self, state: DirectTargetState, response: ChannelResponse, sent_at: float
     ) -> None:
-        """Record limit, backoff and shutdown, but not of a 421 from another target."""
-        if response.status == MISDIRECTED_REQUEST:
+        """
+        Record limit, backoff and shutdown that a target states.
+
+        A 421 comes from another target, and a run that has ended says nothing of the
+        one that followed.
+        """
+        if response.status == MISDIRECTED_REQUEST or state.ended:
             return
         name = state.target.name
         now = anyio.current_time()
--- a/packages/entry/src/briarthread_entry/direct/crash_rule.py
+++ b/packages/entry/src/briarthread_entry/direct/crash_rule.py
@@ -31,12 +31,14 @@
     """
     A run of a request that ended with a crash of its target.
 
-    Times are in seconds on the event loop's clock.
+    Times are in seconds on the event loop's clock. ``started_ms`` is the start time of
+    the target's run, ``None`` if it is not known.
     """
 
     target: str
     began: float
     ended: float
+    started_ms: int | None = None
 
 
 def count_sequential_crashes(strikes: Iterable[Strike]) -> int:
--- a/packages/entry/src/briarthread_entry/direct/crash_tracker.py
+++ b/packages/entry/src/briarthread_entry/direct/crash_tracker.py
@@ -1,7 +1,7 @@
 """Tracking of requests that were running when targets crashed."""
 
 from collections import Counter, OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from loguru import logger
 
@@ -30,6 +30,8 @@
 SAME_CRASH_SECONDS = 0.5
 """Time in seconds within which lost connections to a target count as one crash."""
 
+_Run = tuple[str, str, int | None]
+"""A target, the digest of a request and the start time of the target's run."""
 DecisionCallback = Callable[[str, str, str], None]
 """Called with a decision, the digest of its request and the reason."""
 
@@ -55,7 +57,7 @@
         self.harmless: OrderedDict[str, float] = OrderedDict()
         self.cleared: dict[str, float] = {}
         self.blocked: dict[str, float] = {}
-        self.running: Counter[tuple[str, str]] = Counter()
+        self.running: Counter[_Run] = Counter()
 
     def is_blocked(self, digest: str, now: float) -> bool:
         """Return whether a request that has just arrived must be refused."""
@@ -68,37 +70,60 @@
         """Return the number of crashes that count against a request."""
         return count_sequential_crashes(self.strikes.get(digest, ()))
 
-    def note_start(self, digest: str, target: str) -> None:
-        """Record that a request is being sent to a target."""
-        self.running[target, digest] += 1
-
-    def note_end(self, digest: str, target: str) -> None:
-        """Record that a request has ended at a target."""
-        self.running[target, digest] -= 1
-        if not self.running[target, digest]:
-            del self.running[target, digest]
+    def note_start(
+        self, digest: str, target: str, started_ms: int | None = None
+    ) -> None:
+        """Record that a request is being sent to a run of a target."""
+        self.running[target, digest, started_ms] += 1
+
+    def note_end(self, digest: str, target: str, started_ms: int | None = None) -> None:
+        """Record that a request has ended at a run of a target."""
+        run = (target, digest, started_ms)
+        if self.running[run] <= 1:
+            del self.running[run]
+        else:
+            self.running[run] -= 1
+
+    def discard_running(self, targets: Collection[str]) -> None:
+        """Forget what is running at the given targets, which were restarted."""
+        for run in [run for run in self.running if run[0] in targets]:
+            del self.running[run]
 
     def suspect_targets(self) -> set[str]:
         """Return the targets that run a suspect request, which other requests avoid."""
         if not self.strikes:
             return set()
-        return {target for target, digest in self.running if digest in self.strikes}
-
-    def note_crash(self, digest: str, target: str, began: float, now: float) -> None:
+        return {target for target, digest, _ in self.running if digest in self.strikes}
+
+    def note_crash(
+        self,
+        digest: str,
+        target: str,
+        began: float,
+        now: float,
+        started_ms: int | None = None,
+    ) -> None:
         """Record that a target dropped the connection before it answered anything."""
         if self._is_harmless(digest, now):
             return
-        strike = Strike(target, began, now)
+        strike = Strike(target, began, now, started_ms)
         self.own.setdefault(digest, []).append(strike)
         self._add(digest, strike, now, "this entry")
 
-    def note_alive(self, target: str, sent: float) -> None:
-        """Withdraw strikes disproved by a response to a request sent at ``sent``."""
+    def note_alive(
+        self, target: str, sent: float, started_ms: int | None = None
+    ) -> None:
+        """
+        Withdraw strikes disproved by a response to a request sent at ``sent``.
+
+        A response of another run of the target disproves nothing.
+        """
         disproved = [
             (digest, strike.ended)
             for digest, strikes in self.own.items()
             for strike in strikes
             if strike.target == target
+            and strike.started_ms == started_ms
             and strike.ended < sent < strike.ended + MIN_DOWNTIME_SECONDS
         ]
         for digest, at in disproved:
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -48,6 +48,7 @@
 from briarthread_entry.direct.target_chooser import TargetChooser
 from briarthread_entry.direct.target_limits import TargetLimits
 from briarthread_entry.direct.target_registry import TargetRegistry
+from briarthread_entry.direct.target_runs import TargetRuns
 
 
 class DirectEntry:
@@ -90,16 +91,21 @@
         self.crashes = CrashTracker(self._note_crash_decision)
         self.leaving_targets = LeavingTargets()
         self.evacuations = Evacuations(self.feeds.routes, adapter, self.metrics)
+        self.runs = TargetRuns(self.metrics)
         self.registry = TargetRegistry(
             self.feeds.targets,
             adapter,
             self.replicator.healthy_since,
             self.leaving_targets,
             self.evacuations,
+            self.runs,
         )
         self.registry.on_removed = self._discard_removed_targets
+        self.registry.on_restarted = self._discard_former_runs
         self.registry.on_assumed_cold = self._assume_cold
-        self.peer_reports = PeerReports(self.limits, self.crashes, self.leaving_targets)
+        self.peer_reports = PeerReports(
+            self.limits, self.crashes, self.leaving_targets, self.runs
+        )
         self.group_reports = GroupReports()
         self.membership = GroupMembership(self.directory)
         self.slow_ranks = SlowRanks(self.registry, self.membership, self.group_reports)
@@ -134,6 +140,7 @@
             self.registry.find,
             peer_channel,
             self.metrics,
+            self.runs,
         )
         self.runner = RequestRunner(
             TargetChooser(
@@ -222,6 +229,17 @@
         self.tokens.retain(self.registry.states)
         self.leaving_targets.retain(self.registry.states)
 
+    def _discard_former_runs(self, names: Sequence[str]) -> None:
+        """Drop what is known of the former runs of restarted targets."""
+        self.metrics.target_restarts.inc(len(names))
+        self.limits.discard(names)
+        self.tokens.discard(names)
+        self.backoffs.discard(names)
+        self.leaving_targets.discard(names)
+        self.crashes.discard_running(names)
+        self.peer_reports.discard_former_runs(names)
+        self._assume_cold(names)
+
     def _assume_cold(self, names: Sequence[str]) -> None:
         """Assume that targets are cold from now on; cold targets get no rate yet."""
 
@@ -250,6 +268,7 @@
             crashes=crashes,
             leaving=leaving,
             backoffs=backoffs,
+            starts=self.runs.starts_of([*limit_reports, *leaving, *backoffs]),
         )
 
     def _note_crash_decision(self, decision: str, digest: str, reason: str) -> None:
--- a/packages/entry/src/briarthread_entry/direct/leaving_targets.py
+++ b/packages/entry/src/briarthread_entry/direct/leaving_targets.py
@@ -55,6 +55,15 @@
             target in targets for targets in self.reported.values()
         )
 
+    def discard(self, targets: Collection[str]) -> None:
+        """Forget the announcements of the given targets to all entries."""
+        self.own.difference_update(targets)
+        self.reported = {
+            entry: remaining
+            for entry, reported in self.reported.items()
+            if (remaining := reported.difference(targets))
+        }
+
     def own_names(self) -> tuple[str, ...]:
         """Return the sorted names of the targets to report to other entries."""
         return tuple(sorted(self.own))
--- a/packages/entry/src/briarthread_entry/direct/limit_tokens.py
+++ b/packages/entry/src/briarthread_entry/direct/limit_tokens.py
@@ -1,6 +1,6 @@
 """Rate-limit tokens for attempts at targets that state a limit."""
 
-from collections.abc import Callable, Container
+from collections.abc import Callable, Collection, Container
 
 import anyio
 from loguru import logger
@@ -23,6 +23,7 @@
 from briarthread_common.utils.recent_failures import RecentFailures
 from briarthread_entry.direct.issuer_order import issued_share, issuers_of
 from briarthread_entry.direct.target_limits import TargetLimits
+from briarthread_entry.direct.target_runs import TargetRuns
 from briarthread_entry.direct.token_issuer import TokenIssuer
 
 TOKEN_TIMEOUT_SECONDS = 0.15
@@ -53,6 +54,7 @@
         find: FindTarget,
         channel: Channel,
         metrics: Metrics,
+        runs: TargetRuns,
     ) -> None:
         self.name = name
         self.directory = directory
@@ -60,6 +62,7 @@
         self.find = find
         self.channel = channel
         self.metrics = metrics
+        self.runs = runs
         self.issuer = TokenIssuer()
         self.unresponsive = RecentFailures(SKIP_SECONDS)
         self.denied_until: dict[str, float] = {}
@@ -84,6 +87,12 @@
         for name in [name for name in self.denied_until if name not in targets]:
             del self.denied_until[name]
 
+    def discard(self, targets: Collection[str]) -> None:
+        """Forget the buckets and the denials of the given targets."""
+        self.issuer.discard(targets)
+        for name in targets:
+            self.denied_until.pop(name, None)
+
     async def acquire(self, target: DirectTarget, wait: float) -> bool:
         """
         Acquire a token, waiting up to ``wait`` seconds for it.
@@ -93,13 +102,14 @@
         limit = self.limits.latest(target.name, anyio.current_time())
         if limit is None or limit.per_second is None:
             return True
-        ask = TokenRequest(self.name, target.name, limit, wait)
+        ask = TokenRequest(self.name, target.name, limit, wait, target.started_ms)
         answer = await self._request(target, ask)
         self.metrics.limited_attempts.labels(_decision(answer)).inc()
         if answer.granted:
             await anyio.sleep(answer.pause)
             return True
-        self.denied_until[target.name] = anyio.current_time() + answer.pause
+        if self._is_current_run(ask):
+            self.denied_until[target.name] = anyio.current_time() + answer.pause
         return False
 
     async def _request(self, target: DirectTarget, ask: TokenRequest) -> TokenAnswer:
@@ -135,9 +145,9 @@
         return answer
 
     async def _handle_request(self, ask: TokenRequest) -> TokenAnswer:
-        self._merge(ask.asker, ask.target, ask.word)
+        self._merge(ask.asker, ask.target, ask.word, ask.started_ms)
         target = self.find(ask.target)
-        if target is None:
+        if target is None or not self._is_current_run(ask):
             return TokenAnswer(False, UNKNOWN_TARGET_SECONDS)
         return self._issue(ask, issuers_of(target, self._entries()))
 
@@ -154,9 +164,22 @@
     def _entries(self) -> dict[str, Instance]:
         return self.directory.of_role(InstanceRole.ENTRY)
 
-    def _merge(self, source: str, target: str, limit: LimitReport | None) -> None:
-        if limit is not None:
-            self.limits.merge(source, {target: limit}, anyio.current_time())
+    def _is_current_run(self, ask: TokenRequest) -> bool:
+        started = ask.started_ms
+        return started is None or self.runs.is_current(ask.target, started)
+
+    def _merge(
+        self,
+        source: str,
+        target: str,
+        limit: LimitReport | None,
+        started_ms: int | None = None,
+    ) -> None:
+        now = anyio.current_time()
+        if limit is not None and self.runs.is_current(
+            target, started_ms, now - limit.age
+        ):
+            self.limits.merge(source, {target: limit}, now)
 
 
 def _decision(answer: TokenAnswer) -> str:
--- a/packages/entry/src/briarthread_entry/direct/peer_reports.py
+++ b/packages/entry/src/briarthread_entry/direct/peer_reports.py
@@ -6,6 +6,7 @@
 
 from msgspec.structs import replace
 
+from briarthread_common.core.metrics import Metrics
 from briarthread_common.http.report_stream import REPORT_TIMEOUT_SECONDS
 from briarthread_common.messages.crash_words import merge_crash_words
 from briarthread_common.messages.limit_report import LimitReport, newest_limits
@@ -13,10 +14,12 @@
     RunningReport,
     longest_backoffs,
     merge_names,
+    merge_starts,
 )
 from briarthread_entry.direct.crash_tracker import CrashTracker
 from briarthread_entry.direct.leaving_targets import LeavingTargets
 from briarthread_entry.direct.target_limits import TargetLimits
+from briarthread_entry.direct.target_runs import TargetRuns
 
 STALE_CHECK_INTERVAL_SECONDS = 0.25
 """Interval at which expired reports are dropped.
@@ -56,7 +59,8 @@
 
     Times are the runtime's, in seconds. Reported limits of targets are passed on to
     ``limits``, requests that crash targets to ``crashes`` and targets that are
-    shutting down to ``leaving_targets``.
+    shutting down to ``leaving_targets``. What is reported of a former run of a target
+    is ignored.
 
     >>> reports = PeerReports()
     >>> reports.put("entry-2", RunningReport({"t-1": 3}), now=10.0)
@@ -69,10 +73,12 @@
         limits: TargetLimits | None = None,
         crashes: CrashTracker | None = None,
         leaving_targets: LeavingTargets | None = None,
+        runs: TargetRuns | None = None,
     ) -> None:
         self.limits = limits or TargetLimits()
         self.crashes = crashes or CrashTracker()
         self.leaving_targets = leaving_targets or LeavingTargets()
+        self.runs = runs or TargetRuns(Metrics())
         self.received: dict[str, _ReceivedReport] = {}
         self.totals: Counter[str] = Counter()
         self.backoff_until: dict[str, float] = {}
@@ -87,6 +93,7 @@
     ) -> None:
         """Store a report, which expires after ``lifetime`` seconds."""
         self._remove_report(entry)
+        report = self.runs.current_part(report, now)
         self.received[entry] = _ReceivedReport(report, now, now + lifetime)
         self.limits.merge(entry, report.limits, now)
         self.crashes.merge(entry, report.crashes, now)
@@ -94,6 +101,16 @@
         self._extend_backoffs(report, now)
         self.totals.update(report.running)
 
+    def discard_former_runs(self, targets: Iterable[str]) -> None:
+        """Forget what was reported of the former runs of restarted targets."""
+        for target in targets:
+            self.backoff_until.pop(target, None)
+        for entry, received in self.received.items():
+            report = self.runs.current_part(received.report, received.received_at)
+            self.received[entry] = _ReceivedReport(
+                report, received.received_at, received.expires_at
+            )
+
     def is_backing_off(self, target: str, now: float) -> bool:
         """Return whether a backoff that another entry reported is still in effect."""
         return self.backoff_until.get(target, now) > now
@@ -163,8 +180,9 @@
         backoffs = longest_backoffs(
             [own_report.backoffs, *(one.backoffs for one in others)]
         )
+        starts = merge_starts([own_report.starts, *(one.starts for one in others)])
         return RunningReport(
-            dict(+running), request_costs, limits, crashes, leaving, backoffs
+            dict(+running), request_costs, limits, crashes, leaving, backoffs, starts
         )
 
     def request_cost(self, group: str, now: float) -> float | None:
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -166,7 +166,8 @@
         started = anyio.current_time()
         group = self.capacity.membership.group_of(state.target)
         relay.begin_attempt(partial(self.capacity.note_event, request.service, group))
-        self.crashes.note_start(request.digest, state.target.name)
+        run = (request.digest, state.target.name, state.target.started_ms)
+        self.crashes.note_start(*run)
         state.running += 1
         state.prompt_tokens += request.prompt_tokens
         try:
@@ -181,7 +182,7 @@
         finally:
             state.running -= 1
             state.prompt_tokens -= request.prompt_tokens
-            self.crashes.note_end(request.digest, state.target.name)
+            self.crashes.note_end(*run)
         self.attempt_recorder.record(
             request, state, outcome, started, relay.last_attempt_event_at is None
         )
--- a/packages/entry/src/briarthread_entry/direct/target_backoffs.py
+++ b/packages/entry/src/briarthread_entry/direct/target_backoffs.py
@@ -1,7 +1,7 @@
 """Backoffs that targets have requested from an entry."""
 
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 
 import anyio
@@ -28,8 +28,8 @@
     Track the end of each target's backoff and the slow start after it.
 
     A backoff applies only to the entry that received it. Later responses can extend it
-    but not shorten it, and it outlasts the target's absence from the list. Times are in
-    seconds on the event loop's clock.
+    but not shorten it, and it outlasts the target's absence from the list, though not
+    its restart. Times are in seconds on the event loop's clock.
 
     >>> backoffs = TargetBackoffs(Metrics(), random.Random(1))
     >>> backoffs.note_response("t-1", ResponseSignals(backoff=3.0), now=1.0)
@@ -93,6 +93,11 @@
         }
         return {name: seconds for name, seconds in left.items() if seconds > 0}
 
+    def discard(self, targets: Iterable[str]) -> None:
+        """Forget the given targets; their running attempts are not counted again."""
+        for target in targets:
+            self.backoffs.pop(target, None)
+
     def _extend(self, target: str, seconds: float, now: float) -> None:
         self.metrics.backoffs.inc()
         logger.info("backoffs: {} requested a backoff of {:g} s", target, seconds)
--- a/packages/entry/src/briarthread_entry/direct/target_limits.py
+++ b/packages/entry/src/briarthread_entry/direct/target_limits.py
@@ -1,6 +1,6 @@
 """The rate limits that targets state in their responses."""
 
-from collections.abc import Container, Mapping
+from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass
 
 from loguru import logger
@@ -91,6 +91,12 @@
             for target in [name for name in limits if name not in targets]:
                 del limits[target]
 
+    def discard(self, targets: Iterable[str]) -> None:
+        """Forget the given targets."""
+        for target in targets:
+            self.known.pop(target, None)
+            self.own.pop(target, None)
+
     def _update(self, target: str, stated: KnownLimit, source: str) -> bool:
         known = self.known.get(target)
         if known is not None and stated.at <= known.at:
--- a/packages/entry/src/briarthread_entry/direct/target_registry.py
+++ b/packages/entry/src/briarthread_entry/direct/target_registry.py
@@ -1,6 +1,7 @@
 """Registry of the direct targets that an entry knows."""
 
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 import anyio
 from loguru import logger
@@ -11,6 +12,7 @@
 from briarthread_common.feeds.feed import Feed
 from briarthread_entry.direct.evacuations import Evacuations
 from briarthread_entry.direct.leaving_targets import LeavingTargets
+from briarthread_entry.direct.target_runs import TargetRuns
 from briarthread_entry.direct.target_state import DirectTargetState
 
 RELIST_SECONDS = 2.0
@@ -25,8 +27,11 @@
     During an outage of the platform rows expire although their targets still run. A
     target that is removed from the list during an outage, or soon after, therefore
     stays in use until the time for listing it again is over. ``on_removed`` is called
-    after targets have been removed. ``on_assumed_cold`` is called with the names of
-    targets that must be assumed cold from now on, before they are used again.
+    after targets have been removed.
+
+    Two callbacks receive the names of targets before these are used again:
+    ``on_restarted`` of those that were started anew, ``on_assumed_cold`` of those that
+    must be assumed cold from now on because an evacuation has ended.
     """
 
     def __init__(
@@ -36,6 +41,7 @@
         healthy_since: Callable[[], float],
         leaving_targets: LeavingTargets,
         evacuations: Evacuations,
+        runs: TargetRuns,
     ) -> None:
         self.feed = feed
         self.adapter = adapter
@@ -43,10 +49,13 @@
         self.leaving_targets = leaving_targets
         self.evacuations = evacuations
         evacuations.on_ended = self._assume_cold
+        self.runs = runs
         self.applied_number = -1
         self.raw_rows: dict[str, str] = {}
+        self.rejected_rows: dict[str, str] = {}
         self.states: dict[str, DirectTargetState] = {}
         self.on_removed: Callable[[], None] = _do_nothing
+        self.on_restarted: Callable[[Sequence[str]], None] = _ignore_names
         self.on_assumed_cold: Callable[[Sequence[str]], None] = _ignore_names
 
     async def follow(self) -> None:
@@ -116,6 +125,7 @@
             del self.states[name]
             self.raw_rows.pop(name, None)
         if expired:
+            self.runs.prune(self.states)
             self.on_removed()
 
     def find(self, name: str) -> DirectTarget | None:
@@ -124,27 +134,57 @@
         return None if state is None or self.is_evacuated(state) else state.target
 
     def _apply_feed(self, now: float) -> None:
+        restarted: list[str] = []
         for name, raw in self.feed.items.items():
             if self.raw_rows.get(name) != raw:
-                self._decode(name, raw)
+                target = self._decode(name, raw)
+                if target is not None and self._update(target, now):
+                    restarted.append(name)
             elif name in self.states:
                 self.states[name].removed_at = None
         for name, state in self.states.items():
             if name not in self.feed.items and state.removed_at is None:
                 state.removed_at = now
-
-    def _decode(self, name: str, raw: str) -> None:
+        for name in [n for n in self.rejected_rows if n not in self.feed.items]:
+            del self.rejected_rows[name]
+        if restarted:
+            self.on_restarted(restarted)
+
+    def _decode(self, name: str, raw: str) -> DirectTarget | None:
+        """Return the target of a changed row, ``None`` for an invalid one."""
+        if self.rejected_rows.get(name) == raw:
+            return None
         try:
             target = self.adapter.decode_target(name, raw)
         except DecodeError as error:
             logger.error(
                 "targets: invalid row ignored, keeping the known state: {}", error
             )
-            return
+            self.rejected_rows[name] = raw
+            return None
         self.raw_rows[name] = raw
-        self._update(target)
+        self.rejected_rows.pop(name, None)
+        return target
+
+    def _update(self, target: DirectTarget, now: float) -> bool:
+        """Apply a row; return whether it lists another run than the known one."""
+        restarted = self.runs.note(target, now)
+        if restarted:
+            self._end_run(target)
+        self._apply_row(target)
+        return restarted
+
+    def _end_run(self, target: DirectTarget) -> None:
+        """Detach the state of a former run, which its running attempts still hold."""
+        logger.info("targets: {} was restarted", target.name)
+        state = self.states.pop(target.name, None)
+        if state is None:
+            return
+        # A connection that such an attempt loses is no crash if the run was leaving.
+        state.target = replace(state.target, leaving=self.is_leaving(state))
+        state.ended = True
 
-    def _update(self, target: DirectTarget) -> None:
+    def _apply_row(self, target: DirectTarget) -> None:
         state = self.states.get(target.name)
         if state is None:
             logger.info("targets: {} of {} is new", target.name, target.service)
--- a/packages/entry/src/briarthread_entry/direct/target_state.py
+++ b/packages/entry/src/briarthread_entry/direct/target_state.py
@@ -27,9 +27,10 @@
     Hold a target and this entry's observations of it.
 
     ``running`` is the number of attempts that this entry is running at the target.
-    ``replaced`` is true if another target answers at its address. ``removed_at`` is the
-    time when the target was removed from the platform's list. Times are in seconds on
-    the event loop's clock.
+    ``replaced`` is true if another target answers at its address, ``ended`` if the
+    target was restarted and has a new state. ``removed_at`` is the time when the target
+    was removed from the platform's list. Times are in seconds on the event loop's
+    clock.
     """
 
     target: DirectTarget
@@ -40,6 +41,7 @@
     ejected_until: float = 0.0
     removed_at: float | None = None
     replaced: bool = False
+    ended: bool = False
     failure_share: DecayingMean = field(
         default_factory=lambda: DecayingMean(SAMPLE_WEIGHT)
     )
@@ -70,7 +72,7 @@
 
     def is_usable(self) -> bool:
         """Return whether the target may get new requests, apart from ejections."""
-        return not self.target.leaving and not self.replaced
+        return not self.target.leaving and not self.replaced and not self.ended
 
     def cost(self, running_elsewhere: int) -> float:
         """
--- a/packages/entry/src/briarthread_entry/direct/token_issuer.py
+++ b/packages/entry/src/briarthread_entry/direct/token_issuer.py
@@ -9,7 +9,7 @@
 issue in its place.
 """
 
-from collections.abc import Container
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
 from briarthread_common.messages.token_messages import TokenAnswer
@@ -78,6 +78,11 @@
             name: bucket for name, bucket in self.buckets.items() if name in targets
         }
 
+    def discard(self, targets: Iterable[str]) -> None:
+        """Remove the buckets of the given targets."""
+        for target in targets:
+            self.buckets.pop(target, None)
+
 
 def _denied_pause(bucket: _Bucket, rate: float, now: float) -> float:
     """Return the pause that keeps the rate of token requests within its limit."""
--- a/tests/platform/test_foreign_rows.py
+++ b/tests/platform/test_foreign_rows.py
@@ -94,6 +94,99 @@
     assert isinstance(decoded["odd"], str)
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "unknown"},
+        {"state": ""},
+        {"state": "READY"},
+        {"service": "unknown"},
+        {"service": ""},
+        {"service": 1},
+        {"zone": ""},
+        {"zone": None},
+        {"slots": None},
+        {"version": []},
+        {"version": None},
+        {"seq": "4"},
+        {"seq": {}},
+        {"coldLeftMs": "0"},
+        {"coldLeftMs": -1},
+        {"born": "1764756000123"},
+        {"born": 1.5},
+    ],
+)
+def test_row_of_another_writer_names_no_target_to_use(change: dict[str, Any]) -> None:
+    """Guards against requests to an address that only a foreign row names."""
+
+    async def scenario(world: DirectWorld) -> None:
+        worker = world.add_worker("odd", DIARY, listed=False)
+        row = {**VALID_ROW, "address": world.addresses["odd"], **change}
+        world.store.put("servers", "odd", row)
+        await anyio.sleep(2)
+        async with anyio.create_task_group() as callers:
+            for _ in range(30):
+                callers.start_soon(world.call, "entry-1", "/list/1")
+        assert not worker.arrivals
+
+    run_in_direct_world(scenario, diaries=1)
+
+
+@pytest.mark.parametrize("field", ["service", "address", "zone", "slots", "state"])
+def test_row_with_a_missing_field_names_no_target(field: str) -> None:
+    """Guards against defaults for fields without which a target is not known."""
+    row = {name: value for name, value in VALID_ROW.items() if name != field}
+    with pytest.raises(DecodeError):
+        ADAPTER.decode_target("t-1", json.dumps(row))
+
+
+@pytest.mark.parametrize("field", ["service", "zone", "state", "version"])
+def test_row_with_unreadable_bytes_names_no_target_to_use(field: str) -> None:
+    """Guards against bytes that are replaced by characters and then accepted."""
+
+    async def scenario(world: DirectWorld) -> None:
+        worker = world.add_worker("odd", DIARY, listed=False)
+        row = {**VALID_ROW, "address": world.addresses["odd"], "version": "v"}
+        raw = json.dumps({**row, field: f"{row[field]}@"}).encode()
+        world.store.put("servers", "odd", raw.replace(b"@", b"\xff"))
+        await anyio.sleep(2)
+        states = world.entries["entry-1"].registry.states
+        assert "odd" not in states
+        async with anyio.create_task_group() as callers:
+            for _ in range(30):
+                callers.start_soon(world.call, "entry-1", "/list/1")
+        assert not worker.arrivals
+
+    run_in_direct_world(scenario, diaries=1)
+
+
+def test_rejected_row_is_decoded_once_while_it_is_unchanged() -> None:
+    """Guards against a log line for each odd row at each version of the list."""
+
+    async def scenario(world: DirectWorld) -> None:
+        registry = world.entries["entry-1"].registry
+        for number in range(50):
+            world.store.put("servers", f"odd-{number}", ["odd"])
+        await anyio.sleep(2)
+        adapter, decoded = registry.adapter, []
+
+        class CountingAdapter:
+            def decode_target(self, name: str, row: str) -> object:
+                decoded.append(name)
+                return adapter.decode_target(name, row)
+
+        registry.adapter = CountingAdapter()
+        world.register_worker("diary-0", DIARY, state="draining")
+        await anyio.sleep(2)
+        assert decoded == ["diary-0"]
+        for number in range(50):
+            world.store.delete("servers", f"odd-{number}")
+        await anyio.sleep(2)
+        assert not registry.rejected_rows
+
+    run_in_direct_world(scenario, diaries=1)
+
+
 @pytest.mark.parametrize("raw", ["", "{", "[]", '{"name": 1}', "\ufffd", "null"])
 def test_invalid_row_among_our_instances_is_ignored(raw: str) -> None:
     own = Instance("entry-1", "palermo", "10.1.0.1:9", InstanceRole.ENTRY)
