Merge the discarding of former runs of restarted targets

Change: reports and token requests carry cold times and start times; a restarted target counts as cold.

--- a/packages/common/src/briarthread_common/messages/running_report.py
+++ b/packages/common/src/briarthread_common/messages/running_report.py
@@ -30,7 +30,9 @@
     that crash targets, ``leaving`` are the targets that announced their shutdown to the
     entry, ``backoffs`` the remaining seconds of the backoffs that targets requested
     from it, ``cold`` the remaining seconds for which the rate of cold targets is
-    bounded.
+    bounded. ``starts`` are the start times of the targets in ``limits``, ``leaving``
+    and ``backoffs``, in milliseconds, as far as they are known: the report is about
+    these runs of the targets.
     """
 
     running: dict[str, int] = {}
@@ -40,12 +42,13 @@
     leaving: tuple[str, ...] = ()
     backoffs: dict[str, float] = {}
     cold: dict[str, float] = {}
+    starts: dict[str, int] = {}
 
     def same_as(self, other: "RunningReport") -> bool:
         """Return whether another report need not be sent after this one."""
         if self.running != other.running or self.limits.keys() != other.limits.keys():
             return False
-        if self.leaving != other.leaving:
+        if self.leaving != other.leaving or self.starts != other.starts:
             return False
         if self.backoffs.keys() != other.backoffs.keys():
             return False
@@ -79,8 +82,9 @@
     leaving = merge_names(report.leaving for report in reports)
     backoffs = longest_backoffs(report.backoffs for report in reports)
     cold = longest_backoffs(report.cold for report in reports)
+    starts = merge_starts(report.starts for report in reports)
     return RunningReport(
-        dict(running), each, limits, crashes, leaving, backoffs, cold=cold
+        dict(running), each, limits, crashes, leaving, backoffs, cold, starts
     )
 
 
@@ -89,6 +93,11 @@
     return tuple(sorted({name for names in name_lists for name in names}))
 
 
+def merge_starts(start_maps: Iterable[Mapping[str, int]]) -> dict[str, int]:
+    """Return the start times of all targets; reports on former runs are not merged."""
+    return {name: start for starts in start_maps for name, start in starts.items()}
+
+
 def longest_backoffs(backoff_maps: Iterable[Mapping[str, float]]) -> dict[str, float]:
     """
     Return the longest remaining backoff, or other time, of each target.
--- a/packages/common/src/briarthread_common/messages/token_messages.py
+++ b/packages/common/src/briarthread_common/messages/token_messages.py
@@ -16,7 +16,8 @@
     ``word`` is what the sender knows of the limit; ``wait`` is how many seconds it
     may wait. ``cold_left`` is the number of seconds for which attempts at the target
     still need tokens because it is or was cold, according to its row, its responses or
-    an event known to the sender; 0.0 if none of them says so.
+    an event known to the sender; 0.0 if none of them says so. ``started_ms`` is the
+    start time of the target's run as the sender knows it, ``None`` if it is not stated.
     """
 
     asker: str
@@ -24,6 +25,7 @@
     word: LimitReport
     wait: float = 0.0
     cold_left: float = 0.0
+    started_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
@@ -68,8 +68,7 @@
         of attempts of all entries that ran at the target when this one started.
         """
         seconds = anyio.current_time() - began
-        if request.service.engine is None and _is_served(outcome):
-            self.plain_targets.note_served(state, seconds, running, began)
+        self._record_run(request, state, outcome, began, running)
         self._note_crash(request, state, outcome, began, unanswered)
         match outcome:
             case StreamRelayed():
@@ -109,6 +108,22 @@
         reason = f"{progress} after {seconds:.3f} s"
         self.events.add("attempt-abandoned", state.target.name, reason, request.id)
 
+    def _record_run(
+        self,
+        request: DirectRequest,
+        state: DirectTargetState,
+        outcome: DirectOutcome,
+        began: float,
+        running: int,
+    ) -> None:
+        """Record a duration at a plain target, or that the target was restarted."""
+        if state.ended:
+            reason = "the target was restarted during the attempt"
+            self.events.add("former-run", state.target.name, reason, request.id)
+        elif request.service.engine is None and _is_served(outcome):
+            seconds = anyio.current_time() - began
+            self.plain_targets.note_served(state, seconds, running, began)
+
     def _note_crash(
         self,
         request: DirectRequest,
@@ -119,20 +134,22 @@
     ) -> None:
         """Pass on what an attempt shows about a crash of its target."""
         now = anyio.current_time()
-        name = state.target.name
+        name, started_ms = state.target.name, state.target.started_ms
         match outcome:
             case StreamRelayed() | TargetResponse():
                 self.crashes.note_complete_response(request.digest, now)
-                self.crashes.note_alive(name, began)
+                self.crashes.note_alive(name, began, started_ms)
             case NotRun(written=True, replaced=False, faulty_rank=""):
-                self.crashes.note_alive(name, began)
+                self.crashes.note_alive(name, began, started_ms)
             case OutcomeUnknown(connection_lost=True) if (
                 not self.capacity.registry.is_leaving(state)
             ):
                 in_group = request.service.engine is not None
                 stalled = in_group and now - began > GROUP_STALL_SECONDS
                 if unanswered and not stalled:
-                    self.crashes.note_crash(request.digest, name, began, now)
+                    self.crashes.note_crash(
+                        request.digest, name, began, now, started_ms
+                    )
 
     def _note_served(
         self,
@@ -162,7 +179,7 @@
     ) -> None:
         name = state.target.name
         self._note_attempt_failed(request, state, reason)
-        if state.note_failure(anyio.current_time()):
+        if state.note_failure(anyio.current_time()) and not state.ended:
             self.events.add("target-ejected", name, reason)
 
     def _note_refused(
--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -126,8 +126,13 @@
         sent_at: float,
         number: int,
     ) -> None:
-        """Record what the head says of the target, but not a 421 from another one."""
-        if response.status == MISDIRECTED_REQUEST:
+        """
+        Record what the head of a response says of the target.
+
+        A 421 comes from another target, and a run that has ended says nothing of the
+        one that followed.
+        """
+        if response.status == MISDIRECTED_REQUEST or state.ended:
             return
         name = state.target.name
         now = anyio.current_time()
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -54,6 +54,7 @@
 from briarthread_entry.direct.target_chooser import TargetChooser
 from briarthread_entry.direct.target_limits import TargetLimits
 from briarthread_entry.direct.target_registry import TargetRegistry
+from briarthread_entry.direct.target_runs import TargetRuns
 
 
 class DirectEntry:
@@ -97,21 +98,28 @@
         self.crashes = CrashTracker(self._note_crash_decision)
         self.leaving_targets = LeavingTargets()
         self.evacuations = Evacuations(self.feeds.routes, adapter, self.metrics)
+        self.runs = TargetRuns(self.metrics)
         self.registry = TargetRegistry(
             self.feeds.targets,
             adapter,
             self.replicator.healthy_since,
             self.leaving_targets,
             self.evacuations,
+            self.runs,
         )
         self.registry.on_removed = self._discard_removed_targets
-        self.registry.on_assumed_cold = self._assume_cold
+        self.registry.on_restarted = self._discard_former_runs
+        self.registry.on_assumed_cold = self._end_evacuation
         self.cold_targets = ColdTargets(
             self.registry.find, self._find_service, self.metrics
         )
         self.registry.on_listed = self._note_listed
         self.peer_reports = PeerReports(
-            self.limits, self.crashes, self.leaving_targets, self.cold_targets
+            self.limits,
+            self.crashes,
+            self.leaving_targets,
+            self.cold_targets,
+            self.runs,
         )
         self.group_reports = GroupReports()
         self.membership = GroupMembership(self.directory)
@@ -153,6 +161,7 @@
             self.metrics,
             self.cold_targets,
             self.issuer_members,
+            self.runs,
         )
         self.runner = RequestRunner(
             TargetChooser(
@@ -254,13 +263,27 @@
         routes = self.routes.current()
         return None if routes is None else routes.services.get(name)
 
-    def _assume_cold(self, names: Sequence[str]) -> None:
-        """Assume that the targets of a data centre are cold after its evacuation."""
+    def _discard_former_runs(self, names: Sequence[str]) -> None:
+        """Drop what is known of the former runs of restarted targets."""
+        self.metrics.target_restarts.inc(len(names))
+        self.limits.discard(names)
+        self.tokens.discard(names)
+        self.backoffs.discard(names)
+        self.leaving_targets.discard(names)
+        self.crashes.discard_running(names)
+        self.peer_reports.discard_former_runs(names)
+        self._assume_cold(names, "restart")
+
+    def _end_evacuation(self, names: Sequence[str]) -> None:
+        self._assume_cold(names, "evacuation")
+
+    def _assume_cold(self, names: Sequence[str], source: str) -> None:
+        """Assume that targets are cold from now on."""
         now = anyio.current_time()
         for name in names:
             target = self.registry.find(name)
             if target is not None:
-                self.cold_targets.assume_cold(target, now, "evacuation")
+                self.cold_targets.assume_cold(target, now, source)
 
     async def _ensure_registered(self) -> None:
         await self.replicator.started.wait()
@@ -289,6 +312,7 @@
             leaving=leaving,
             backoffs=backoffs,
             cold=cold,
+            starts=self.runs.starts_of([*limit_reports, *leaving, *backoffs]),
         )
 
     def _note_crash_decision(self, decision: str, digest: str, reason: str) -> None:
--- a/packages/entry/src/briarthread_entry/direct/limit_tokens.py
+++ b/packages/entry/src/briarthread_entry/direct/limit_tokens.py
@@ -1,6 +1,6 @@
 """Rate-limit tokens for attempts at targets that state a limit or are cold."""
 
-from collections.abc import Callable, Container
+from collections.abc import Callable, Collection, Container
 
 import anyio
 from loguru import logger
@@ -29,6 +29,7 @@
     issuers_of,
 )
 from briarthread_entry.direct.target_limits import TargetLimits
+from briarthread_entry.direct.target_runs import TargetRuns
 from briarthread_entry.direct.token_issuer import TokenIssuer
 
 TOKEN_TIMEOUT_SECONDS = 0.15
@@ -67,6 +68,7 @@
         metrics: Metrics,
         cold: ColdTargets,
         members: IssuerMembers,
+        runs: TargetRuns,
     ) -> None:
         self.name = name
         self.directory = directory
@@ -76,6 +78,7 @@
         self.metrics = metrics
         self.cold = cold
         self.members = members
+        self.runs = runs
         self.issuer = TokenIssuer()
         self.unresponsive = RecentFailures(SKIP_SECONDS)
         self.denied_until: dict[str, float] = {}
@@ -106,6 +109,12 @@
         for name in [name for name in self.denied_until if name not in targets]:
             del self.denied_until[name]
 
+    def discard(self, targets: Collection[str]) -> None:
+        """Forget the buckets and the denials of the given targets."""
+        self.issuer.discard(targets)
+        for name in targets:
+            self.denied_until.pop(name, None)
+
     async def acquire(self, target: DirectTarget, wait: float) -> bool:
         """
         Acquire a token, waiting up to ``wait`` seconds for it.
@@ -118,7 +127,9 @@
             return await self._acquire_cold(target, limit or UNSTATED_LIMIT, wait)
         if limit is None or limit.per_second is None:
             return True
-        ask = TokenRequest(self.name, target.name, limit, wait)
+        ask = TokenRequest(
+            self.name, target.name, limit, wait, started_ms=target.started_ms
+        )
         answer = await self._request(target, ask)
         self.metrics.limited_attempts.labels(_decision(answer)).inc()
         return await self._apply(target, answer)
@@ -128,7 +139,8 @@
         if answer.granted:
             await anyio.sleep(answer.pause)
             return True
-        self.denied_until[target.name] = anyio.current_time() + answer.pause
+        if self._is_current_run(target.name, target.started_ms):
+            self.denied_until[target.name] = anyio.current_time() + answer.pause
         return False
 
     async def _acquire_cold(
@@ -152,7 +164,7 @@
         """Return the answer of an issuer of a cold target, ``None`` without one."""
         now = anyio.current_time()
         left = self.cold.own_left(target.name, now)
-        ask = TokenRequest(self.name, target.name, limit, wait, left)
+        ask = TokenRequest(self.name, target.name, limit, wait, left, target.started_ms)
         order = self.members.order(target, now)
         entries = self.members.entries(now)
         for name in self.unresponsive.without_recent(order):
@@ -197,9 +209,9 @@
         return answer
 
     async def _handle_request(self, ask: TokenRequest) -> TokenAnswer:
-        self._merge(ask.asker, ask.target, ask.word, ask.cold_left)
+        self._merge(ask.asker, ask.target, ask.word, ask.cold_left, ask.started_ms)
         target = self.find(ask.target)
-        if target is None:
+        if target is None or not self._is_current_run(ask.target, ask.started_ms):
             return TokenAnswer(False, UNKNOWN_TARGET_SECONDS)
         if ask.cold_left > 0 or self.is_cold(ask.target):
             return self._issue_cold(ask, target)
@@ -239,11 +251,21 @@
     def _entries(self) -> dict[str, Instance]:
         return self.directory.of_role(InstanceRole.ENTRY)
 
+    def _is_current_run(self, target: str, started_ms: int | None) -> bool:
+        return started_ms is None or self.runs.is_current(target, started_ms)
+
     def _merge(
-        self, source: str, target: str, limit: LimitReport | None, cold_left: float
+        self,
+        source: str,
+        target: str,
+        limit: LimitReport | None,
+        cold_left: float,
+        started_ms: int | None = None,
     ) -> None:
         now = anyio.current_time()
-        if limit is not None:
+        if limit is not None and self.runs.is_current(
+            target, started_ms, now - limit.age
+        ):
             self.limits.merge(source, {target: limit}, now)
         self.cold.merge(target, cold_left, now)
 
--- a/packages/entry/src/briarthread_entry/direct/target_chooser.py
+++ b/packages/entry/src/briarthread_entry/direct/target_chooser.py
@@ -152,7 +152,7 @@
             for state in states
             if not self.tokens.is_cold(state.target.name)
             and state.ejected_until <= now
-            and self._total_running(state, now) < state.target.slots
+            and self.total_running(state, now) < state.target.slots
         ]
         return free or states
 
--- a/packages/entry/src/briarthread_entry/direct/target_state.py
+++ b/packages/entry/src/briarthread_entry/direct/target_state.py
@@ -31,10 +31,11 @@
     Hold a target and this entry's observations of it.
 
     ``running`` is the number of attempts that this entry is running at the target.
-    ``replaced`` is true if another target answers at its address. ``removed_at`` is the
-    time when the target was removed from the platform's list. Times are in seconds on
-    the event loop's clock. ``condition``, ``durations`` and ``probe`` are kept for
-    targets of plain services only.
+    ``replaced`` is true if another target answers at its address, ``ended`` if the
+    target was restarted and has a new state. ``removed_at`` is the time when the target
+    was removed from the platform's list. Times are in seconds on the event loop's
+    clock. ``condition``, ``durations`` and ``probe`` are kept for targets of plain
+    services only.
     """
 
     target: DirectTarget
@@ -45,6 +46,7 @@
     ejected_until: float = 0.0
     removed_at: float | None = None
     replaced: bool = False
+    ended: bool = False
     failure_share: DecayingMean = field(
         default_factory=lambda: DecayingMean(SAMPLE_WEIGHT)
     )
@@ -79,7 +81,7 @@
 
     def is_usable(self) -> bool:
         """Return whether the target may get new requests, apart from ejections."""
-        return not self.target.leaving and not self.replaced
+        return not self.target.leaving and not self.replaced and not self.ended
 
     def fill(self, running: int) -> float:
         """Return the share of the slots that running attempts use, 1.0 if all."""
