Admit requests to groups by urgency

Any new request started while a group had capacity. A burst of the least urgent requests therefore filled the group, and the most urgent ones were refused, since at dozens of entries hardly any two requests wait at the same one.

Entries now report their demand by rank. A less urgent request starts only while more slots are free than the more urgent demand takes until the next reports. Services whose routes have one priority are decided, reported and sent as before.

--- a/packages/common/src/briarthread_common/core/metrics.py
+++ b/packages/common/src/briarthread_common/core/metrics.py
@@ -54,6 +54,12 @@
             ["decision"],
             registry=self.registry,
         )
+        self.urgency_decisions = Counter(
+            "briarthread_urgency_decisions",
+            "Admissions to groups of services with priorities, by reason.",
+            ["priority", "decision", "reason"],
+            registry=self.registry,
+        )
         self.callers_left = Counter(
             "briarthread_callers_left",
             "Requests whose caller left before the answer was complete.",
--- a/packages/common/src/briarthread_common/direct/header_names.py
+++ b/packages/common/src/briarthread_common/direct/header_names.py
@@ -13,7 +13,8 @@
     that the target did not run the request. ``target_stamp`` is present on every
     response that a target itself produced. ``rate_limit`` is the number of requests
     per second that a target accepts from all callers together while it limits its
-    load. ``leaving`` announces that the target is shutting down.
+    load. ``leaving`` announces that the target is shutting down. ``urgency`` carries
+    the priority of a request to its target, from 0 (first) to 9.
     """
 
     request_id: str
@@ -28,3 +29,4 @@
     leaving: str
     token_counts: str
     resume_from: str
+    urgency: str
--- a/packages/common/src/briarthread_common/messages/running_report.py
+++ b/packages/common/src/briarthread_common/messages/running_report.py
@@ -16,6 +16,18 @@
 """Path, before an entry's name, at which a collector streams to that entry the sum
 of all other entries' reports."""
 
+MIN_DEMAND_CHANGE = 8.0
+"""Change of a demand, in requests per second, up to which a report need not be sent.
+
+The rate of one entry varies by two or three requests per second under a constant load.
+Reports between data centres are paid for by the byte.
+"""
+MIN_DEMAND_CHANGE_FRACTION = 0.5
+"""The same as a fraction of the larger demand, for sums over many entries."""
+
+Demand = dict[str, dict[int, float]]
+"""Requests per second by service and rank, which is 0 for the most urgent."""
+
 
 class RunningReport(msgspec.Struct, frozen=True, omit_defaults=True):
     """
@@ -29,7 +41,8 @@
     targets stated in responses to the entry, ``crashes`` is what it knows of requests
     that crash targets, ``leaving`` are the targets that announced their shutdown to the
     entry, ``backoffs`` the remaining seconds of the backoffs that targets requested
-    from it.
+    from it. ``demand`` is the rate of arriving requests of the services whose routes
+    differ in priority.
     """
 
     running: dict[str, int] = {}
@@ -38,6 +51,7 @@
     crashes: CrashWords = CrashWords()
     leaving: tuple[str, ...] = ()
     backoffs: dict[str, float] = {}
+    demand: Demand = {}
 
     def same_as(self, other: "RunningReport") -> bool:
         """Return whether another report need not be sent after this one."""
@@ -47,6 +61,8 @@
             return False
         if self.backoffs.keys() != other.backoffs.keys():
             return False
+        if not _is_similar_demand(self.demand, other.demand):
+            return False
         return self.crashes.same_as(other.crashes) and all(
             limit.per_second == other.limits[target].per_second
             for target, limit in self.limits.items()
@@ -74,7 +90,10 @@
     crashes = merge_crash_words(report.crashes for report in reports)
     leaving = merge_names(report.leaving for report in reports)
     backoffs = longest_backoffs(report.backoffs for report in reports)
-    return RunningReport(dict(running), each, limits, crashes, leaving, backoffs)
+    demand = sum_demands(report.demand for report in reports)
+    return RunningReport(
+        dict(running), each, limits, crashes, leaving, backoffs, demand
+    )
 
 
 def merge_names(name_lists: Iterable[tuple[str, ...]]) -> tuple[str, ...]:
@@ -94,3 +113,40 @@
         for target, seconds in backoffs.items():
             longest[target] = max(longest.get(target, 0.0), seconds)
     return longest
+
+
+def sum_demands(demands: Iterable[Demand]) -> Demand:
+    """
+    Return the sum of several demands.
+
+    >>> sum_demands([{"m": {0: 1.2}}, {}, {"m": {0: 2.4, 1: 0.5}}])
+    {'m': {0: 3.6, 1: 0.5}}
+    """
+    total: Demand = {}
+    for demand in demands:
+        for service, rates in demand.items():
+            sums = total.setdefault(service, {})
+            for rank, rate in rates.items():
+                sums[rank] = round(sums.get(rank, 0.0) + rate, 1)
+    return total
+
+
+def _is_similar_demand(demand: Demand, other: Demand) -> bool:
+    """Return whether no rate differs by more than the smallest change to be sent."""
+    if demand == other:
+        return True
+    return all(
+        _is_similar_rate(
+            demand.get(service, {}).get(rank, 0.0),
+            other.get(service, {}).get(rank, 0.0),
+        )
+        for service in demand.keys() | other.keys()
+        for rank in demand.get(service, {}).keys() | other.get(service, {}).keys()
+    )
+
+
+def _is_similar_rate(rate: float, other: float) -> bool:
+    change_to_send = max(
+        MIN_DEMAND_CHANGE, MIN_DEMAND_CHANGE_FRACTION * max(rate, other)
+    )
+    return abs(rate - other) <= change_to_send
--- a/packages/entry/src/briarthread_entry/direct/admission_rule.py
+++ b/packages/entry/src/briarthread_entry/direct/admission_rule.py
@@ -103,6 +103,21 @@
     >>> decide_admission(in_backoff, False, 0.2, 9.0, 0.0).retry_after
     2.0
     """
+    unavailable = decide_unavailable(capacity, wait_left, time_left, jitter)
+    if unavailable is not None:
+        return unavailable
+    if capacity.running < _limit(capacity, is_client_retry):
+        return Start()
+    if wait_left > 0:
+        return WaitForCapacity()
+    reason = f"{capacity.running} requests running, limit {capacity.limit}"
+    return Refuse(ErrorKind.OVERLOADED, reason, spread_retry_after(time_left, jitter))
+
+
+def decide_unavailable(
+    capacity: GroupCapacity, wait_left: float, time_left: float, jitter: float
+) -> Decision | None:
+    """Decide on a request to a group that accepts none now, ``None`` if it does."""
     if not capacity.serving:
         if capacity.recovers_in <= wait_left:
             return WaitForCapacity()
@@ -110,12 +125,7 @@
         return Refuse(ErrorKind.GROUP_BROKEN, "the group is not serving", pause)
     if capacity.opens_in > 0:
         return _decide_in_backoff(capacity.opens_in, wait_left, time_left, jitter)
-    if capacity.running < _limit(capacity, is_client_retry):
-        return Start()
-    if wait_left > 0:
-        return WaitForCapacity()
-    reason = f"{capacity.running} requests running, limit {capacity.limit}"
-    return Refuse(ErrorKind.OVERLOADED, reason, spread_retry_after(time_left, jitter))
+    return None
 
 
 def _decide_in_backoff(
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -46,6 +46,7 @@
 from briarthread_entry.direct.target_chooser import TargetChooser
 from briarthread_entry.direct.target_limits import TargetLimits
 from briarthread_entry.direct.target_registry import TargetRegistry
+from briarthread_entry.direct.urgency_tracker import UrgencyTracker
 
 
 class DirectEntry:
@@ -106,7 +107,8 @@
             self.limits,
             self.backoffs,
         )
-        self.admission = GroupAdmission(self.capacity, rng)
+        self.urgency = UrgencyTracker(self.peer_reports, self.metrics, rng)
+        self.admission = GroupAdmission(self.capacity, self.urgency, rng)
         self.running_watcher = RunningWatcher(
             settings.name, self.directory, self.peer_reports, peer_channel, rng
         )
--- a/packages/entry/src/briarthread_entry/direct/group_admission.py
+++ b/packages/entry/src/briarthread_entry/direct/group_admission.py
@@ -23,7 +23,9 @@
     combined_capacity,
     groups_with_capacity,
 )
-from briarthread_entry.direct.waiting_place import WaitingPlace
+from briarthread_entry.direct.urgency_rule import UrgencyClaim, decide_by_urgency
+from briarthread_entry.direct.urgency_tracker import UrgencyTracker
+from briarthread_entry.direct.waiting_place import WaitingPlace, request_rank
 
 POLL_INTERVAL_SECONDS = 0.02
 """Interval at which a waiting request checks for capacity, a fraction of a pass."""
@@ -43,11 +45,18 @@
 
     Capacity is counted over all entries and all serving groups. Waiting requests are
     admitted in order: new requests before client retries, then by priority, then by
-    time of arrival.
+    time of arrival. If the routes of a service differ in priority, its requests are
+    admitted by rank, and ``urgency`` holds back the less urgent ones.
     """
 
-    def __init__(self, capacity: GroupCapacityTracker, rng: random.Random) -> None:
+    def __init__(
+        self,
+        capacity: GroupCapacityTracker,
+        urgency: UrgencyTracker,
+        rng: random.Random,
+    ) -> None:
         self.capacity = capacity
+        self.urgency = urgency
         self.rng = rng
         self.retry_detector = ClientRetryDetector()
         self.queue: list[WaitingPlace] = []
@@ -67,6 +76,7 @@
                 if state.running
             },
             request_costs,
+            demand=self.urgency.arrivals.rates(now),
         )
 
     async def admit(self, request: DirectRequest) -> set[GroupId]:
@@ -78,32 +88,51 @@
         is_client_retry = self.retry_detector.is_client_retry(
             request.route.name, request.caller_timeout
         )
+        has_priorities = request.service.has_priorities
         place = WaitingPlace(
+            request_rank(request.priority, is_client_retry) if has_priorities else 0,
             is_client_retry,
             request.priority,
             request.arrived,
             request.id,
             request.service.name,
         )
+        claim = None
+        if has_priorities:
+            now = anyio.current_time()
+            claim = self.urgency.note_arrival(request, place, now)
         self.queue.append(place)
         try:
-            return await self._wait(request, place)
+            return await self._wait(request, place, claim)
         finally:
             self.queue.remove(place)
 
-    async def _wait(self, request: DirectRequest, place: WaitingPlace) -> set[GroupId]:
+    def note_served(self, request: DirectRequest) -> None:
+        """Record that a request was served completely."""
+        if request.service.has_priorities:
+            seconds = anyio.current_time() - request.arrived
+            self.urgency.note_served(request.service.name, seconds)
+
+    async def _wait(
+        self, request: DirectRequest, place: WaitingPlace, claim: UrgencyClaim | None
+    ) -> set[GroupId]:
         max_wait = self._max_wait(request)
+        waited = False
         while True:
             now = anyio.current_time()
             wait_left = self._wait_deadline(request, place, max_wait) - now
             capacities = self.capacity.capacities(request, now)
-            match self._decide(request, place, capacities, wait_left, now):
+            decision = self._decide(request, place, claim, capacities, wait_left, now)
+            if claim is not None:
+                self.urgency.note_decision(place, claim, decision, waited, now)
+            match decision:
                 case Start():
                     return self._allowed_groups(capacities)
                 case Refuse() as refusal:
                     raise RequestError(
                         refusal.kind, refusal.reason, retry_after=refusal.retry_after
                     )
+            waited = True
             await anyio.sleep(POLL_INTERVAL_SECONDS)
 
     def _allowed_groups(self, capacities: GroupCapacities) -> set[GroupId]:
@@ -120,6 +149,7 @@
         self,
         request: DirectRequest,
         place: WaitingPlace,
+        claim: UrgencyClaim | None,
         capacities: GroupCapacities,
         wait_left: float,
         now: float,
@@ -128,9 +158,13 @@
         ahead = sum(other.is_before(place) for other in self.queue)
         capacity = replace(capacity, running=capacity.running + ahead)
         time_left = request.caller_time_left(now)
-        return decide_admission(
-            capacity, place.is_client_retry, wait_left, time_left, self.rng.random()
-        )
+        jitter = self.rng.random()
+        if claim is None:
+            return decide_admission(
+                capacity, place.is_client_retry, wait_left, time_left, jitter
+            )
+        load = self.urgency.load(place, now)
+        return decide_by_urgency(capacity, load, claim, wait_left, time_left, jitter)
 
     def _combined_capacity(self, capacities: GroupCapacities) -> GroupCapacity:
         return combined_capacity(capacities)
--- a/packages/entry/src/briarthread_entry/direct/peer_reports.py
+++ b/packages/entry/src/briarthread_entry/direct/peer_reports.py
@@ -10,9 +10,11 @@
 from briarthread_common.messages.crash_words import merge_crash_words
 from briarthread_common.messages.limit_report import LimitReport, newest_limits
 from briarthread_common.messages.running_report import (
+    Demand,
     RunningReport,
     longest_backoffs,
     merge_names,
+    sum_demands,
 )
 from briarthread_entry.direct.crash_tracker import CrashTracker
 from briarthread_entry.direct.leaving_targets import LeavingTargets
@@ -75,6 +77,7 @@
         self.leaving_targets = leaving_targets or LeavingTargets()
         self.received: dict[str, _ReceivedReport] = {}
         self.totals: Counter[str] = Counter()
+        self.demand_total: Demand | None = None
         self.backoff_until: dict[str, float] = {}
         self.last_check = float("-inf")
 
@@ -93,6 +96,7 @@
         self.leaving_targets.set_reported(entry, report.leaving)
         self._extend_backoffs(report, now)
         self.totals.update(report.running)
+        self.demand_total = None
 
     def is_backing_off(self, target: str, now: float) -> bool:
         """Return whether a backoff that another entry reported is still in effect."""
@@ -113,6 +117,7 @@
         received = self.received.pop(entry, None)
         if received is not None:
             self.totals.subtract(received.report.running)
+            self.demand_total = None
 
     def fresh_reports(self, entries: Iterable[str], now: float) -> list[RunningReport]:
         """Return the unexpired reports of some entries."""
@@ -130,6 +135,21 @@
         self._drop_expired(now)
         return sum(self.totals.get(target, 0) for target in targets)
 
+    def demand_elsewhere(self, service: str, now: float) -> dict[int, float]:
+        """
+        Return the demand at the other entries by rank; it must not be changed.
+
+        >>> reports = PeerReports()
+        >>> reports.put("entry-2", RunningReport(demand={"m": {0: 2.0}}), now=10.0)
+        >>> reports.demand_elsewhere("m", 11.0), reports.demand_elsewhere("m", 12.0)
+        ({0: 2.0}, {})
+        """
+        self._drop_expired(now)
+        if self.demand_total is None:
+            received = self.received.values()
+            self.demand_total = sum_demands(one.report.demand for one in received)
+        return self.demand_total.get(service, {})
+
     def sum_without(
         self, entry: str, own_report: RunningReport, now: float
     ) -> RunningReport:
@@ -163,8 +183,9 @@
         backoffs = longest_backoffs(
             [own_report.backoffs, *(one.backoffs for one in others)]
         )
+        demand = sum_demands([own_report.demand, *(one.demand for one in others)])
         return RunningReport(
-            dict(+running), request_costs, limits, crashes, leaving, backoffs
+            dict(+running), request_costs, limits, crashes, leaving, backoffs, demand
         )
 
     def request_cost(self, group: str, now: float) -> float | None:
--- a/packages/entry/src/briarthread_entry/direct/read_request.py
+++ b/packages/entry/src/briarthread_entry/direct/read_request.py
@@ -7,6 +7,7 @@
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.exceptions import RequestError
 from briarthread_common.direct.direct_account import DirectAccount
+from briarthread_common.direct.direct_service import DirectService
 from briarthread_common.direct.header_names import HeaderNames
 from briarthread_common.direct.host_route import HostRoute
 from briarthread_common.direct.route_map import RouteMap
@@ -31,6 +32,8 @@
 )
 """Headers that concern a single connection only (RFC 9110, 7.6.1); the content length
 is set again for the body that was read."""
+LEAST_URGENT = 9
+"""Largest value of the urgency header; less urgent priorities are sent as this one."""
 NO_ACCOUNT = DirectAccount("")
 
 
@@ -70,7 +73,7 @@
             id=headers.get(self.names.request_id, ""),
             method=call.method,
             path=call.raw_target,
-            headers=self._forwarded_headers(call, headers),
+            headers=self._target_headers(call, headers, service, priority),
             body=body,
             route=route,
             service=service,
@@ -126,6 +129,26 @@
                 ErrorKind.BAD_REQUEST, f"{self.names.time_left} is not a number"
             ) from error
 
+    def _target_headers(
+        self,
+        call: Call,
+        headers: dict[str, str],
+        service: DirectService,
+        priority: int,
+    ) -> tuple[tuple[str, str], ...]:
+        """
+        Return the headers to send to the target.
+
+        If the routes of the service differ in priority, the request's own priority
+        replaces what the caller sent.
+        """
+        forwarded = self._forwarded_headers(call, headers)
+        if not service.has_priorities:
+            return forwarded
+        urgency = self.names.urgency
+        value = str(min(max(priority, 0), LEAST_URGENT))
+        return (*(pair for pair in forwarded if pair[0] != urgency), (urgency, value))
+
     def _forwarded_headers(
         self, call: Call, headers: dict[str, str]
     ) -> tuple[tuple[str, str], ...]:
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -116,6 +116,7 @@
             outcome = await self._attempt(request, state, relay, may_change_rank)
             match outcome:
                 case StreamRelayed():
+                    self.admission.note_served(request)
                     return
                 case TargetResponse(status=status) if status < SERVER_ERROR:
                     await _send_response(call, outcome)
--- a/packages/standins/src/briarthread_standins/loaded_group.py
+++ b/packages/standins/src/briarthread_standins/loaded_group.py
@@ -1,7 +1,8 @@
 """A stand-in for a lock-step group whose pass duration grows with its load."""
 
-from collections import deque
 from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
 
 import anyio
 
@@ -10,6 +11,8 @@
 
 MAX_BODY_BYTES = 1024 * 1024
 IDLE_POLL_SECONDS = 0.005
+DEFAULT_URGENCY = 5
+"""Urgency of a request without the header."""
 STAMP_HEADER = ("x-server-stamp", "stamp")
 
 
@@ -28,8 +31,8 @@
     Run passes that take ``fixed_seconds`` plus ``request_cost`` per running stream.
 
     ``request_cost`` is in seconds. Each rank runs ``slots`` streams and queues the
-    rest. While ``broken``, all ranks refuse requests, as in a group that has lost a
-    rank.
+    rest, the most urgent first. While ``broken``, all ranks refuse requests, as in a
+    group that has lost a rank.
     """
 
     def __init__(
@@ -46,7 +49,10 @@
         self.events = events
         self.broken = False
         self.running: list[list[Generation]] = [[] for _ in range(ranks)]
-        self.waiting: list[deque[Generation]] = [deque() for _ in range(ranks)]
+        self.waiting: list[list[tuple[int, int, Generation]]] = [
+            [] for _ in range(ranks)
+        ]
+        self.arrivals = count()
         self.max_running = 0
 
     def app(self, number: int) -> App:
@@ -63,7 +69,7 @@
             for rank, queue in zip(self.running, self.waiting, strict=True):
                 rank[:] = [g for g in rank if g.events > g.produced and not g.abandoned]
                 while queue and len(rank) < self.slots:
-                    rank.append(queue.popleft())
+                    rank.append(heappop(queue)[2])
             total = sum(len(rank) for rank in self.running)
             self.max_running = max(self.max_running, total)
             await anyio.sleep(
@@ -89,7 +95,8 @@
             await call.reply(503, b"", refusal)
             return
         generation = Generation(self.events)
-        self.waiting[number].append(generation)
+        urgency = int(headers.get("x-request-priority", DEFAULT_URGENCY))
+        heappush(self.waiting[number], (urgency, next(self.arrivals), generation))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(call.cancel_on_disconnect, tasks.cancel_scope)
             try:
