Describe capacity by urgency and log overloads only for full groups

A refusal for a broken group was logged as an overload of the service, and the reason of a refusal did not state the demand that has precedence.

Only refusals for lack of capacity now count as an overload.

--- a/packages/entry/src/briarthread_entry/direct/urgency_rule.py
+++ b/packages/entry/src/briarthread_entry/direct/urgency_rule.py
@@ -120,7 +120,7 @@
     Start()
     >>> full = GroupCapacity(True, 59, 60)
     >>> decide_by_urgency(full, load, claim, 0.2, 8.0, 0.5).reason
-    '59 requests running, limit 60, 18 kept for more urgent ones'
+    '59 requests running, limit 60, 18 kept for more urgent ones, 38/s ahead'
     >>> unreserved = UrgencyClaim(unreserved=True, position=0.5)
     >>> decide_by_urgency(full, load, unreserved, 0.2, 8.0, 0.5)
     Start()
@@ -140,7 +140,7 @@
         return WaitForCapacity()
     reason = (
         f"{capacity.running} requests running, limit {capacity.limit}, "
-        f"{kept:.0f} kept for more urgent ones"
+        f"{kept:.0f} kept for more urgent ones, {load.ahead:.0f}/s ahead"
     )
     pause = retry_after_by_demand(
         load.more_urgent + load.own,
--- a/packages/entry/src/briarthread_entry/direct/urgency_tracker.py
+++ b/packages/entry/src/briarthread_entry/direct/urgency_tracker.py
@@ -4,6 +4,7 @@
 
 from loguru import logger
 
+from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.metrics import Metrics
 from briarthread_common.utils.decaying_mean import DecayingMean
 from briarthread_entry.direct.admission_rule import Decision, Refuse, Start
@@ -92,7 +93,8 @@
                 self._count(place, "waited" if waited else "started", reason)
             case Refuse(kind=kind, reason=detail):
                 self._count(place, "refused", str(kind))
-                self._note_refusal(place.service, detail, now)
+                if kind is ErrorKind.OVERLOADED:
+                    self._note_refusal(place.service, detail, now)
 
     def _count(self, place: WaitingPlace, decision: str, reason: str) -> None:
         priority = str(place.priority)
