--- a/packages/common/src/briarthread_common/direct/header_names.py
+++ b/packages/common/src/briarthread_common/direct/header_names.py
@@ -14,7 +14,8 @@
     response that a target itself produced. ``rate_limit`` is the number of requests
     per second that a target accepts from all callers together while it limits its
     load. ``leaving`` announces that the target is shutting down. ``cold_time`` is the
-    number of milliseconds for which the target is still cold.
+    number of milliseconds for which the target is still cold. ``urgency`` carries the
+    priority of a request to its target, from 0 (first) to 9.
     """
 
     request_id: str
@@ -30,3 +31,4 @@
     cold_time: str
     token_counts: str
     resume_from: str
+    urgency: str
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -55,6 +55,7 @@
 from briarthread_entry.direct.target_limits import TargetLimits
 from briarthread_entry.direct.target_registry import TargetRegistry
 from briarthread_entry.direct.target_runs import TargetRuns
+from briarthread_entry.direct.urgency_tracker import UrgencyTracker
 
 
 class DirectEntry:
@@ -133,7 +134,8 @@
             self.backoffs,
             self.cold_targets,
         )
-        self.admission = GroupAdmission(self.capacity, rng)
+        self.urgency = UrgencyTracker(self.peer_reports, self.metrics, rng)
+        self.admission = GroupAdmission(self.capacity, self.urgency, rng)
         self.running_watcher = RunningWatcher(
             settings.name, self.directory, self.peer_reports, peer_channel, rng
         )
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -121,6 +121,7 @@
             outcome = await self._attempt(request, state, relay, tried, may_move)
             match outcome:
                 case StreamRelayed():
+                    self.admission.note_served(request)
                     return
                 case TargetResponse(status=status) if status < SERVER_ERROR:
                     await _send_response(request, call, outcome)
