Move attempts only to targets that need no token

Cause: in the merged code, a request was taken off a silent target although the only other one was cold; its token was denied and the caller got a 502. Seen in test_bound_holds_when_a_third_of_the_entries_is_cut_off_from_all_others, three cases red.

Change: a target that needs a token does not count as an alternative. A test of restarted targets follows the new signature of the sender.

--- a/packages/entry/src/briarthread_entry/direct/target_chooser.py
+++ b/packages/entry/src/briarthread_entry/direct/target_chooser.py
@@ -110,12 +110,17 @@
                 self._note_denied(request, state)
 
     def has_answering_target(self, request: DirectRequest, tried: set[str]) -> bool:
-        """Return whether a target is left to try that is not known to be silent."""
+        """
+        Return whether a target is left to try that is not known to be silent.
+
+        A target that needs a token does not count, since its token may be denied.
+        """
         now = anyio.current_time()
         return any(
             state.ejected_until <= now
             and state.condition is not TargetCondition.SILENT
             and self._opens_at(state, now) <= now
+            and not self.tokens.is_limited(state.target.name)
             for state in self._candidates(request, tried, None, now)
         )
 
--- a/tests/direct/test_restarted_targets.py
+++ b/tests/direct/test_restarted_targets.py
@@ -564,7 +564,8 @@
         head = build_head(503, ("retry-after", "30"))
         for state, expected in ((former, False), (current, True)):
             now = anyio.current_time()
-            entry.runner.sender._record_head(state, head, now, number=1)
+            with state.unanswered.attempt(now) as number:
+                entry.runner.sender._record_head(state, head, now, number)
             assert entry.backoffs.is_active("diary-0", now) == expected
 
     run_with_listed_target(scenario)
