Limit groups by the peak cost where requests differ in urgency

The limit followed the mean cost of a running request. Ruled out: refusals, of which the same seconds had few.

Change: PassMeter keeps a peak cost that rises within tenths of a second and decays over seconds; a service whose routes differ in priority is limited by it.

--- a/packages/entry/src/briarthread_entry/direct/group_capacity.py
+++ b/packages/entry/src/briarthread_entry/direct/group_capacity.py
@@ -19,6 +19,8 @@
 from briarthread_entry.direct.cold_targets import ColdTargets
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.group_concurrency import (
+    MAX_PASS_FRACTION,
+    MAX_PEAK_PASS_FRACTION,
     initial_request_cost,
     max_concurrency,
 )
@@ -128,16 +130,9 @@
         now: float,
     ) -> GroupCapacity:
         service = request.service
-        request_cost = self.meter(service, group).request_cost(now)
-        if request_cost is None:
-            request_cost = self.peer_reports.request_cost(str(group), now)
         evacuated = self._evacuated_ranks(group)
-        limit = max_concurrency(
-            len(states) + len(evacuated),
-            service.engine,
-            request.route.gap_slo,
-            request_cost,
-        )
+        ranks = len(states) + len(evacuated)
+        limit = self._max_concurrency(request, group, ranks, now)
         if evacuated:
             limit = max(limit - self._running(evacuated, now), 0)
         return GroupCapacity(
@@ -148,6 +143,28 @@
             opens_in=self._opens_in(states, now),
         )
 
+    def _max_concurrency(
+        self, request: DirectRequest, group: GroupId, ranks: int, now: float
+    ) -> int:
+        """
+        Return how many requests the passes of a group allow.
+
+        With the mean request cost, every shift of the popularity of the experts makes
+        the running streams late. Where the less urgent requests can be refused instead,
+        the limit is derived from the peak cost.
+        """
+        service, meter = request.service, self.meter(request.service, group)
+        peak_cost = meter.peak_request_cost(now) if service.has_priorities else None
+        if peak_cost is not None:
+            request_cost, fraction = peak_cost, MAX_PEAK_PASS_FRACTION
+        else:
+            request_cost, fraction = meter.request_cost(now), MAX_PASS_FRACTION
+        if request_cost is None:
+            request_cost = self.peer_reports.request_cost(str(group), now)
+        return max_concurrency(
+            ranks, service.engine, request.route.gap_slo, request_cost, fraction
+        )
+
     def _opens_in(self, states: Sequence[DirectTargetState], now: float) -> float:
         """Return the seconds until the first rank accepts requests, 0.0 for now."""
         opens = (self.backoffs.opens_at(state.target.name, now) for state in states)
--- a/packages/entry/src/briarthread_entry/direct/group_concurrency.py
+++ b/packages/entry/src/briarthread_entry/direct/group_concurrency.py
@@ -20,6 +20,9 @@
 Single passes are longer than the mean by the prompts read in them, and one such pass
 is enough to make a stream late.
 """
+MAX_PEAK_PASS_FRACTION = 0.87
+"""Fraction of the longest pause that a pass predicted from the peak request cost may
+take. The peak already includes most of what single passes exceed the mean by."""
 INITIAL_SKEW = 2.0
 """Assumed load of the busiest rank, relative to an even share, before any observation:
 it is 1.2 with experts placed by demand and about 3 with experts placed in turn."""
@@ -29,13 +32,18 @@
 
 
 def max_concurrency(
-    ranks: int, engine: EngineProfile, longest_pause: float, request_cost: float | None
+    ranks: int,
+    engine: EngineProfile,
+    longest_pause: float,
+    request_cost: float | None,
+    pass_fraction: float = MAX_PASS_FRACTION,
 ) -> int:
     """
     Return how many requests a group may run at once.
 
     ``request_cost`` is the number of seconds that a running request adds to a pass,
-    ``None`` if nothing was observed.
+    ``None`` if nothing was observed. ``pass_fraction`` is the fraction of the longest
+    pause that the predicted pass may take.
 
     >>> engine = EngineProfile(6, 0.006, 0.0007, 0.0, 60e3, 0.0, 512, 5)
     >>> max_concurrency(12, engine, 0.12, 0.0015)
@@ -47,7 +55,7 @@
     if request_cost is None or longest_pause <= 0:
         return slots
     fixed_seconds = engine.steps_per_pass * engine.step_seconds
-    fitting_requests = (longest_pause * MAX_PASS_FRACTION - fixed_seconds) / max(
+    fitting_requests = (longest_pause * pass_fraction - fixed_seconds) / max(
         request_cost, MIN_REQUEST_COST_SECONDS
     )
     return int(min(max(fitting_requests, slots * MIN_SLOTS_FRACTION), slots))
--- a/packages/entry/src/briarthread_entry/direct/pass_meter.py
+++ b/packages/entry/src/briarthread_entry/direct/pass_meter.py
@@ -17,6 +17,11 @@
 The cost changes with the skew of the experts, over seconds, and not with the load. A
 slower mean keeps the concurrency limit from oscillating with the load that it bounds.
 """
+PEAK_RISE_WEIGHT = 0.03
+"""Weight of one pause in the peak request cost if it is above the peak."""
+PEAK_DECAY_WEIGHT = 0.003
+"""Weight of one pause in the peak request cost if it is below the peak. The peak then
+lasts for the few seconds until the popularity of the experts shifts again."""
 MAX_COST_RATIO = 3.0
 """Largest request cost taken from one pause, relative to the mean: single passes with
 many prompts say little about the next ones."""
@@ -28,9 +33,11 @@
 
 class PassMeter:
     """
-    Track the mean pause between events and the mean cost of a running request.
+    Track the mean pause between events and the cost of a running request.
 
-    The cost is the number of seconds that a running request adds to a pass.
+    The cost is the number of seconds that a running request adds to a pass. It rises
+    for about a second whenever the popularity of the experts shifts; the peak cost is
+    near the highest costs of the last seconds.
     ``fixed_seconds`` is the part of a pass that does not depend on the load.
     ``initial_cost`` is the cost before any observation. Without it the first pause
     alone would determine the mean, and after a restart that pause contains many
@@ -48,6 +55,7 @@
         self.initial_cost = initial_cost
         self.pause = DecayingMean(PAUSE_WEIGHT)
         self.cost = DecayingMean(COST_WEIGHT, value=initial_cost, samples=1)
+        self.peak_cost = initial_cost
         self.last_event = float("-inf")
 
     def note_event(self, previous: float | None, now: float, running: int) -> None:
@@ -59,7 +67,9 @@
         if running >= MIN_RUNNING_REQUESTS:
             cost = max(now - previous - self.fixed_seconds, 0.0) / running
             current_cost = max(self.cost.value, self.initial_cost)
-            self.cost.add(min(cost, current_cost * MAX_COST_RATIO))
+            cost = min(cost, current_cost * MAX_COST_RATIO)
+            self.cost.add(cost)
+            self._update_peak(cost)
 
     def mean_seconds(self, now: float) -> float | None:
         """Return the mean pass in seconds, ``None`` without recent events."""
@@ -69,5 +79,13 @@
         """Return the seconds that a running request adds to a pass, if known."""
         return self.cost.value if self._is_current(now, self.cost) else None
 
+    def peak_request_cost(self, now: float) -> float | None:
+        """Return the peak of the request cost over the last seconds, if known."""
+        return self.peak_cost if self._is_current(now, self.cost) else None
+
+    def _update_peak(self, cost: float) -> None:
+        weight = PEAK_RISE_WEIGHT if cost > self.peak_cost else PEAK_DECAY_WEIGHT
+        self.peak_cost += weight * (cost - self.peak_cost)
+
     def _is_current(self, now: float, mean: DecayingMean) -> bool:
         return mean.samples > 0 and now - self.last_event <= STALE_SECONDS
--- a/tests/direct/test_pass_meter.py
+++ b/tests/direct/test_pass_meter.py
@@ -43,3 +43,24 @@
         now = 1.0 + event * 0.01
         meter.note_event(now - pause, now, running=50)
     assert least <= concurrency_limit(meter, now=5.0) <= most
+
+
+def test_peak_cost_outlasts_a_shift_of_the_experts_popularity() -> None:
+    """Guards against a limit that admits too much again before the next shift."""
+    meter = PassMeter(fixed_seconds=0.02, initial_cost=0.001)
+    now = 0.0
+    for cost in [0.001] * 400 + [0.002] * 100 + [0.001] * 200:
+        now += 0.01
+        meter.note_event(now - 0.02 - cost * 40, now, running=40)
+    assert meter.request_cost(now) < 0.0013
+    assert meter.peak_request_cost(now) > 0.0014
+
+
+def test_peak_cost_is_the_mean_cost_under_a_steady_load() -> None:
+    meter = PassMeter(fixed_seconds=0.02, initial_cost=0.002)
+    now = 0.0
+    for _ in range(3000):
+        now += 0.01
+        meter.note_event(now - 0.06, now, running=40)
+    assert meter.peak_request_cost(now) == pytest.approx(0.001, rel=0.01)
+    assert meter.request_cost(now) == pytest.approx(0.001, rel=0.01)
