Evacuate a data centre in the soak

Cause: the soak of real processes did not know of evacuations.

Change: its targets are in two data centres, one of which is evacuated for eight seconds while processes fail. No request may arrive there later than five seconds after that.

--- a/tests/soak/run_soak.py
+++ b/tests/soak/run_soak.py
@@ -31,7 +31,12 @@
 from soak.soak_callers import CallerRecord, SoakCaller
 from soak.soak_checks import MIN_RECOVERED_SHARE, SoakChecker, TargetLog
 from soak.soak_deployment import SoakDeployment
-from soak.soak_faults import Disturbance, FaultInjector, draw_faults
+from soak.soak_faults import (
+    Disturbance,
+    FaultInjector,
+    draw_evacuation,
+    draw_faults,
+)
 from soak.soak_monitor import BusyMonitor
 
 RECOVERY_SECONDS = 4.0
@@ -92,6 +97,7 @@
     faults = draw_faults(
         rng, list(deployment.entries), list(deployment.targets), seconds
     )
+    faults.append(draw_evacuation(rng, seconds))
     injector = FaultInjector(deployment)
     soak_callers = [
         SoakCaller(f"c{number}", deployment.callers_addresses, seed)
@@ -124,7 +130,10 @@
     log = TargetLog()
     for name, target in deployment.targets.items():
         log.read(name, target.process.log)
-    checker = SoakChecker(log, injector.disturbances, monitor)
+    data_centres = {
+        name: target.data_centre for name, target in deployment.targets.items()
+    }
+    checker = SoakChecker(log, injector.disturbances, monitor, data_centres)
     return SoakResult(
         records,
         injector.disturbances,
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -15,6 +15,8 @@
 """Time within which a request that is not passed on may have crossed a close."""
 SETTLE_SECONDS = 1.0
 """Time before and after a disturbance in which its effects may show."""
+EVACUATED_SECONDS = 5.0
+"""Time after an evacuation from which no request may arrive in its data centre."""
 REFUSALS = (429, 503)
 MIN_RECOVERED_SHARE = 0.9
 EVENTS_PER_STREAM = 20
@@ -43,11 +45,16 @@
     """Find violations of the promises."""
 
     def __init__(
-        self, log: TargetLog, disturbances: list[Disturbance], monitor: BusyMonitor
+        self,
+        log: TargetLog,
+        disturbances: list[Disturbance],
+        monitor: BusyMonitor,
+        data_centres: dict[str, str],
     ) -> None:
         self.log = log
         self.monitor = monitor
         self.disturbances = disturbances
+        self.data_centres = data_centres
 
     def violations(self, records: Iterable[CallerRecord]) -> list[str]:
         """Return a line for each violation; a busy machine is named, not excused."""
@@ -73,11 +80,24 @@
             yield f"REFUSED: arrived {arrivals}"
         if record.status == 200 and record.complete and not self._is_whole(record):
             yield "MIXED: wrong body"
+        yield from self._arrivals_after_evacuation(arrivals)
         if self._lost_in_planned_stop(record):
             yield "LOST: no complete response around a planned stop"
         if record.left_at is not None:
             yield from self._work_after_caller_left(record, arrivals)
 
+    def _arrivals_after_evacuation(
+        self, arrivals: list[tuple[float, str]]
+    ) -> Iterator[str]:
+        for evacuation in self.disturbances:
+            if evacuation.kind is not FaultKind.EVACUATED:
+                continue
+            first = evacuation.began_at + EVACUATED_SECONDS
+            for at, target in arrivals:
+                is_inside = self.data_centres[target] == evacuation.subject
+                if is_inside and first < at < evacuation.ended_at:
+                    yield f"EVACUATED: reached {target} {at - first:.2f} s too late"
+
     def _busy_note(self, record: CallerRecord) -> str:
         first = record.ended_at if record.sent_at is None else record.sent_at
         busy = self.monitor.was_busy(first, record.ended_at + GONE_SECONDS)
--- a/tests/soak/soak_deployment.py
+++ b/tests/soak/soak_deployment.py
@@ -22,6 +22,8 @@
 SERVICES = {MODEL: 4, DIARY: 3}
 """Number of targets of each service."""
 ENTRY_COUNT = 3
+FIRST_DATA_CENTRE, SECOND_DATA_CENTRE = "palermo", "catania"
+"""Data centres of the targets, in turn; the entries are in the first one."""
 ENTRY_SETTINGS = """
 [instance]
 name = {name}
@@ -58,6 +60,7 @@
 
     process: SoakProcess
     proxy: LoopbackProxy
+    data_centre: str
 
 
 @dataclass(slots=True)
@@ -77,7 +80,8 @@
         self.store.put("op", "config", build_config())
         for service, count in SERVICES.items():
             for number in range(count):
-                await self._start_target(f"{service}-{number}", service)
+                data_centre = (FIRST_DATA_CENTRE, SECOND_DATA_CENTRE)[number % 2]
+                await self._start_target(f"{service}-{number}", service, data_centre)
         store_address = self._serve_store()
         peer_addresses = [free_address() for _ in range(ENTRY_COUNT)]
         for number in range(ENTRY_COUNT):
@@ -126,7 +130,7 @@
         self.tasks.start_soon(server.server.serve, [listener])
         return "{}:{}".format(*listener.getsockname())
 
-    async def _start_target(self, name: str, service: str) -> None:
+    async def _start_target(self, name: str, service: str, data_centre: str) -> None:
         address = free_address()
         host, _, port = address.partition(":")
         proxy = LoopbackProxy(host, int(port))
@@ -136,11 +140,11 @@
         module = "briarthread_standins.recorded_worker"
         command = [sys.executable, "-m", module, name, address]
         process = self._start_process(name, command)
-        self.targets[name] = Target(process, proxy)
+        self.targets[name] = Target(process, proxy, data_centre)
         row = {
             "service": service,
             "address": f"{HOST}:{proxy_port}",
-            "zone": "palermo",
+            "zone": data_centre,
             "slots": 12,
             "state": "ready",
         }
--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -9,8 +9,9 @@
 
 import anyio
 
-from soak.soak_deployment import SoakDeployment, SoakProcess
+from soak.soak_deployment import SECOND_DATA_CENTRE, SoakDeployment, SoakProcess
 
+EVACUATION_SECONDS = 8.0
 FAULT_SECONDS = (0.8, 3.0)
 DELAY_SECONDS = (0.02, 0.2)
 RESTART_PAUSE_SECONDS = 0.3
@@ -29,6 +30,7 @@
     ENTRY_PAUSED = "entry-paused"
     ENTRY_KILLED = "entry-killed"
     ENTRY_STOPPED = "entry-stopped"
+    EVACUATED = "evacuated"
 
 
 HELD_DIRECTIONS = {
@@ -81,7 +83,10 @@
     faults = []
     for subject in [*entries, *targets]:
         kinds = [
-            kind for kind in FaultKind if (kind in ENTRY_FAULTS) == (subject in entries)
+            kind
+            for kind in FaultKind
+            if (kind in ENTRY_FAULTS) == (subject in entries)
+            and kind is not FaultKind.EVACUATED
         ]
         at = rng.uniform(0.0, seconds / 2)
         while at < seconds:
@@ -92,6 +97,14 @@
     return faults
 
 
+def draw_evacuation(rng: random.Random, seconds: float) -> PlannedFault:
+    """Return an evacuation that begins early enough to end before the last faults."""
+    at = rng.uniform(0.0, max(seconds - EVACUATION_SECONDS, 0.0))
+    return PlannedFault(
+        FaultKind.EVACUATED, SECOND_DATA_CENTRE, at, EVACUATION_SECONDS, 0.0
+    )
+
+
 class FaultInjector:
     """Inject planned faults and record when they began and ended."""
 
@@ -110,7 +123,9 @@
         await anyio.sleep(fault.at)
         async with self.locks[fault.subject]:
             began_at = time.monotonic()
-            if fault.subject in self.deployment.entries:
+            if fault.kind is FaultKind.EVACUATED:
+                await self._evacuate(fault)
+            elif fault.subject in self.deployment.entries:
                 await self._disturb_entry(fault, self.deployment.entries[fault.subject])
             else:
                 await self._disturb_target(fault)
@@ -118,6 +133,12 @@
                 Disturbance(fault.kind, fault.subject, began_at, time.monotonic())
             )
 
+    async def _evacuate(self, fault: PlannedFault) -> None:
+        key = f"evacuate/{fault.subject}"
+        self.deployment.store.put("op", key, {})
+        await anyio.sleep(fault.seconds)
+        self.deployment.store.delete("op", key)
+
     async def _disturb_target(self, fault: PlannedFault) -> None:
         target = self.deployment.targets[fault.subject]
         proxy, handle = target.proxy, target.process.handle
