Log each decision of the retry budget with the figures it rests on

Cause: a retry was one count by reason, a denied one a count of refusals. No line named the request, what the entry had counted, how many entries it knew or how long it had run, so a restart that forgets what was spent and an entry that knows too few others looked alike. Change: retry-allowed and retry-denied with these figures; no logic changes.

--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -77,6 +77,7 @@
         self.slow_ranks = slow_ranks
         self.silent_attempts = SilentAttempts(chooser.plain_targets)
         self.metrics = metrics
+        self.events = events
         self.attempt_recorder = AttemptRecorder(
             capacity, crashes, sender.backoffs, chooser.plain_targets, metrics, events
         )
@@ -274,11 +275,16 @@
 
     def _spend_retry(self, request: DirectRequest, reason: str) -> bool:
         """Spend and count a retry; return whether the budget allowed it."""
-        if not self.budget.spend(request.service.name, anyio.current_time()):
+        service, now = request.service.name, anyio.current_time()
+        allowed = self.budget.spend(service, now)
+        decision = "retry-allowed" if allowed else "retry-denied"
+        figures = self.budget.describe(service, now)
+        self.events.add(decision, service, f"{reason}; {figures}", request.id)
+        if allowed:
+            self.metrics.retries.labels(reason).inc()
+        else:
             self.metrics.refusals.labels(str(ErrorKind.RETRY_BUDGET)).inc()
-            return False
-        self.metrics.retries.labels(reason).inc()
-        return True
+        return allowed
 
     async def _finish_failed(
         self, request: DirectRequest, call: Call, failures: list[DirectOutcome]
--- a/packages/entry/src/briarthread_entry/direct/shared_retry_budget.py
+++ b/packages/entry/src/briarthread_entry/direct/shared_retry_budget.py
@@ -43,11 +43,14 @@
     def __init__(self, allowance: RetryAllowance, entries: Callable[[], int]) -> None:
         self.allowance = allowance
         self.entries = entries
+        self.started: float | None = None
         self.requests: dict[str, deque[float]] = {}
         self.retries: dict[str, deque[float]] = {}
 
     def note_request(self, service: str, now: float) -> None:
         """Count the first attempt of a request."""
+        if self.started is None:
+            self.started = now
         self._recent(self.requests, service, now).append(now)
 
     def spend(self, service: str, now: float) -> bool:
@@ -61,6 +64,16 @@
         retries.append(now)
         return True
 
+    def describe(self, service: str, now: float) -> str:
+        """Return the figures that the next decision rests on, for logs."""
+        requests = len(self._recent(self.requests, service, now))
+        retries = len(self._recent(self.retries, service, now))
+        running = 0.0 if self.started is None else now - self.started
+        return (
+            f"{retries} retries for {requests} requests, "
+            f"{self.entries()} entries known, first request {running:.1f} s ago"
+        )
+
     def _recent(
         self, counts: dict[str, deque[float]], service: str, now: float
     ) -> deque[float]:
