--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -218,6 +218,7 @@
 
     def start(self, tasks: TaskGroup) -> None:
         """Start the background tasks in a task group."""
+        self.budget.start(anyio.current_time())
         tasks.start_soon(self.replicator.run)
         tasks.start_soon(self.routes.follow)
         tasks.start_soon(self.registry.follow)
--- a/packages/entry/src/briarthread_entry/direct/shared_retry_budget.py
+++ b/packages/entry/src/briarthread_entry/direct/shared_retry_budget.py
@@ -43,14 +43,16 @@
     def __init__(self, allowance: RetryAllowance, entries: Callable[[], int]) -> None:
         self.allowance = allowance
         self.entries = entries
-        self.started: float | None = None
+        self.started = 0.0
         self.requests: dict[str, deque[float]] = {}
         self.retries: dict[str, deque[float]] = {}
 
+    def start(self, now: float) -> None:
+        """Note when the entry started."""
+        self.started = now
+
     def note_request(self, service: str, now: float) -> None:
         """Count the first attempt of a request."""
-        if self.started is None:
-            self.started = now
         self._recent(self.requests, service, now).append(now)
 
     def spend(self, service: str, now: float) -> bool:
@@ -68,10 +70,10 @@
         """Return the figures that the next decision rests on, for logs."""
         requests = len(self._recent(self.requests, service, now))
         retries = len(self._recent(self.retries, service, now))
-        running = 0.0 if self.started is None else now - self.started
         return (
             f"{retries} retries for {requests} requests, "
-            f"{self.entries()} entries known, first request {running:.1f} s ago"
+            f"{self.entries()} entries known, "
+            f"running for {now - self.started:.1f} s"
         )
 
     def _recent(
--- a/packages/standins/src/briarthread_standins/direct_world.py
+++ b/packages/standins/src/briarthread_standins/direct_world.py
@@ -22,6 +22,7 @@
 DATA_CENTRES = ("palermo", "catania")
 START_SECONDS = 2.0
 CLIENT_ADDRESS = "10.250.0.1:1"
+RETRY_ALLOWANCE = RetryAllowance(0.2, 20.0, 10.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +112,7 @@
             drain_timeout=3.0,
             adapter="briarthread_platform.adapter",
             store=STORE_ADDRESS,
-            allowance=RetryAllowance(0.2, 20.0, 10.0),
+            allowance=RETRY_ALLOWANCE,
             spread=ReplicationOptions(name, data_centre, ("10.1.0.1:9",), 4.0, 2.0),
             log_level="INFO",
             log_json=False,
