Let a restarted entry use no part of the retry budget a second time

Callers saw: all entries together repeated more than the bound allows (BUDGET), 734 repeats in ten seconds where 559 are allowed, when all entries are killed three times while many targets refuse. Cause: an entry counted its retries in a window of its own memory and might use its whole part at any moment. A process that starts again has forgotten what the former one used, so each run within a window used the part once more; requests from before a shift or a kill were counted at two entries in the same way. Change: a token bucket a service, empty at the start. Requests and time fill it up to a capacity; half of an entry's part may be saved. While an entry does not know the list of entries it has no part of the reserve. Why it holds: retries in a window come out of the tokens saved at its begin (half of the reserve over all entries, half of the ratio for the window before), of the requests in it (the other half) and of time (the other half of the reserve). A new process adds none.

--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -150,7 +150,9 @@
             peer_channel,
             rng,
         )
-        self.budget = SharedRetryBudget(settings.allowance, self._entries)
+        self.budget = SharedRetryBudget(
+            settings.allowance, self._entry_count, anyio.current_time()
+        )
         self.issuer_members = IssuerMembers(
             settings.name, self.directory, self.replicator.contact_age
         )
@@ -218,7 +220,6 @@
 
     def start(self, tasks: TaskGroup) -> None:
         """Start the background tasks in a task group."""
-        self.budget.start(anyio.current_time())
         tasks.start_soon(self.replicator.run)
         tasks.start_soon(self.routes.follow)
         tasks.start_soon(self.registry.follow)
@@ -322,8 +323,10 @@
         self.metrics.crash_decisions.labels(decision).inc()
         self.events.add(decision, digest, reason)
 
-    def _entries(self) -> int:
-        return len(self.directory.of_role(InstanceRole.ENTRY))
+    def _entry_count(self) -> int:
+        """Return the number of entries with this one, 0 before the list is known."""
+        listed = self.directory.of_role(InstanceRole.ENTRY)
+        return len(listed.keys() | {self.settings.name}) if listed else 0
 
     def _status(self) -> dict[str, object]:
         now = anyio.current_time()
--- a/packages/entry/src/briarthread_entry/direct/shared_retry_budget.py
+++ b/packages/entry/src/briarthread_entry/direct/shared_retry_budget.py
@@ -4,15 +4,22 @@
 The budget limits retries when many targets fail at once and every request would be
 retried. In any window all entries together may send to a service, in addition to the
 first attempt of each request, a fraction of its requests and a fixed reserve.
+
+Each entry has a token bucket for each service. Requests and time fill it, and a retry
+takes one token. A new bucket is empty: a process that is killed may have used its whole
+part, and the one that follows it must not use the part again within the same window.
 """
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-USED_SHARE = 0.7
-"""Fraction of the allowance that is used. Each entry counts in its own window, and an
-entry that has just started does not know yet how many others there are."""
+USED_SHARE = 0.9
+"""Fraction of the allowance that is used. An attempt that waits for its connection
+arrives up to about a second, a tenth of a window, after it was charged."""
+SAVED_SHARE = 0.5
+"""Fraction of the part that an entry may save up for a burst of failures. It gets the
+rest evenly, with its requests and over time."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,57 +36,77 @@
     window: float
 
 
+@dataclass(slots=True)
+class _Bucket:
+    """The tokens for a service, and the times of the requests of the last window."""
+
+    updated: float
+    tokens: float = 0.0
+    requests: deque[float] = field(default_factory=deque)
+
+
 class SharedRetryBudget:
     """
-    Count requests and retries per service and limit retries to this entry's part.
-
-    >>> budget = SharedRetryBudget(RetryAllowance(0.2, 20.0, 10.0), lambda: 5)
-    >>> [budget.spend("s", now=1.0) for _ in range(4)]
-    [True, True, False, False]
-    >>> budget.spend("s", now=11.5)
+    Limit the retries to each service to this entry's part.
+
+    ``entries`` returns the number of entries that share the budget, 0 while it is not
+    known; the entry then gets no part of the reserve. ``started`` is the time at which
+    the entry started. Times are the runtime's, in seconds.
+
+    >>> budget = SharedRetryBudget(RetryAllowance(0.2, 20.0, 10.0), lambda: 5, 0.0)
+    >>> [budget.spend("s", now=20.0) for _ in range(2)]
+    [True, False]
+    >>> for _ in range(10):
+    ...     budget.note_request("s", now=21.0)
+    >>> budget.spend("s", now=21.0)
     True
     """
 
-    def __init__(self, allowance: RetryAllowance, entries: Callable[[], int]) -> None:
+    def __init__(
+        self, allowance: RetryAllowance, entries: Callable[[], int], started: float
+    ) -> None:
         self.allowance = allowance
         self.entries = entries
-        self.started = 0.0
-        self.requests: dict[str, deque[float]] = {}
-        self.retries: dict[str, deque[float]] = {}
-
-    def start(self, now: float) -> None:
-        """Note when the entry started."""
-        self.started = now
+        self.started = started
+        self.buckets: dict[str, _Bucket] = {}
 
     def note_request(self, service: str, now: float) -> None:
         """Count the first attempt of a request."""
-        self._recent(self.requests, service, now).append(now)
+        bucket = self._refilled(service, now)
+        bucket.requests.append(now)
+        bucket.tokens += (1 - SAVED_SHARE) * USED_SHARE * self.allowance.ratio
 
     def spend(self, service: str, now: float) -> bool:
         """Consume one retry and return whether the budget allowed it."""
-        requests = self._recent(self.requests, service, now)
-        retries = self._recent(self.retries, service, now)
-        reserve = self.allowance.reserve / max(self.entries(), 1)
-        allowed = USED_SHARE * (self.allowance.ratio * len(requests) + reserve)
-        if len(retries) + 1 > allowed:
+        bucket = self._refilled(service, now)
+        if bucket.tokens < 1.0:
             return False
-        retries.append(now)
+        bucket.tokens -= 1.0
         return True
 
     def describe(self, service: str, now: float) -> str:
         """Return the figures that the next decision rests on, for logs."""
-        requests = len(self._recent(self.requests, service, now))
-        retries = len(self._recent(self.retries, service, now))
+        bucket = self._refilled(service, now)
         return (
-            f"{retries} retries for {requests} requests, "
-            f"{self.entries()} entries known, "
-            f"running for {now - self.started:.1f} s"
+            f"{bucket.tokens:.1f} retries left, {len(bucket.requests)} requests, "
+            f"{self.entries()} entries known, running for {now - self.started:.1f} s"
         )
 
-    def _recent(
-        self, counts: dict[str, deque[float]], service: str, now: float
-    ) -> deque[float]:
-        times = counts.setdefault(service, deque())
-        while times and times[0] <= now - self.allowance.window:
-            times.popleft()
-        return times
+    def _refilled(self, service: str, now: float) -> _Bucket:
+        """Return the bucket of a service with its tokens of this moment."""
+        bucket = self.buckets.setdefault(service, _Bucket(self.started))
+        window = self.allowance.window
+        while bucket.requests and bucket.requests[0] <= now - window:
+            bucket.requests.popleft()
+        reserve = self._reserve()
+        gained = (1 - SAVED_SHARE) * reserve * (now - bucket.updated) / window
+        per_request = USED_SHARE * self.allowance.ratio
+        capacity = SAVED_SHARE * (reserve + per_request * len(bucket.requests))
+        bucket.tokens = min(bucket.tokens + gained, capacity)
+        bucket.updated = now
+        return bucket
+
+    def _reserve(self) -> float:
+        """Return this entry's part of the reserve in each window."""
+        entries = self.entries()
+        return USED_SHARE * self.allowance.reserve / entries if entries else 0.0
--- a/tests/direct/test_retry_budget.py
+++ b/tests/direct/test_retry_budget.py
@@ -141,11 +141,11 @@
     def _start(self) -> SharedRetryBudget:
         knows_at = self.now + self.rng.uniform(0.0, self.learning_seconds)
         known_before = self.rng.choice((0, 1))
-        budget = SharedRetryBudget(
-            self.allowance, lambda: self.size if self.now >= knows_at else known_before
+        return SharedRetryBudget(
+            self.allowance,
+            lambda: self.size if self.now >= knows_at else known_before,
+            self.now,
         )
-        budget.start(self.now)
-        return budget
 
     def kill(self, share: float) -> None:
         """Kill and restart a share of the entries."""
--- a/tests/direct/test_slow_ranks.py
+++ b/tests/direct/test_slow_ranks.py
@@ -7,6 +7,7 @@
 from briarthread_common.messages.group_report import GroupReport
 from briarthread_common.messages.running_report import RunningReport
 from briarthread_entry.direct.group_capacity import combined_capacity
+from briarthread_entry.direct.shared_retry_budget import RetryAllowance
 from briarthread_standins.direct_world import DirectResponse, DirectWorld
 
 SIZE = {"x-token-count": "100,200"}
@@ -76,9 +77,7 @@
 
 def test_stream_stays_on_its_rank_when_the_retry_budget_is_used_up() -> None:
     async def scenario(world: DirectWorld) -> None:
-        budget = world.entries["entry-1"].budget
-        while budget.spend(MODEL, anyio.current_time()):
-            pass
+        world.entries["entry-1"].budget.allowance = RetryAllowance(0.0, 0.0, 10.0)
         reply, ran = await stream_until_slow(world, factor=5.0)
         assert reply.event_ids == list(range(1, 21))
         assert list(ran.values()) == [1]
