Start the retry budget of entries with agents empty as well

Callers saw: nothing reported; found when the cause of the incident was looked for elsewhere. Cause: a new process began with ten saved retries, so entries that are restarted during a failure add ten each time. Change: a new budget is empty and fills with time and successes, as before.

--- a/packages/entry/src/briarthread_entry/retries/retry_budget.py
+++ b/packages/entry/src/briarthread_entry/retries/retry_budget.py
@@ -16,19 +16,20 @@
     Allow retries in proportion to recent successes.
 
     Under overload there are few successes and so few retries; retries therefore do
-    not multiply the load on the targets.
+    not multiply the load on the targets. A new budget is empty, so that entries that are
+    restarted again and again add no retries. ``updated`` is the time of the last refill.
 
-    >>> budget = RetryBudget(tokens=0.5)
-    >>> budget.spend(now=0.0)
+    >>> budget = RetryBudget(updated=5.0)
+    >>> budget.spend(now=6.0)
     False
     >>> for _ in range(3):
     ...     budget.note_success()
-    >>> budget.spend(now=0.0)
+    >>> budget.spend(now=6.0)
     True
     """
 
-    tokens: float = MAX_TOKENS
-    updated: float = 0.0
+    updated: float
+    tokens: float = 0.0
 
     def note_success(self) -> None:
         """Add a fraction of a retry for a success."""
@@ -36,10 +37,8 @@
 
     def spend(self, now: float) -> bool:
         """Take one retry out of the budget; return whether one was available."""
-        if self.updated:
-            self.tokens = min(
-                MAX_TOKENS, self.tokens + (now - self.updated) * REFILL_PER_SECOND
-            )
+        gained = (now - self.updated) * REFILL_PER_SECOND
+        self.tokens = min(MAX_TOKENS, self.tokens + gained)
         self.updated = now
         if self.tokens < 1.0:
             return False
