--- a/packages/entry/src/briarthread_entry/retries/retry_budget.py
+++ b/packages/entry/src/briarthread_entry/retries/retry_budget.py
@@ -16,8 +16,8 @@
     Allow retries in proportion to recent successes.
 
     Under overload there are few successes and so few retries; retries therefore do
-    not multiply the load on the targets. A new budget is empty, so that entries that are
-    restarted again and again add no retries. ``updated`` is the time of the last refill.
+    not multiply the load on the targets. A new budget is empty, so that an entry that
+    is restarted again and again adds none. ``updated`` is the time of the last refill.
 
     >>> budget = RetryBudget(updated=5.0)
     >>> budget.spend(now=6.0)
--- a/packages/measure/src/briarthread_measure/uneven_run.py
+++ b/packages/measure/src/briarthread_measure/uneven_run.py
@@ -76,6 +76,7 @@
     """
     Return the figures of a cell.
 
+    >>> from collections import Counter
     >>> statuses = Counter({200: 2, 504: 1})
     >>> format_results(LimitResults(statuses=statuses, durations=[0.1, 0.5]))
     '1 / 1 / 1, 300, 500'
