Kill all entries while targets refuse in the soak, and sum their retries

Cause: the soak had no bound on retries, and its targets never refused, so it could not see the incident's class of fault: a bound on all processes that is kept by a count that ends with one. The checker sums arrivals beyond the first over all entries and services; refused arrivals are logged apart from runs.

--- a/packages/standins/src/briarthread_standins/recorded_worker.py
+++ b/packages/standins/src/briarthread_standins/recorded_worker.py
@@ -1,11 +1,12 @@
 """A stand-in for a worker of the platform that records the requests it gets."""
 
+import signal
 import time
 from typing import Any
 
 from docopt import docopt
 
-from briarthread_standins.direct_worker import DirectWorker
+from briarthread_standins.direct_worker import DirectWorker, WorkerFault
 from briarthread_standins.run_standin import run_standin
 
 USAGE = """
@@ -18,27 +19,44 @@
   --delay=SECONDS  Duration of each plain call [default: 0.3].
   --events=NUMBER  Events of each stream [default: 20].
 
-Each line has the seconds of the machine's steady clock, "arrived" or "ended", and the
-request's id.
+Each line has the seconds of the steady clock, "arrived", "refused" or "ended",
+and the request's id. From SIGUSR1 until SIGUSR2 all requests are refused.
 """
 ID_HEADER = b"x-request-id"
 
 
 class RecordedWorker:
-    """Serve a worker and print a line when a request arrives and when it has ended."""
+    """
+    Serve a worker and print a line when a request arrives and when it has ended.
+
+    While ``refusing`` is set, a second worker of the same name refuses all requests.
+    """
 
     def __init__(self, worker: DirectWorker) -> None:
         self.worker = worker
+        self.refusing_worker = DirectWorker(worker.name)
+        self.refusing = False
+
+    def handle_signals(self) -> None:
+        """Let signals of the process begin and end the refusing."""
+        signal.signal(signal.SIGUSR1, lambda *_: self._set_refusing(True))
+        signal.signal(signal.SIGUSR2, lambda *_: self._set_refusing(False))
 
     async def __call__(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         """Handle one ASGI call."""
         request = dict(scope.get("headers", [])).get(ID_HEADER, b"").decode()
-        _print(request, "arrived")
+        worker = self.refusing_worker if self.refusing else self.worker
+        if worker is self.refusing_worker:
+            worker.faults.append(WorkerFault.REFUSE)
+        _print(request, "refused" if worker is self.refusing_worker else "arrived")
         try:
-            await self.worker.app(scope, receive, send)
+            await worker.app(scope, receive, send)
         finally:
             _print(request, "ended")
 
+    def _set_refusing(self, refusing: bool) -> None:
+        self.refusing = refusing
+
 
 def _print(request: str, what: str) -> None:
     print(f"{time.monotonic():.4f} {what} {request}", flush=True)
@@ -49,7 +67,9 @@
     arguments = docopt(USAGE)
     worker = DirectWorker(arguments["NAME"], int(arguments["--events"]))
     worker.delay = float(arguments["--delay"])
-    run_standin(RecordedWorker(worker), arguments["LISTEN"])
+    recorded = RecordedWorker(worker)
+    recorded.handle_signals()
+    run_standin(recorded, arguments["LISTEN"])
 
 
 if __name__ == "__main__":
--- a/tests/soak/run_soak.py
+++ b/tests/soak/run_soak.py
@@ -3,7 +3,7 @@
 
 Usage:
   run_soak [--seeds=NUMBER] [--first=SEED] [--seconds=SECONDS] [--callers=NUMBER]
-           [--keep=FOLDER]
+           [--keep=FOLDER] [--refusals]
 
 Options:
   --seeds=NUMBER     Seeds to play, one after the other [default: 1].
@@ -11,6 +11,8 @@
   --seconds=SECONDS  Time in which faults begin [default: 10].
   --callers=NUMBER   Concurrent callers [default: 24].
   --keep=FOLDER      Keep the logs of failed seeds there.
+  --refusals         Let all targets refuse while all entries are killed several times,
+                     in addition to the drawn faults.
 
 It prints a line per seed and exits with 1 if a promise was broken. A short run with a
 fixed seed is part of CI; longer ones are started by hand.
@@ -30,12 +32,13 @@
 
 from soak.soak_callers import CallerRecord, SoakCaller
 from soak.soak_checks import MIN_RECOVERED_SHARE, SoakChecker, TargetLog
-from soak.soak_deployment import SoakDeployment
+from soak.soak_deployment import RETRY_ALLOWANCE, SoakDeployment
 from soak.soak_faults import (
     Disturbance,
     FaultInjector,
     draw_evacuation,
     draw_faults,
+    draw_refusals_with_kills,
 )
 from soak.soak_monitor import BusyMonitor
 
@@ -73,14 +76,20 @@
         )
 
 
-async def play(seed: int, seconds: float, callers: int, folder: Path) -> SoakResult:
-    """Run a seed and return what happened."""
+async def play(
+    seed: int, seconds: float, callers: int, folder: Path, refusals: bool = False
+) -> SoakResult:
+    """
+    Run a seed and return what happened.
+
+    With ``refusals`` all targets refuse while all entries are killed several times.
+    """
     rng = random.Random(seed)
     async with anyio.create_task_group() as tasks:
         deployment = SoakDeployment(folder, tasks)
         try:
             await deployment.start()
-            result = await _disturb(deployment, rng, seed, seconds, callers)
+            result = await _disturb(deployment, rng, seed, seconds, callers, refusals)
         finally:
             deployment.stop()
             tasks.cancel_scope.cancel()
@@ -93,11 +102,14 @@
     seed: int,
     seconds: float,
     callers: int,
+    refusals: bool,
 ) -> SoakResult:
     faults = draw_faults(
         rng, list(deployment.entries), list(deployment.targets), seconds
     )
     faults.append(draw_evacuation(rng, seconds))
+    if refusals:
+        faults += draw_refusals_with_kills(rng, list(deployment.entries), seconds)
     injector = FaultInjector(deployment)
     soak_callers = [
         SoakCaller(f"c{number}", deployment.callers_addresses, seed)
@@ -133,7 +145,9 @@
     data_centres = {
         name: target.data_centre for name, target in deployment.targets.items()
     }
-    checker = SoakChecker(log, injector.disturbances, monitor, data_centres)
+    checker = SoakChecker(
+        log, injector.disturbances, monitor, data_centres, RETRY_ALLOWANCE
+    )
     return SoakResult(
         records,
         injector.disturbances,
@@ -143,11 +157,13 @@
     )
 
 
-def run_seed(seed: int, seconds: float, callers: int, keep: Path | None) -> bool:
+def run_seed(
+    seed: int, seconds: float, callers: int, keep: Path | None, refusals: bool
+) -> bool:
     """Play a seed, print its result and return whether it passed."""
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        result = anyio.run(play, seed, seconds, callers, folder)
+        result = anyio.run(play, seed, seconds, callers, folder, refusals)
         verdict = "ok" if result.passed else "FAILED"
         print(f"{verdict}: seed {seed}: {result.summary()}", flush=True)
         for violation in result.violations:
@@ -163,7 +179,13 @@
     first = int(arguments["--first"])
     keep = Path(arguments["--keep"]) if arguments["--keep"] else None
     results = [
-        run_seed(seed, float(arguments["--seconds"]), int(arguments["--callers"]), keep)
+        run_seed(
+            seed,
+            float(arguments["--seconds"]),
+            int(arguments["--callers"]),
+            keep,
+            arguments["--refusals"],
+        )
         for seed in range(first, first + int(arguments["--seeds"]))
     ]
     return 0 if all(results) else 1
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -5,6 +5,10 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from retry_oracle import ServiceTraffic
+
+from briarthread_entry.direct.shared_retry_budget import RetryAllowance
+from briarthread_standins.direct_config import DIARY, MODEL
 from soak.soak_callers import CallerRecord
 from soak.soak_faults import ENTRY_FAULTS, Disturbance, FaultKind
 from soak.soak_monitor import BusyMonitor
@@ -18,25 +22,35 @@
 EVACUATED_SECONDS = 5.0
 """Time after an evacuation from which no request may arrive in its data centre."""
 REFUSALS = (429, 503)
+SERVICES = {"/chat/": MODEL, "/book/": DIARY, "/list/": DIARY}
+"""Service of each path."""
 MIN_RECOVERED_SHARE = 0.9
 EVENTS_PER_STREAM = 20
 
 
 @dataclass(slots=True)
 class TargetLog:
-    """When each request arrived at a target and when it had ended there."""
+    """When each request arrived at a target or was refused, and when it had ended."""
 
     arrivals: dict[str, list[tuple[float, str]]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    refusals: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     ends: dict[tuple[str, str], float] = field(default_factory=dict)
 
+    def retries(self, request: str) -> list[float]:
+        """Return the times at which a request reached targets, but for the first."""
+        arrivals = [at for at, _ in self.arrivals.get(request, [])]
+        return sorted(arrivals + self.refusals.get(request, []))[1:]
+
     def read(self, target: str, log: Path) -> None:
         """Add the lines of a target's log."""
         for line in log.read_text(errors="replace").splitlines():
             match line.split():
                 case [at, "arrived", request]:
                     self.arrivals[request].append((float(at), target))
+                case [at, "refused", request]:
+                    self.refusals[request].append(float(at))
                 case [at, "ended", request]:
                     self.ends[request, target] = float(at)
 
@@ -50,19 +64,23 @@
         disturbances: list[Disturbance],
         monitor: BusyMonitor,
         data_centres: dict[str, str],
+        retry_allowance: RetryAllowance,
     ) -> None:
         self.log = log
+        self.retry_allowance = retry_allowance
         self.monitor = monitor
         self.disturbances = disturbances
         self.data_centres = data_centres
 
     def violations(self, records: Iterable[CallerRecord]) -> list[str]:
         """Return a line for each violation; a busy machine is named, not excused."""
-        return [
+        records = list(records)
+        found = [
             f"{message}{self._busy_note(record)}: {record}"
             for record in records
             for message in self._violations_of(record)
         ]
+        return [*found, *self._excessive_retries(records)]
 
     def recovered_share(self, records: Iterable[CallerRecord], since: float) -> float:
         """Return the share of served requests among those sent since a time."""
@@ -72,6 +90,18 @@
         served = [r for r in asked if r.status == 200 and r.complete]
         return len(served) / len(asked) if asked else 0.0
 
+    def _excessive_retries(self, records: list[CallerRecord]) -> Iterator[str]:
+        """Yield the worst window of each service that got too many retries."""
+        traffic = {service: ServiceTraffic() for service in SERVICES.values()}
+        for record in records:
+            service = traffic[SERVICES[record.path]]
+            service.requests.append(record.sent_at or record.ended_at)
+            service.retries.extend(self.log.retries(record.request))
+        for name, service in traffic.items():
+            worst = service.worst_window(self.retry_allowance)
+            if worst.excess > 0:
+                yield f"BUDGET: {name}: {worst}"
+
     def _violations_of(self, record: CallerRecord) -> Iterator[str]:
         arrivals = self.log.arrivals.get(record.request, [])
         if record.path == "/book/" and len(arrivals) > 1:
--- a/tests/soak/soak_deployment.py
+++ b/tests/soak/soak_deployment.py
@@ -11,6 +11,7 @@
 from anyio.abc import TaskGroup
 
 from briarthread_common.http.server import HttpServer, open_listener
+from briarthread_entry.direct.shared_retry_budget import RetryAllowance
 from briarthread_standins.deployment import installed_command
 from briarthread_standins.direct_config import DIARY, MODEL, build_config
 from briarthread_standins.fake_platform_store import FakePlatformStore
@@ -24,6 +25,8 @@
 ENTRY_COUNT = 3
 FIRST_DATA_CENTRE, SECOND_DATA_CENTRE = "palermo", "catania"
 """Data centres of the targets, in turn; the entries are in the first one."""
+RETRY_ALLOWANCE = RetryAllowance(0.05, 12.0, 10.0)
+"""An allowance so small that the few requests of a soak use it up."""
 ENTRY_SETTINGS = """
 [instance]
 name = {name}
@@ -37,6 +40,9 @@
 [direct]
 adapter = briarthread_platform.adapter
 address = {store}
+retry_ratio = {allowance.ratio}
+retry_slack = {allowance.reserve}
+retry_window = {allowance.window}
 [peers]
 seeds = {seeds}
 [logs]
@@ -163,6 +169,7 @@
             ready=self.ready_addresses[name],
             store=store_address,
             seeds=",".join(peer_addresses),
+            allowance=RETRY_ALLOWANCE,
         )
         settings.write_text(text, encoding="utf-8")
         command = [*installed_command("briarthread"), "direct", str(settings)]
--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -14,6 +14,7 @@
 EVACUATION_SECONDS = 8.0
 FAULT_SECONDS = (0.8, 3.0)
 DELAY_SECONDS = (0.02, 0.2)
+KILLS_OF_ALL_ENTRIES = 4
 RESTART_PAUSE_SECONDS = 0.3
 
 
@@ -31,6 +32,7 @@
     ENTRY_KILLED = "entry-killed"
     ENTRY_STOPPED = "entry-stopped"
     EVACUATED = "evacuated"
+    TARGETS_REFUSE = "targets-refuse"
 
 
 HELD_DIRECTIONS = {
@@ -40,6 +42,8 @@
     FaultKind.RESPONSES_HELD: (False, True),
 }
 """Directions that a fault holds: requests to the target, responses from it."""
+DEPLOYMENT_FAULTS = (FaultKind.EVACUATED, FaultKind.TARGETS_REFUSE)
+"""Faults that concern many targets at once and are not drawn for one process."""
 ENTRY_FAULTS = (
     FaultKind.ENTRY_PAUSED,
     FaultKind.ENTRY_KILLED,
@@ -86,7 +90,7 @@
             kind
             for kind in FaultKind
             if (kind in ENTRY_FAULTS) == (subject in entries)
-            and kind is not FaultKind.EVACUATED
+            and kind not in DEPLOYMENT_FAULTS
         ]
         at = rng.uniform(0.0, seconds / 2)
         while at < seconds:
@@ -105,6 +109,26 @@
     )
 
 
+def draw_refusals_with_kills(
+    rng: random.Random, entries: list[str], seconds: float
+) -> list[PlannedFault]:
+    """Return refusals by all targets while all entries are killed again and again."""
+    refusals = PlannedFault(FaultKind.TARGETS_REFUSE, "targets", 0.0, seconds, 0.0)
+    interval = seconds / (KILLS_OF_ALL_ENTRIES + 1)
+    kills = [
+        PlannedFault(
+            FaultKind.ENTRY_KILLED,
+            entry,
+            interval * number + rng.uniform(0.0, RESTART_PAUSE_SECONDS),
+            0.0,
+            0.0,
+        )
+        for number in range(1, KILLS_OF_ALL_ENTRIES + 1)
+        for entry in entries
+    ]
+    return [refusals, *kills]
+
+
 class FaultInjector:
     """Inject planned faults and record when they began and ended."""
 
@@ -125,6 +149,8 @@
             began_at = time.monotonic()
             if fault.kind is FaultKind.EVACUATED:
                 await self._evacuate(fault)
+            elif fault.kind is FaultKind.TARGETS_REFUSE:
+                await self._let_targets_refuse(fault)
             elif fault.subject in self.deployment.entries:
                 await self._disturb_entry(fault, self.deployment.entries[fault.subject])
             else:
@@ -139,6 +165,15 @@
         await anyio.sleep(fault.seconds)
         self.deployment.store.delete("op", key)
 
+    async def _let_targets_refuse(self, fault: PlannedFault) -> None:
+        self._signal_targets(signal.SIGUSR1)
+        await anyio.sleep(fault.seconds)
+        self._signal_targets(signal.SIGUSR2)
+
+    def _signal_targets(self, number: signal.Signals) -> None:
+        for target in self.deployment.targets.values():
+            target.process.handle.send_signal(number)
+
     async def _disturb_target(self, fault: PlannedFault) -> None:
         target = self.deployment.targets[fault.subject]
         proxy, handle = target.proxy, target.process.handle
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,6 +8,7 @@
 
 SEED = 5
 FAULT_SECONDS = 10.0
+REFUSALS_SECONDS = 6.0
 CALLERS = 24
 
 
@@ -18,3 +19,11 @@
     assert result.violations == []
     assert result.recovered_share >= MIN_RECOVERED_SHARE
     assert len(result.disturbances) >= 10
+
+
+def test_entries_killed_while_targets_refuse_keep_the_bound_on_retries(
+    tmp_path: Path,
+) -> None:
+    result = anyio.run(play, SEED, REFUSALS_SECONDS, CALLERS, tmp_path, True)
+    assert result.violations == []
+    assert result.recovered_share >= MIN_RECOVERED_SHARE
