Build all token buckets of entries on one

Cause: four places refilled and took tokens, each in its own way. Change: TokenBucket refills up to a capacity, takes and says how long a token is away; the account limits, both retry budgets and the token issuers use it.

--- a/packages/entry/src/briarthread_entry/direct/shared_retry_budget.py
+++ b/packages/entry/src/briarthread_entry/direct/shared_retry_budget.py
@@ -14,6 +14,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from briarthread_entry.limits.token_bucket import TokenBucket
+
 USED_SHARE = 0.9
 """Fraction of the allowance that is used. An attempt that waits for its connection
 arrives up to about a second, a tenth of a window, after it was charged."""
@@ -37,11 +39,9 @@
 
 
 @dataclass(slots=True)
-class _Bucket:
+class _Bucket(TokenBucket):
     """The tokens for a service, and the times of the requests of the last window."""
 
-    updated: float
-    tokens: float = 0.0
     requests: deque[float] = field(default_factory=deque)
 
 
@@ -78,11 +78,7 @@
 
     def spend(self, service: str, now: float) -> bool:
         """Consume one retry and return whether the budget allowed it."""
-        bucket = self._refilled(service, now)
-        if bucket.tokens < 1.0:
-            return False
-        bucket.tokens -= 1.0
-        return True
+        return self._refilled(service, now).take()
 
     def describe(self, service: str, now: float) -> str:
         """Return the figures that the next decision rests on, for logs."""
@@ -99,11 +95,9 @@
         while bucket.requests and bucket.requests[0] <= now - window:
             bucket.requests.popleft()
         reserve = self._reserve()
-        gained = (1 - SAVED_SHARE) * reserve * (now - bucket.updated) / window
         per_request = USED_SHARE * self.allowance.ratio
         capacity = SAVED_SHARE * (reserve + per_request * len(bucket.requests))
-        bucket.tokens = min(bucket.tokens + gained, capacity)
-        bucket.updated = now
+        bucket.refill((1 - SAVED_SHARE) * reserve / window, capacity, now)
         return bucket
 
     def _reserve(self) -> float:
--- a/packages/entry/src/briarthread_entry/direct/token_issuer.py
+++ b/packages/entry/src/briarthread_entry/direct/token_issuer.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 
 from briarthread_common.messages.token_messages import TokenAnswer
+from briarthread_entry.limits.token_bucket import TokenBucket
 
 BURST_TOKENS = 2.0
 """Capacity of a bucket: requests that an idle target may get at once. With a larger
@@ -28,9 +29,7 @@
 
 
 @dataclass(slots=True)
-class _Bucket:
-    tokens: float
-    updated: float
+class _Bucket(TokenBucket):
     requesters: dict[str, float] = field(default_factory=dict)
 
 
@@ -60,10 +59,9 @@
         ``rate`` is the number of tokens per second. A token that becomes available
         later is taken immediately, so waiting requests are served in order of arrival.
         """
-        bucket = self.buckets.setdefault(target, _Bucket(0.0, now))
-        bucket.tokens = min(BURST_TOKENS, bucket.tokens + (now - bucket.updated) * rate)
-        bucket.updated = now
-        pause = round(max(1.0 - bucket.tokens, 0.0) / rate, 6)
+        bucket = self.buckets.setdefault(target, _Bucket(now))
+        bucket.refill(rate, BURST_TOKENS, now)
+        pause = round(bucket.pause(rate), 6)
         if pause <= wait:
             bucket.tokens -= 1.0
             return TokenAnswer(True, pause)
--- a/packages/entry/src/briarthread_entry/limits/account_limiter.py
+++ b/packages/entry/src/briarthread_entry/limits/account_limiter.py
@@ -55,14 +55,14 @@
         bucket = self.buckets.get(account.name)
         if bucket is None:
             self._evict_oldest()
-            bucket = TokenBucket(tokens=max(rate, 1.0), updated=self.clock.now())
+            bucket = TokenBucket(self.clock.now(), tokens=max(rate, 1.0))
             self.buckets[account.name] = bucket
-        wait = bucket.take(rate, self.clock.now())
-        if wait > 0:
+        bucket.refill(rate, max(rate, 1.0), self.clock.now())
+        if not bucket.take():
             raise RequestError(
                 ErrorKind.ACCOUNT_RATE,
                 f"{rate:g} calls per second are allowed on this entry",
-                retry_after=wait,
+                retry_after=bucket.pause(rate),
             )
 
     def _evict_oldest(self) -> None:
--- a/packages/entry/src/briarthread_entry/retries/retry_budget.py
+++ b/packages/entry/src/briarthread_entry/retries/retry_budget.py
@@ -1,6 +1,6 @@
 """Budget of retries."""
 
-from dataclasses import dataclass
+from briarthread_entry.limits.token_bucket import TokenBucket
 
 RETRIES_PER_SUCCESS = 0.2
 """Retries allowed for each success."""
@@ -10,16 +10,15 @@
 """Retries allowed per second while nothing succeeds."""
 
 
-@dataclass(slots=True)
 class RetryBudget:
     """
     Allow retries in proportion to recent successes.
 
     Under overload there are few successes and so few retries; retries therefore do
     not multiply the load on the targets. A new budget is empty, so that an entry that
-    is restarted again and again adds none. ``updated`` is the time of the last refill.
+    is restarted again and again adds none. ``started`` is the time of its start.
 
-    >>> budget = RetryBudget(updated=5.0)
+    >>> budget = RetryBudget(started=5.0)
     >>> budget.spend(now=6.0)
     False
     >>> for _ in range(3):
@@ -28,19 +27,15 @@
     True
     """
 
-    updated: float
-    tokens: float = 0.0
+    def __init__(self, started: float) -> None:
+        self.bucket = TokenBucket(started)
 
     def note_success(self) -> None:
         """Add a fraction of a retry for a success."""
-        self.tokens = min(MAX_TOKENS, self.tokens + RETRIES_PER_SUCCESS)
+        tokens = self.bucket.tokens + RETRIES_PER_SUCCESS
+        self.bucket.tokens = min(MAX_TOKENS, tokens)
 
     def spend(self, now: float) -> bool:
         """Take one retry out of the budget; return whether one was available."""
-        gained = (now - self.updated) * REFILL_PER_SECOND
-        self.tokens = min(MAX_TOKENS, self.tokens + gained)
-        self.updated = now
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
+        self.bucket.refill(REFILL_PER_SECOND, MAX_TOKENS, now)
+        return self.bucket.take()
--- a/packages/entry/src/briarthread_entry/serving/request_runner.py
+++ b/packages/entry/src/briarthread_entry/serving/request_runner.py
@@ -64,7 +64,7 @@
         self.metrics = metrics
         self.events = events
         self.rng = rng
-        self.budget = RetryBudget(updated=clock.now())
+        self.budget = RetryBudget(started=clock.now())
 
     async def run(self, request: CallerRequest, text: ServicesText, call: Call) -> None:
         """Relay a response to the caller, or raise the error to send to it."""
--- a/packages/measure/src/briarthread_measure/limit_policies.py
+++ b/packages/measure/src/briarthread_measure/limit_policies.py
@@ -55,11 +55,12 @@
         if rate <= 0:
             entry.tokens.denied_until[target.name] = now + 1.0
             return False
-        bucket = buckets.setdefault(target.name, TokenBucket(1.0, now))
-        pause = bucket.take(rate, now)
-        if pause > 0:
-            entry.tokens.denied_until[target.name] = now + pause
-        return pause == 0
+        bucket = buckets.setdefault(target.name, TokenBucket(now, 1.0))
+        bucket.refill(rate, max(rate, 1.0), now)
+        is_granted = bucket.take()
+        if not is_granted:
+            entry.tokens.denied_until[target.name] = now + bucket.pause(rate)
+        return is_granted
 
     entry.tokens.acquire = acquire_share
 
--- a/packages/measure/src/briarthread_measure/overload_run.py
+++ b/packages/measure/src/briarthread_measure/overload_run.py
@@ -63,7 +63,7 @@
     load = OpenLoad(world, TEXT, seed)
     await load.start()
     if baseline:
-        world.entry("entry-0").runner.budget = UnlimitedRetryBudget(updated=0.0)
+        world.entry("entry-0").runner.budget = UnlimitedRetryBudget(started=0.0)
         for number in range(TARGETS):
             world.agent(f"target-{number}").queue.__class__ = DeadlineUnawareQueue
             world.agent(f"target-{number}").queue.service_time = DecayingMean()
--- a/tests/entry/test_retry_budget.py
+++ b/tests/entry/test_retry_budget.py
@@ -11,7 +11,7 @@
     retries = 0
     for second in range(SECONDS):
         if second % restart_interval == 0:
-            budget = RetryBudget(updated=float(second))
+            budget = RetryBudget(started=float(second))
         for failure in range(FAILURES_PER_SECOND):
             retries += budget.spend(second + failure / FAILURES_PER_SECOND)
     return retries
