--- a/tests/direct/test_retry_budget.py
+++ b/tests/direct/test_retry_budget.py
@@ -21,6 +21,7 @@
 Disturbance = Callable[[DirectWorld], Awaitable[None]]
 
 ENTRIES = tuple(f"entry-{number}" for number in range(1, 7))
+ADDED = tuple(f"entry-{number}" for number in range(7, 13))
 BOTH = ("palermo", "catania")
 REQUEST_INTERVAL_SECONDS = 0.5
 PLAY_SECONDS = 14.0
@@ -92,9 +93,9 @@
 
 
 async def add_entries(world: DirectWorld) -> None:
-    for number in range(7, 13):
+    for entry in ADDED:
         await anyio.sleep(0.7)
-        world.add_entry(f"entry-{number}")
+        world.add_entry(entry)
 
 
 @pytest.mark.parametrize(
@@ -110,10 +111,8 @@
 def test_entries_that_restart_join_or_are_cut_off_keep_the_bound_on_all_retries(
     disturb: Disturbance,
 ) -> None:
-    added = tuple(f"entry-{number}" for number in range(7, 13))
-    traffic = play_refusals(
-        disturb, ENTRIES + added if disturb is add_entries else ENTRIES
-    )
+    entries = ENTRIES + ADDED if disturb is add_entries else ENTRIES
+    traffic = play_refusals(disturb, entries)
     assert traffic.retries
     worst = traffic.worst_window(RETRY_ALLOWANCE)
     assert worst.excess <= 0, worst
@@ -190,3 +189,20 @@
     worst = fleet.traffic.worst_window(allowance)
     assert fleet.traffic.retries
     assert worst.excess <= 0, worst
+
+
+def test_fleet_that_runs_on_may_use_most_of_the_bound_in_steady_failures() -> None:
+    allowance = RetryAllowance(0.2, 186.0, 10.0)
+    fleet = Fleet(random.Random(1), allowance, size=30, learning_seconds=0.0)
+    for number in range(130 * 40):
+        fleet.now += 1 / 130
+        fleet.send(number % fleet.size, wants_retry=fleet.now > 20.0)
+    worst = fleet.traffic.worst_window(allowance)
+    assert worst.retries >= 0.8 * worst.allowed
+
+
+def test_entry_may_retry_the_streams_of_a_lost_group_at_once() -> None:
+    budget = SharedRetryBudget(RetryAllowance(0.2, 186.0, 10.0), lambda: 30, 0.0)
+    for number in range(86):
+        budget.note_request("s", 0.23 * number)
+    assert sum(budget.spend("s", 20.0) for _ in range(10)) >= 5
