Trace the additional refusals of hard load to cold targets after a power loss

Cause: after all instances lost power, all targets are cold and all entries new. An entry issues tokens for cold targets 16 s after its process first saw itself listed, so nobody does for the whole cold time. Ruled out: the reserve by urgency (a trial with 0.25 s instead of 0.75 s), the retry budget. A test in the stand-in shows it: no request at all reaches two cold targets.

--- a/tests/direct/test_cold_targets.py
+++ b/tests/direct/test_cold_targets.py
@@ -283,6 +283,31 @@
     assert count >= 0.3 * COLD_RATE * 2.0 if killed == 1 else count == 0
 
 
+def test_cold_targets_get_requests_after_all_entries_and_targets_were_restarted() -> (
+    None
+):
+    """Guards against a whole cold time in which no entry may issue tokens."""
+    restarted_at: list[float] = []
+
+    async def restart_all(world: DirectWorld) -> None:
+        await anyio.sleep(1.0)
+        for number, entry in enumerate(ENTRIES):
+            world.kill_entry(entry)
+            world.add_entry(entry, DATA_CENTRES[number % len(DATA_CENTRES)])
+        list_cold(world, "diary-0", "diary-1")
+        restarted_at.append(anyio.current_time())
+
+    world, _ = simulate(restart_all)
+    began = restarted_at[0]
+    check_bound(world, ["diary-0", "diary-1"], began)
+    ready = began + 1.0
+    served = sum(
+        arrivals(world, name, ready, began + COLD_SECONDS)
+        for name in ("diary-0", "diary-1")
+    )
+    assert served >= 0.5 * 2 * COLD_RATE * (COLD_SECONDS - 1.0)
+
+
 def test_second_issuer_serves_entries_that_do_not_reach_the_first() -> None:
     """Guards against an unused cold target when the first issuer is cut off."""
 
