Test that every kind of arrival beyond the first is charged to the retry budget

Cause: the fleet tests played refusals only, and no entry that leaves for good or restarts in turn while nobody reaches the store. Two more disturbances of the fleet.

--- a/tests/direct/test_retry_budget.py
+++ b/tests/direct/test_retry_budget.py
@@ -84,6 +84,23 @@
         restart(world)
 
 
+async def kill_in_turn_while_the_store_is_away(world: DirectWorld) -> None:
+    for data_centre in BOTH:
+        world.network.partition("store", data_centre)
+    for number in range(30):
+        await anyio.sleep(0.4)
+        entry = ENTRIES[number % len(ENTRIES)]
+        world.kill_entry(entry)
+        world.add_entry(entry, BOTH[number % len(BOTH)])
+
+
+async def remove_entries_for_good(world: DirectWorld) -> None:
+    for entry in ENTRIES[::2]:
+        await anyio.sleep(1.5)
+        await world.entries[entry].drain()
+        world.kill_entry(entry)
+
+
 async def cut_off_a_data_centre(world: DirectWorld) -> None:
     await anyio.sleep(2.0)
     world.network.partition("catania", "store")
@@ -104,6 +121,8 @@
         leave_alone,
         kill_all,
         kill_all_while_the_store_is_away,
+        kill_in_turn_while_the_store_is_away,
+        remove_entries_for_good,
         cut_off_a_data_centre,
         add_entries,
     ],
