Look at windows that end with a retry, and at fleets that change in size

Cause: a window that begins with a retry is not always the worst one while traffic rises, and no drawn fleet changed in size or lost its traffic. Change: the oracle looks at windows that begin or end with a retry; 40 more fleets.

--- a/tests/direct/test_retry_budget.py
+++ b/tests/direct/test_retry_budget.py
@@ -165,6 +165,15 @@
             self.now,
         )
 
+    def join(self) -> None:
+        """Add an entry, which the others know at once."""
+        self.size += 1
+        self.budgets.append(self._start())
+
+    def remove(self) -> None:
+        """Remove an entry for good; the list keeps its row."""
+        self.budgets.pop(self.rng.randrange(len(self.budgets)))
+
     def kill(self, share: float) -> None:
         """Kill and restart a share of the entries."""
         self.budgets = [
@@ -210,6 +219,29 @@
     assert worst.excess <= 0, worst
 
 
+@pytest.mark.parametrize("seed", range(40))
+def test_fleet_keeps_the_bound_while_entries_join_and_leave_and_traffic_falls(
+    seed: int,
+) -> None:
+    rng = random.Random(seed)
+    allowance = RetryAllowance(0.2, rng.choice((40.0, 190.0)), 10.0)
+    fleet = Fleet(rng, allowance, rng.choice((4, 12)), learning_seconds=1.0)
+    rate = 300.0
+    for _ in range(16):
+        rate *= rng.uniform(0.3, 1.1) if rate > 20.0 else rng.uniform(1.0, 15.0)
+        rng.choice(
+            (fleet.join, fleet.remove if len(fleet.budgets) > 1 else fleet.join)
+        )()
+        fleet.kill(rng.choice((0.0, 0.0, 0.3, 1.0)))
+        phase_end = fleet.now + rng.uniform(0.5, 4.0)
+        while fleet.now < phase_end:
+            fleet.now += rng.expovariate(rate)
+            fleet.send(rng.randrange(len(fleet.budgets)), wants_retry=True)
+    worst = fleet.traffic.worst_window(allowance)
+    assert fleet.traffic.retries
+    assert worst.excess <= 0, worst
+
+
 def test_fleet_that_runs_on_may_use_most_of_the_bound_in_steady_failures() -> None:
     allowance = RetryAllowance(0.2, 186.0, 10.0)
     fleet = Fleet(random.Random(1), allowance, size=30, learning_seconds=0.0)
--- a/tests/retry_oracle.py
+++ b/tests/retry_oracle.py
@@ -8,6 +8,9 @@
 from briarthread_entry.direct.shared_retry_budget import RetryAllowance
 from briarthread_standins.direct_worker import DirectWorker
 
+AFTER_SECONDS = 1e-6
+"""Time by which a window that ends with a retry reaches beyond it."""
+
 
 @dataclass(frozen=True, slots=True)
 class RetryExcess:
@@ -38,7 +41,7 @@
 
     def worst_window(self, allowance: RetryAllowance) -> RetryExcess:
         """
-        Return the worst window that begins with a retry.
+        Return the worst of the windows that begin or end with a retry.
 
         The requests are counted in the window, in the one before or in the one half a
         window earlier, whichever has most.
@@ -46,7 +49,8 @@
         requests, retries = sorted(self.requests), sorted(self.retries)
         length = allowance.window
         windows = [RetryExcess(0.0, 0, allowance.reserve)]
-        for start in retries:
+        ends = [at - length + AFTER_SECONDS for at in retries]
+        for start in [*retries, *ends]:
             most = max(
                 _count(requests, start - offset, length)
                 for offset in (0.0, length / 2, length)
