--- a/tests/direct/test_retry_budget.py
+++ b/tests/direct/test_retry_budget.py
@@ -22,7 +22,7 @@
 
 ENTRIES = tuple(f"entry-{number}" for number in range(1, 7))
 ADDED = tuple(f"entry-{number}" for number in range(7, 13))
-BOTH = ("palermo", "catania")
+DATA_CENTRES = ("palermo", "catania")
 REQUEST_INTERVAL_SECONDS = 0.5
 PLAY_SECONDS = 14.0
 
@@ -55,7 +55,7 @@
             tasks.start_soon(disturb, world)
         traffic.retries = arrivals_beyond_the_first(list(world.workers.values()))
 
-    run_in_direct_world(scenario, ENTRIES, ranks=0, data_centres=BOTH)
+    run_in_direct_world(scenario, ENTRIES, ranks=0, data_centres=DATA_CENTRES)
     return traffic
 
 
@@ -64,7 +64,7 @@
     for entry in ENTRIES:
         world.kill_entry(entry)
     for number, entry in enumerate(ENTRIES):
-        world.add_entry(entry, BOTH[number % len(BOTH)])
+        world.add_entry(entry, DATA_CENTRES[number % len(DATA_CENTRES)])
 
 
 async def leave_alone(world: DirectWorld) -> None:
@@ -85,13 +85,13 @@
 
 
 async def kill_in_turn_while_the_store_is_away(world: DirectWorld) -> None:
-    for data_centre in BOTH:
+    for data_centre in DATA_CENTRES:
         world.network.partition("store", data_centre)
     for number in range(30):
         await anyio.sleep(0.4)
         entry = ENTRIES[number % len(ENTRIES)]
         world.kill_entry(entry)
-        world.add_entry(entry, BOTH[number % len(BOTH)])
+        world.add_entry(entry, DATA_CENTRES[number % len(DATA_CENTRES)])
 
 
 async def remove_entries_for_good(world: DirectWorld) -> None:
--- a/tests/soak/run_soak.py
+++ b/tests/soak/run_soak.py
@@ -25,6 +25,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -77,7 +78,7 @@
 
 
 async def play(
-    seed: int, seconds: float, callers: int, folder: Path, refusals: bool = False
+    seed: int, seconds: float, callers: int, folder: Path, *, refusals: bool = False
 ) -> SoakResult:
     """
     Run a seed and return what happened.
@@ -163,7 +164,9 @@
     """Play a seed, print its result and return whether it passed."""
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        result = anyio.run(play, seed, seconds, callers, folder, refusals)
+        result = anyio.run(
+            partial(play, refusals=refusals), seed, seconds, callers, folder
+        )
         verdict = "ok" if result.passed else "FAILED"
         print(f"{verdict}: seed {seed}: {result.summary()}", flush=True)
         for violation in result.violations:
