--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -28,7 +28,8 @@
 ZONES = ("palermo", "catania", "messina")
 STABLE_SECONDS = 3.0
 CONFIG_SECONDS = 2.0
-"""`stableMs` and `configMs` of the small deployment."""
+HEARTBEAT_SECONDS = 1.2
+"""`stableMs`, `configMs` and `heartbeatMs` of the small deployment."""
 CASE_SECONDS = 110.0
 LIMITS = {
     "maxHeaderBytes": 16384,
@@ -120,6 +121,7 @@
         self.store = PlatformStore()
         self.nodes: list[Node] = []
         self.servers: list[asyncio.Server] = []
+        self.tasks: list[asyncio.Task] = []
         self.store_address = ""
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = Path(self.temporary.name)
@@ -129,6 +131,8 @@
         return self
 
     async def __aexit__(self, *error: object) -> None:
+        for task in self.tasks:
+            task.cancel()
         for node in self.nodes:
             await node.stop()
         for server in self.servers:
@@ -225,8 +229,16 @@
             "seq": 1,
         }
         self.store.put("servers", name, worker.row)
+        self.tasks.append(asyncio.create_task(self._beat(worker)))
         return worker
 
+    async def _beat(self, worker: PlainWorker) -> None:
+        """Write a worker's row again as its heartbeat, with the next ``seq``."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+            worker.row = {**worker.row, "seq": worker.row["seq"] + 1}
+            self.store.put("servers", worker.name, worker.row)
+
     async def start_entries(self) -> list[Node]:
         """Start an entry in each zone; return them when they are in touch."""
         entries = [
