--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -14,7 +14,7 @@
 
 from plain_worker import PlainWorker
 from platform_store import PlatformStore
-from small_http import Response, call, serve
+from small_http import Request, Response, call, serve
 
 REPOSITORY = Path(__file__).resolve().parents[2]
 BOUNDS = {
@@ -122,6 +122,7 @@
         self.nodes: list[Node] = []
         self.servers: list[asyncio.Server] = []
         self.tasks: list[asyncio.Task] = []
+        self.read_at: dict[str, float] = {}
         self.store_address = ""
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = Path(self.temporary.name)
@@ -149,14 +150,28 @@
         self.servers.append(await serve(host, port, handler))
         return f"{host}:{port}"
 
-    def add_entry(self, name: str, host: str, zone: str, seeds: str = "") -> Node:
+    async def open_store(self, name: str) -> str:
+        """
+        Serve the store at one more address, for one machine.
+
+        ``read_at`` then tells when that machine last read the list of workers.
+        """
+
+        async def handle(request: Request, writer: asyncio.StreamWriter) -> None:
+            if "/api/rows-" in request.target and "table=servers" in request.target:
+                self.read_at[name] = time.monotonic()
+            await self.store.handle(request, writer)
+
+        return await self.serve("127.0.0.1", handle)
+
+    def add_entry(self, name: str, host: str, zone: str, **fields: str) -> Node:
         """Add an entry, which is not started yet."""
         fields = {
             **BOUNDS,
             "nodeName": name,
             "zone": zone,
-            "seeds": seeds,
             "platform.address": self.store_address,
+            **fields,
         }
         for kind in ("front", "ready", "control"):
             fields[f"listen.{kind}"] = f"{host}:{free_port(host)}"
@@ -245,14 +260,18 @@
             self.add_entry(f"edge-{zone}-1", f"127.0.0.{number + 10}", zone)
             for number, zone in enumerate(ZONES)
         ]
-        seeds = ",".join(entry.fields["listen.control"] for entry in entries)
+        await self.start(entries, STABLE_SECONDS)
+        return entries
+
+    async def start(self, entries: list[Node], stable_seconds: float) -> None:
+        """Start entries and wait until they are in touch."""
+        seeds = ",".join(entry.fields["listen.control"] for entry in entries[:3])
         for entry in entries:
             entry.fields["seeds"] = seeds
             await entry.start(self.folder)
         for entry in entries:
             await self.wait_ready(entry)
-        await asyncio.sleep(STABLE_SECONDS + 1.0)
-        return entries
+        await asyncio.sleep(stable_seconds + 1.0)
 
 
 def config(
--- a/review/standins/plain_worker.py
+++ b/review/standins/plain_worker.py
@@ -1,6 +1,7 @@
 """Stand-in for a worker of a plain service, as PROTOCOL.md describes it."""
 
 import asyncio
+import time
 
 from small_http import Request, reply
 
@@ -13,6 +14,7 @@
         self.service = service
         self.record = record
         self.runs: list[Request] = []
+        self.run_at: list[float] = []
         self.row: dict = {}
         self.work_seconds = 0.01
         self.version = 1
@@ -35,6 +37,7 @@
             await reply(writer, 421, b"", (*echo, ("X-Not-Executed", "1")))
             return
         self.runs.append(request)
+        self.run_at.append(time.monotonic())
         self.record(
             f"worker {self.name} ({self.service}) runs {request_id}"
             f" {request.method} {request.target}"
