--- a/review/standins/small_http.py
+++ b/review/standins/small_http.py
@@ -40,11 +40,17 @@
     return first, headers
 
 
+async def _read_size(reader: asyncio.StreamReader) -> int:
+    """Return the size of the next chunk."""
+    line = await reader.readuntil(b"\r\n")
+    return int(line.split(b";")[0], 16)
+
+
 async def read_body(reader: asyncio.StreamReader, headers: dict[str, str]) -> bytes:
     """Return a body with a length or in chunks."""
     if headers.get("transfer-encoding", "").lower() == "chunked":
         parts = []
-        while size := int((await reader.readline()).split(b";")[0], 16):
+        while size := await _read_size(reader):
             parts.append(await reader.readexactly(size))
             await reader.readexactly(2)
         await reader.readline()
