--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -204,6 +204,7 @@
         headers: tuple[tuple[str, str], ...] = (),
         body: bytes | None = None,
         deadline_ms: int = 2533,
+        gap: float | None = None,
     ) -> Response:
         """Send a client's request to an entry and record it with its answer."""
         self.record(f"client sends {request_id} {method} {target} to {node.name}")
@@ -219,6 +220,7 @@
             ),
             body,
             timeout=deadline_ms / 1000,
+            gap=gap,
         )
         self.record(
             f"client gets for {request_id}: {answer.status or 'nothing'}"
--- a/review/standins/small_http.py
+++ b/review/standins/small_http.py
@@ -46,11 +46,17 @@
     return int(line.split(b";")[0], 16)
 
 
-async def read_body(reader: asyncio.StreamReader, headers: dict[str, str]) -> bytes:
-    """Return a body with a length or in chunks."""
+async def read_body(
+    reader: asyncio.StreamReader, headers: dict[str, str], gap: float | None = None
+) -> bytes:
+    """Return a body with a length or in chunks, with at most ``gap`` before each."""
     if headers.get("transfer-encoding", "").lower() == "chunked":
         parts = []
-        while size := await _read_size(reader):
+        while True:
+            async with asyncio.timeout(gap):
+                size = await _read_size(reader)
+            if not size:
+                break
             parts.append(await reader.readexactly(size))
             await reader.readexactly(2)
         await reader.readline()
@@ -101,8 +107,13 @@
     headers: tuple[tuple[str, str], ...] = (),
     body: bytes | None = None,
     timeout: float = 5.0,
+    gap: float | None = None,
 ) -> Response:
-    """Send one request on a new connection and return what came back."""
+    """
+    Send one request on a new connection and return what came back.
+
+    ``gap`` bounds the wait for the head and the pauses in a body that comes in chunks.
+    """
     host, _, port = address.rpartition(":")
     response = Response(0)
     try:
@@ -116,9 +127,10 @@
                 writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n")
                 writer.write(body or b"")
                 await writer.drain()
-                first, response.headers = await read_head(reader)
+                async with asyncio.timeout(gap):
+                    first, response.headers = await read_head(reader)
                 response.status = int(first.split(" ")[1])
-                response.body = await read_body(reader, response.headers)
+                response.body = await read_body(reader, response.headers, gap)
                 response.complete = True
             finally:
                 writer.close()
