--- a/packages/common/src/briarthread_common/core/metrics.py
+++ b/packages/common/src/briarthread_common/core/metrics.py
@@ -144,6 +144,12 @@
             "Targets that were started anew under their name.",
             registry=self.registry,
         )
+        self.excluded_targets = Counter(
+            "briarthread_excluded_targets",
+            "Targets taken out of use although they are listed, by the evidence.",
+            ["evidence"],
+            registry=self.registry,
+        )
         self.former_run_reports = Counter(
             "briarthread_former_run_reports",
             "Reports on former runs of targets that were ignored, by what they state.",
--- a/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
@@ -199,7 +199,10 @@
     ) -> None:
         reason = refusal.error.detail
         self._note_attempt_failed(request, state, reason)
-        state.replaced = state.replaced or refusal.replaced
+        if refusal.replaced and not state.replaced:
+            state.replaced = True
+            self.metrics.excluded_targets.labels("refusal").inc()
+            self.events.add("target-excluded", state.target.name, reason, request.id)
         if refusal.faulty_rank:
             group = self.capacity.membership.group_of(state.target)
             self.capacity.note_refused(group, refusal.faulty_rank)
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -405,6 +405,7 @@
                 name: {
                     "service": state.target.service,
                     "leaving": self.registry.is_leaving(state),
+                    "replaced": state.replaced,
                     "running": state.running,
                     "condition": state.condition,
                     "ejected_seconds": max(state.ejected_until - now, 0.0),
--- a/packages/entry/src/briarthread_entry/direct/target_registry.py
+++ b/packages/entry/src/briarthread_entry/direct/target_registry.py
@@ -154,11 +154,27 @@
             elif name in self.states:
                 self.states[name].removed_at = None
         for name in self.states.keys() - known.keys():
-            _end_predecessors(self.states[name].target, known.values())
+            self._end_predecessors(self.states[name].target, known.values())
         self._note_missing(now)
         if restarted:
             self.on_restarted(restarted)
 
+    def _end_predecessors(
+        self, target: DirectTarget, known: Iterable[DirectTargetState]
+    ) -> None:
+        """Stop using known targets at whose address a new one is listed now."""
+        for state in known:
+            if state.target.address == target.address and not state.replaced:
+                logger.info(
+                    "targets: {} at {} was replaced by {} of {}",
+                    state.target.name,
+                    target.address,
+                    target.name,
+                    target.service,
+                )
+                self.runs.metrics.excluded_targets.labels("row").inc()
+                state.replaced = True
+
     def _note_missing(self, now: float) -> None:
         """Note which targets are no longer in the list."""
         for name, state in self.states.items():
@@ -230,16 +246,6 @@
         return relist_deadline if removed < relist_deadline else removed
 
 
-def _end_predecessors(target: DirectTarget, known: Iterable[DirectTargetState]) -> None:
-    """Stop using known targets at whose address a new one is listed now."""
-    for state in known:
-        if state.target.address == target.address and not state.replaced:
-            logger.info(
-                "targets: {} was replaced by {}", state.target.name, target.name
-            )
-            state.replaced = True
-
-
 def _ignore_row(target: DirectTarget) -> None:
     """Ignore the row of a target."""
 
