Stop using a target only on its own word or on proof, and bring it back

Rows of another writer at the addresses of all workers of a service: every request gets 503 at every entry, for good, also after the rows are gone. The same after nine requests of one caller that expect other weights (421). Cause: a new row at a known address, and a 421 to any request, set a flag on the known target that nothing but its restart cleared. Both are words of others; the flag outlived its evidence. Change: per target, when it answered and when a call was refused in another's name. From these the standing is derived at each question: trusted, doubted (a second at most), excluded. Contradictory evidence is settled by a health request that carries nothing of a caller. A 421 with the name of a rank no longer marks its group as broken. Why it works: no conclusion is stored but what the target itself showed; a check refutes or confirms each other one, and goes on while the row is listed.

--- a/packages/common/src/briarthread_common/core/metrics.py
+++ b/packages/common/src/briarthread_common/core/metrics.py
@@ -144,10 +144,10 @@
             "Targets that were started anew under their name.",
             registry=self.registry,
         )
-        self.excluded_targets = Counter(
-            "briarthread_excluded_targets",
-            "Targets taken out of use although they are listed, by the evidence.",
-            ["evidence"],
+        self.target_checks = Counter(
+            "briarthread_target_checks",
+            "Checks which target answers at an address, by their result.",
+            ["result"],
             registry=self.registry,
         )
         self.former_run_reports = Counter(
--- a/packages/common/src/briarthread_common/direct/direct_service.py
+++ b/packages/common/src/briarthread_common/direct/direct_service.py
@@ -18,7 +18,8 @@
     cold for ``cold_seconds`` after its start and then tolerates ``cold_rate`` requests
     per second from all entries together; 0.0 means that the service has no such limit.
     ``priorities`` are the distinct priorities of the routes to the service, the most
-    urgent first.
+    urgent first. A ``GET`` request to ``health_path`` is answered with the target's
+    name; it is empty if the service has none.
 
     >>> DirectService("model", 100, priorities=(0, 2)).has_priorities
     True
@@ -31,6 +32,7 @@
     cold_seconds: float = 0.0
     cold_rate: float = 0.0
     priorities: tuple[int, ...] = ()
+    health_path: str = ""
 
     @property
     def has_priorities(self) -> bool:
--- a/packages/common/src/briarthread_common/direct/header_names.py
+++ b/packages/common/src/briarthread_common/direct/header_names.py
@@ -11,6 +11,8 @@
     ``time_left`` is in milliseconds. ``token_counts`` holds the number of tokens of the
     prompt and the maximum number of the answer, ``prompt_segments`` the segments of the
     prompt in order, as ID:TOKENS separated by commas, the last one the request's own.
+    ``expected_target`` on a request is the name of the target that it is meant for,
+    ``target_name`` on a health response that of the target that answers.
     ``not_run`` on a response says that the target did not run the request.
     ``target_stamp`` is present on every response that a target itself produced.
     ``rate_limit`` is the number of requests per second that a target accepts from all
@@ -25,6 +27,7 @@
     account_key: str
     account_name: str
     expected_target: str
+    target_name: str
     target_stamp: str
     not_run: str
     faulty_target: str
--- a/packages/entry/src/briarthread_entry/direct/attempt_outcome.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_outcome.py
@@ -4,6 +4,10 @@
 
 from briarthread_common.core.exceptions import RequestError
 
+MISDIRECTED_REQUEST = 421
+"""Status with which a target refuses a request that was meant for another one, or for
+another version of it (RFC 9110, 15.5.20)."""
+
 
 @dataclass(frozen=True, slots=True)
 class TargetResponse:
@@ -32,14 +36,14 @@
     """
     The target did not run the attempt and never will.
 
-    ``written`` is false if the request was not sent. ``replaced`` is true if another
-    target answers at the address. ``faulty_rank`` is the rank of the group that the
-    target reported as the cause, empty if it reported none.
+    ``written`` is false if the request was not sent. ``misdirected`` is true if it was
+    refused as meant for another target or version. ``faulty_rank`` is the rank of the
+    group that the target reported as the cause, empty if it reported none.
     """
 
     error: RequestError
     written: bool = True
-    replaced: bool = False
+    misdirected: bool = False
     faulty_rank: str = ""
 
 
--- a/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
@@ -145,7 +145,7 @@
                 self.crashes.note_complete_response(request.digest, now)
                 self.crashes.segments.note_answered(request.segments, now)
                 self.crashes.note_alive(name, began, started_ms)
-            case NotRun(written=True, replaced=False, faulty_rank=""):
+            case NotRun(written=True, misdirected=False, faulty_rank=""):
                 self.crashes.note_alive(name, began, started_ms)
             case OutcomeUnknown(connection_lost=True) if (
                 not self.capacity.registry.is_leaving(state)
@@ -199,10 +199,6 @@
     ) -> None:
         reason = refusal.error.detail
         self._note_attempt_failed(request, state, reason)
-        if refusal.replaced and not state.replaced:
-            state.replaced = True
-            self.metrics.excluded_targets.labels("refusal").inc()
-            self.events.add("target-excluded", state.target.name, reason, request.id)
         if refusal.faulty_rank:
             group = self.capacity.membership.group_of(state.target)
             self.capacity.note_refused(group, refusal.faulty_rank)
--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -16,6 +16,7 @@
 from briarthread_common.http.channel import Channel, ChannelRequest, ChannelResponse
 from briarthread_common.http.channel_calls import discard_bounded
 from briarthread_entry.direct.attempt_outcome import (
+    MISDIRECTED_REQUEST,
     DirectOutcome,
     NotRun,
     OutcomeUnknown,
@@ -32,6 +33,7 @@
 )
 from briarthread_entry.direct.response_relay import HeaderFields, ResponseRelay
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
+from briarthread_entry.direct.target_checker import TargetChecker
 from briarthread_entry.direct.target_limits import TargetLimits
 from briarthread_entry.direct.target_state import DirectTargetState
 
@@ -39,8 +41,6 @@
     {"connection", "keep-alive", "transfer-encoding", "content-length", "trailer"}
 )
 """Response headers that concern only the connection to the target."""
-MISDIRECTED_REQUEST = 421
-"""The status with which another target at the same address refuses the request."""
 STREAM_STATUS = 200
 
 
@@ -55,6 +55,7 @@
         backoffs: TargetBackoffs,
         leaving_targets: LeavingTargets,
         cold_targets: ColdTargets,
+        checker: TargetChecker,
     ) -> None:
         self.channel = channel
         self.names = names
@@ -62,6 +63,7 @@
         self.backoffs = backoffs
         self.leaving_targets = leaving_targets
         self.cold_targets = cold_targets
+        self.checker = checker
 
     async def send(
         self, request: DirectRequest, state: DirectTargetState, relay: ResponseRelay
@@ -95,13 +97,15 @@
         headers = response.headers
         if names.not_run in headers or response.status == MISDIRECTED_REQUEST:
             await discard_bounded(response.body, MAX_RESPONSE_BYTES)
-            faulty_rank = headers.get(names.faulty_target, "")
+            misdirected = response.status == MISDIRECTED_REQUEST
+            # One that meant another target or version says nothing of the group.
+            faulty_rank = "" if misdirected else headers.get(names.faulty_target, "")
             kind = ErrorKind.GROUP_BROKEN if faulty_rank else ErrorKind.OVERLOADED
             return NotRun(
                 RequestError(
                     kind, f"target refused the request: {response.status} {faulty_rank}"
                 ),
-                replaced=response.status == MISDIRECTED_REQUEST,
+                misdirected=misdirected,
                 faulty_rank=faulty_rank,
             )
         self._check_response(response)
@@ -131,11 +135,15 @@
         """
         Record what the head of a response says of the target.
 
-        A 421 comes from another target, and a run that has ended says nothing of the
-        one that followed.
+        A 421 may come from another target, and a run that has ended says nothing of
+        the one that followed.
         """
-        if response.status == MISDIRECTED_REQUEST or state.ended:
+        if state.ended:
             return
+        if response.status == MISDIRECTED_REQUEST:
+            self.checker.note_refusal(state, sent_at)
+            return
+        state.presence.note_answer(sent_at)
         name = state.target.name
         now = anyio.current_time()
         state.unanswered.note_answer(number, now)
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -56,6 +56,7 @@
 from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
 from briarthread_entry.direct.slow_ranks import SlowRanks
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
+from briarthread_entry.direct.target_checker import TargetChecker
 from briarthread_entry.direct.target_chooser import TargetChooser
 from briarthread_entry.direct.target_limits import TargetLimits
 from briarthread_entry.direct.target_registry import TargetRegistry
@@ -123,6 +124,15 @@
             self.registry.find, self._find_service, self.metrics
         )
         self.registry.on_listed = self._note_listed
+        self.checker = TargetChecker(
+            self.registry.holders,
+            self._find_service,
+            target_channel,
+            adapter.headers,
+            self.metrics,
+            self.events,
+        )
+        self.registry.on_applied = self.checker.request_checks
         self.peer_reports = PeerReports(
             self.limits,
             self.crashes,
@@ -188,6 +198,7 @@
                 self.slow_ranks,
                 AssignedSlots(settings.name, self.directory),
                 self.tokens,
+                self.checker,
                 self.backoffs,
                 self.crashes,
                 self.events,
@@ -200,6 +211,7 @@
                 self.backoffs,
                 self.leaving_targets,
                 self.cold_targets,
+                self.checker,
             ),
             self.crashes,
             self.budget,
@@ -267,6 +279,7 @@
         tasks.start_soon(self.replicator.run)
         tasks.start_soon(self.routes.follow)
         tasks.start_soon(self.registry.follow)
+        tasks.start_soon(self.checker.run)
         tasks.start_soon(self.evacuations.follow)
         tasks.start_soon(self.running_watcher.run)
         tasks.start_soon(self.group_watcher.run)
@@ -405,7 +418,7 @@
                 name: {
                     "service": state.target.service,
                     "leaving": self.registry.is_leaving(state),
-                    "replaced": state.replaced,
+                    "standing": self.registry.standing(state),
                     "running": state.running,
                     "condition": state.condition,
                     "ejected_seconds": max(state.ejected_until - now, 0.0),
--- a/packages/entry/src/briarthread_entry/direct/target_chooser.py
+++ b/packages/entry/src/briarthread_entry/direct/target_chooser.py
@@ -17,7 +17,9 @@
 from briarthread_entry.direct.peer_reports import PeerReports
 from briarthread_entry.direct.plain_targets import PlainTargets
 from briarthread_entry.direct.slow_ranks import SlowRanks
+from briarthread_entry.direct.standing import Standing
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
+from briarthread_entry.direct.target_checker import TargetChecker
 from briarthread_entry.direct.target_condition import TargetCondition
 from briarthread_entry.direct.target_registry import TargetRegistry
 from briarthread_entry.direct.target_state import DirectTargetState
@@ -28,6 +30,8 @@
 to accept a request; the rest is left for the response."""
 MAX_TOKEN_REQUESTS = 3
 """Tokens requested for one attempt at most, since each may cost a call."""
+MAX_CHECK_WAIT_SECONDS = 0.25
+"""Longest wait in seconds for the check of a target if no other one is left."""
 
 
 class TargetChooser:
@@ -37,7 +41,8 @@
     A rate limit does not mean that a target is slow or failing: the target is chosen
     like any other while its limit leaves room, and skipped while it does not. A target
     in backoff is not chosen, and no token is acquired for it. A cold target, which
-    also needs a token, is chosen only if no warm target has a free slot.
+    also needs a token, is chosen only if no warm target has a free slot. One that may
+    not answer at its address is chosen only if no other is left.
     """
 
     def __init__(
@@ -49,6 +54,7 @@
         slow_ranks: SlowRanks,
         assigned_slots: AssignedSlots,
         tokens: LimitTokens,
+        checker: TargetChecker,
         backoffs: TargetBackoffs,
         crashes: CrashTracker,
         events: EventLog,
@@ -61,6 +67,7 @@
         self.slow_ranks = slow_ranks
         self.assigned_slots = assigned_slots
         self.tokens = tokens
+        self.checker = checker
         self.backoffs = backoffs
         self.crashes = crashes
         self.events = events
@@ -76,11 +83,18 @@
         the time that this one may wait.
         """
         token_requests = 0
+        has_waited = False
         while True:
             now = anyio.current_time()
             states = self._candidates(request, tried, groups, now)
             if not states:
                 return None
+            trusted = [s for s in states if self._is_trusted(s)]
+            if not trusted and not has_waited:
+                has_waited = True
+                await self.checker.wait(states, MAX_CHECK_WAIT_SECONDS)
+                continue
+            states = trusted or states
             wait_left = (
                 self._wait_deadline(request) - now
                 if token_requests < MAX_TOKEN_REQUESTS
@@ -109,6 +123,9 @@
             if is_cold and not granted:
                 self._note_denied(request, state)
 
+    def _is_trusted(self, state: DirectTargetState) -> bool:
+        return self.registry.standing(state) is Standing.TRUSTED
+
     def has_answering_target(self, request: DirectRequest, tried: set[str]) -> bool:
         """
         Return whether a target is left to try that is not known to be silent.
--- a/packages/entry/src/briarthread_entry/direct/target_registry.py
+++ b/packages/entry/src/briarthread_entry/direct/target_registry.py
@@ -1,6 +1,6 @@
 """Registry of the direct targets that an entry knows."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 
 import anyio
@@ -10,8 +10,11 @@
 from briarthread_common.direct.direct_target import DirectTarget
 from briarthread_common.direct.platform_adapter import PlatformAdapter
 from briarthread_common.feeds.feed import Feed
+from briarthread_entry.direct.address_holders import AddressHolders
 from briarthread_entry.direct.evacuations import Evacuations
 from briarthread_entry.direct.leaving_targets import LeavingTargets
+from briarthread_entry.direct.standing import Standing
+from briarthread_entry.direct.target_presence import TargetPresence
 from briarthread_entry.direct.target_runs import TargetRuns
 from briarthread_entry.direct.target_state import DirectTargetState
 
@@ -28,7 +31,7 @@
     target that is removed from the list during an outage, or soon after, therefore
     stays in use until the time for listing it again is over. ``on_removed`` is called
     after targets have been removed, ``on_listed`` with the target of each new or
-    changed row.
+    changed row, ``on_applied`` after each version of the list.
 
     Two callbacks receive the names of targets before these are used again:
     ``on_restarted`` of those that were started anew, ``on_assumed_cold`` of those that
@@ -55,10 +58,12 @@
         self.raw_rows: dict[str, str] = {}
         self.rejected_rows: dict[str, str] = {}
         self.states: dict[str, DirectTargetState] = {}
+        self.holders = AddressHolders()
         self.on_removed: Callable[[], None] = _do_nothing
         self.on_restarted: Callable[[Sequence[str]], None] = _ignore_names
         self.on_assumed_cold: Callable[[Sequence[str]], None] = _ignore_names
         self.on_listed: Callable[[DirectTarget], None] = _ignore_row
+        self.on_applied: Callable[[], None] = _do_nothing
 
     async def follow(self) -> None:
         """Apply each version of the feed on arrival, not only when it is needed."""
@@ -76,6 +81,10 @@
             if state.target.service == service and self.accepts_requests(state)
         ]
 
+    def standing(self, state: DirectTargetState) -> Standing:
+        """Return whether a target answers at its address, as far as is known."""
+        return self.holders.standing(state, anyio.current_time())
+
     def accepts_requests(self, state: DirectTargetState) -> bool:
         """Return whether new requests may be sent to a target."""
         if self.evacuations.data_centres and self.is_evacuated(state):
@@ -95,7 +104,11 @@
         ]
 
     def _is_in_service(self, state: DirectTargetState) -> bool:
-        return state.is_usable() and not self.is_leaving(state)
+        return (
+            state.is_usable()
+            and not self.is_leaving(state)
+            and self.standing(state) is not Standing.EXCLUDED
+        )
 
     def is_evacuated(self, state: DirectTargetState) -> bool:
         """Return whether the operator has evacuated a target's data centre."""
@@ -127,6 +140,7 @@
             del self.states[name]
             self.raw_rows.pop(name, None)
         if expired:
+            self.holders.update(self.states.values())
             self.runs.prune(self.states)
             self.on_removed()
 
@@ -142,7 +156,6 @@
 
     def _apply_feed(self, now: float) -> None:
         restarted: list[str] = []
-        known = dict(self.states)
         for name, raw in self.feed.items.items():
             if self.raw_rows.get(name) != raw:
                 target = self._decode(name, raw)
@@ -153,28 +166,12 @@
                 self.on_listed(target)
             elif name in self.states:
                 self.states[name].removed_at = None
-        for name in self.states.keys() - known.keys():
-            self._end_predecessors(self.states[name].target, known.values())
         self._note_missing(now)
+        self.holders.update(self.states.values())
+        self.on_applied()
         if restarted:
             self.on_restarted(restarted)
 
-    def _end_predecessors(
-        self, target: DirectTarget, known: Iterable[DirectTargetState]
-    ) -> None:
-        """Stop using known targets at whose address a new one is listed now."""
-        for state in known:
-            if state.target.address == target.address and not state.replaced:
-                logger.info(
-                    "targets: {} at {} was replaced by {} of {}",
-                    state.target.name,
-                    target.address,
-                    target.name,
-                    target.service,
-                )
-                self.runs.metrics.excluded_targets.labels("row").inc()
-                state.replaced = True
-
     def _note_missing(self, now: float) -> None:
         """Note which targets are no longer in the list."""
         for name, state in self.states.items():
@@ -204,7 +201,7 @@
         restarted = self.runs.note(target, now)
         if restarted:
             self._end_run(target)
-        self._apply_row(target)
+        self._apply_row(target, now)
         return restarted
 
     def _end_run(self, target: DirectTarget) -> None:
@@ -217,12 +214,17 @@
         state.target = replace(state.target, leaving=self.is_leaving(state))
         state.ended = True
 
-    def _apply_row(self, target: DirectTarget) -> None:
+    def _apply_row(self, target: DirectTarget, now: float) -> None:
         state = self.states.get(target.name)
         if state is None:
             logger.info("targets: {} of {} is new", target.name, target.service)
-            self.states[target.name] = DirectTargetState(target)
+            self.states[target.name] = DirectTargetState(
+                target, presence=TargetPresence(now)
+            )
             return
+        if target.address != state.target.address:
+            logger.info("targets: {} moved to {}", target.name, target.address)
+            state.presence = TargetPresence(now)
         if target.leaving and not state.target.leaving:
             logger.info("targets: {} is leaving", target.name)
         state.target = target
--- a/packages/entry/src/briarthread_entry/direct/target_state.py
+++ b/packages/entry/src/briarthread_entry/direct/target_state.py
@@ -7,6 +7,7 @@
 from briarthread_entry.direct.load_durations import LoadDurations
 from briarthread_entry.direct.probe_schedule import ProbeSchedule
 from briarthread_entry.direct.target_condition import TargetCondition
+from briarthread_entry.direct.target_presence import TargetPresence
 from briarthread_entry.direct.unanswered_attempts import UnansweredAttempts
 
 EJECTION_FAILURES = 2
@@ -31,11 +32,11 @@
     Hold a target and this entry's observations of it.
 
     ``running`` is the number of attempts that this entry is running at the target.
-    ``replaced`` is true if another target answers at its address, ``ended`` if the
-    target was restarted and has a new state. ``removed_at`` is the time when the target
-    was removed from the platform's list. Times are in seconds on the event loop's
-    clock. ``condition``, ``durations`` and ``probe`` are kept for targets of plain
-    services only.
+    ``presence`` is the evidence that the target answers at its address. ``ended`` is
+    true if the target was restarted and has a new state. ``removed_at`` is the time
+    when the target was removed from the platform's list. Times are in seconds on the
+    event loop's clock. ``condition``, ``durations`` and ``probe`` are kept for targets
+    of plain services only.
     """
 
     target: DirectTarget
@@ -45,7 +46,7 @@
     ejections: int = 0
     ejected_until: float = 0.0
     removed_at: float | None = None
-    replaced: bool = False
+    presence: TargetPresence = field(default_factory=lambda: TargetPresence(0.0))
     ended: bool = False
     failure_share: DecayingMean = field(
         default_factory=lambda: DecayingMean(SAMPLE_WEIGHT)
@@ -80,8 +81,8 @@
         return True
 
     def is_usable(self) -> bool:
-        """Return whether the target may get new requests, apart from ejections."""
-        return not self.target.leaving and not self.replaced and not self.ended
+        """Return whether the target itself accepts new requests, as far as known."""
+        return not self.target.leaving and not self.ended
 
     def fill(self, running: int) -> float:
         """Return the share of the slots that running attempts use, 1.0 if all."""
--- a/packages/standins/src/briarthread_standins/direct_config.py
+++ b/packages/standins/src/briarthread_standins/direct_config.py
@@ -1,6 +1,7 @@
 """Configurations of the platform for simulated deployments."""
 
 MODEL, DIARY = "model", "diary"
+HEALTH_PATH = "/healthz"
 
 
 def build_config(version: int = 1, **changes: object) -> dict[str, object]:
@@ -13,8 +14,8 @@
             build_route_row("/list/", DIARY, "safe", maxAttempts=2),
         ],
         "services": [
-            {"name": MODEL, "maxConns": 100, "engine": build_engine_row()},
-            {"name": DIARY, "maxConns": 100},
+            build_service_row(MODEL, engine=build_engine_row()),
+            build_service_row(DIARY),
         ],
         "limits": {
             "maxHeaderBytes": 16384,
@@ -46,6 +47,11 @@
     return {**row, **changes}
 
 
+def build_service_row(name: str, **changes: object) -> dict[str, object]:
+    """Return one service of a configuration."""
+    return {"name": name, "maxConns": 100, "healthPath": HEALTH_PATH, **changes}
+
+
 def build_engine_row() -> dict[str, object]:
     """Return the performance profile of an engine without experts."""
     return {
--- a/packages/standins/src/briarthread_standins/direct_world.py
+++ b/packages/standins/src/briarthread_standins/direct_world.py
@@ -14,6 +14,7 @@
 from briarthread_entry.direct.settings import DirectSettings
 from briarthread_entry.direct.shared_retry_budget import RetryAllowance
 from briarthread_platform.adapter import ADAPTER
+from briarthread_standins.direct_config import DIARY
 from briarthread_standins.direct_worker import DirectWorker
 from briarthread_standins.fake_network import FakeNetwork
 from briarthread_standins.fake_platform_store import FakePlatformStore
@@ -86,16 +87,21 @@
         cold_seconds: float = 0.0,
     ) -> None:
         """Write a worker's row into the ``servers`` table of the store."""
+        row = self.build_row(name, service=service, zone=data_centre, state=state)
+        if cold_seconds:
+            row["coldLeftMs"] = cold_seconds * 1000
+        self.store.put("servers", name, row)
+
+    def build_row(self, name: str, **changes: object) -> dict[str, object]:
+        """Return a worker's row; ``changes`` are fields that differ from the usual."""
         row = {
-            "service": service,
+            "service": DIARY,
             "address": self.addresses[name],
-            "zone": data_centre,
+            "zone": "palermo",
             "slots": 6,
-            "state": state,
+            "state": "ready",
         }
-        if cold_seconds:
-            row["coldLeftMs"] = cold_seconds * 1000
-        self.store.put("servers", name, row)
+        return {**row, **changes}
 
     def add_entry(self, name: str, data_centre: str = "palermo") -> DirectEntry:
         """Start an entry; one of the same name restarts at its former addresses."""
