Retry elsewhere what an agent of another service refuses

What callers saw: on the path with agents a row that names the agent of another service is used like any other target; the caller gets the agent's 404. Cause: the refusal of an unknown service was final, although the request had not run, and did not count against the target that the row names. Change: it is retried elsewhere like other refusals that come from the list, and ejects the row's target. The new test is red without the change for a row of another service (1 of 3), green with it.

--- a/packages/entry/src/briarthread_entry/retries/retry_policy.py
+++ b/packages/entry/src/briarthread_entry/retries/retry_policy.py
@@ -9,9 +9,14 @@
         ErrorKind.DRAINING,
         ErrorKind.WRONG_INCARNATION,
         ErrorKind.NOT_HOLDER,
+        ErrorKind.UNKNOWN_SERVICE,
     }
 )
-"""Refusals caused by changes of instances; their retries are not charged."""
+"""
+Refusals caused by changes of instances; their retries are not charged.
+
+An agent does not serve a service if a row names its address by mistake.
+"""
 
 BUDGETED_KINDS = frozenset(
     {
@@ -29,7 +34,12 @@
 """Failures that retries could aggravate; each retry is charged to the budget."""
 
 EJECTION_KINDS = frozenset(
-    {ErrorKind.NO_TARGET, ErrorKind.TARGET_FAILED, ErrorKind.OUTCOME_UNKNOWN}
+    {
+        ErrorKind.NO_TARGET,
+        ErrorKind.TARGET_FAILED,
+        ErrorKind.OUTCOME_UNKNOWN,
+        ErrorKind.UNKNOWN_SERVICE,
+    }
 )
 """
 Failures that count towards the ejection of a target.
