Bound what is read of a response that is no answer

What callers saw: a target whose bytes never end, in a head or a body, stops others too. Each such target was tried as often as a good one, and what it sent counted as a crash of the target, which blocks requests. Cause: only the size of one incomplete element (100 KiB) and of a plain body (16 MiB) was bounded. Whole elements without end (interim responses, chunks, events) were read until the route's timeout, 64 KiB at a time without a pause; an incomplete event was copied whole for each chunk; a refusal's body was read to its end; a response without an end was no failure of its target. Why it works: each part of a response that can repeat has a bound in bytes, in number and, where parts go on arriving, in time; what is left ends with the route's timeout.

Not bounded before the route's timeout: a trickle of body bytes, of blank or of repeated events.

--- a/packages/common/src/briarthread_common/http/call_connection.py
+++ b/packages/common/src/briarthread_common/http/call_connection.py
@@ -5,8 +5,12 @@
 from collections.abc import Iterable
 from typing import Any
 
+import anyio
 import httpcore
 
+from briarthread_common.core.exceptions import BrokenCallError
+from briarthread_common.http.response_bounds import HEAD_READ_BYTES, ResponseBounds
+
 RESET_ON_CLOSE = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 """Socket option with which a close discards undelivered bytes."""
 GRACEFUL_CLOSE = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 0, 0))
@@ -19,25 +23,47 @@
 
     After a graceful close the kernel still delivers a request that its target has not
     read, so the target would work on it although nobody waits for the response. The
-    kernel also resets the connection if the process ends during a call.
+    kernel also resets the connection if the process ends during a call. ``bounds`` are
+    those of the current response; ``ended`` is true once the target has closed the
+    connection.
     """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self.stream = stream
         self.socket: socket.socket = stream.get_extra_info("socket")
         self.in_call = False
+        self.ended = False
+        self.bounds = ResponseBounds()
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Return received bytes, none at the end of the connection."""
-        return await self.stream.read(max_bytes, timeout)
+        """
+        Return received bytes, none at the end of the connection.
+
+        Raise InvalidResponseError if they exceed their bounds, BrokenCallError if the
+        connection ends before the head is complete.
+        """
+        self.bounds.check(anyio.current_time())
+        if self.bounds.in_head:
+            max_bytes = min(max_bytes, HEAD_READ_BYTES)
+        data = await self.stream.read(max_bytes, timeout)
+        if not data:
+            self.ended = True
+            if self.bounds.in_head:
+                raise BrokenCallError("the connection ended before the response")
+        self.bounds.note_received(data, anyio.current_time())
+        return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send a part of a request."""
-        self.in_call = True
+        if not self.in_call:
+            self.in_call = True
+            self.bounds = ResponseBounds()
         await self.stream.write(buffer, timeout)
 
-    def end_call(self) -> None:
-        """Note that the response has been read to its end."""
+    async def end_call(self) -> None:
+        """Note that the response has been read; close if more bytes follow it."""
+        if self.bounds.has_excess() or self.get_extra_info("is_readable"):
+            await self.aclose()
         self.in_call = False
 
     async def aclose(self) -> None:
--- a/packages/common/src/briarthread_common/http/channel_calls.py
+++ b/packages/common/src/briarthread_common/http/channel_calls.py
@@ -6,7 +6,11 @@
 import anyio
 import msgspec
 
-from briarthread_common.core.exceptions import BrokenCallError, RequestError
+from briarthread_common.core.exceptions import (
+    BrokenCallError,
+    InvalidResponseError,
+    RequestError,
+)
 from briarthread_common.http.channel import Channel, ChannelRequest
 from briarthread_common.http.compression import (
     ACCEPT_ENCODING_HEADER,
@@ -28,29 +32,27 @@
     reserve: Callable[[int], Awaitable[None]] | None = None,
 ) -> bytes:
     """
-    Join a body's chunks; raise BrokenCallError if they exceed ``limit`` bytes.
+    Join a body's chunks; raise InvalidResponseError if they exceed ``limit`` bytes.
 
     ``reserve`` is awaited with the size of each chunk before the next one is read.
     """
-    parts: list[bytes] = []
-    size = 0
+    body = bytearray()
     async for chunk in chunks:
-        size += len(chunk)
-        if size > limit:
-            raise BrokenCallError(f"answer larger than {limit} bytes")
+        if len(body) + len(chunk) > limit:
+            raise InvalidResponseError(f"answer larger than {limit} bytes")
         if reserve is not None:
             await reserve(len(chunk))
-        parts.append(chunk)
-    return b"".join(parts)
+        body += chunk
+    return bytes(body)
 
 
 async def discard_bounded(chunks: AsyncIterator[bytes], limit: int) -> None:
-    """Read a body without keeping it; raise BrokenCallError as read_bounded() does."""
+    """Read a body without keeping it; raise an error as read_bounded() does."""
     size = 0
     async for chunk in chunks:
         size += len(chunk)
         if size > limit:
-            raise BrokenCallError(f"answer larger than {limit} bytes")
+            raise InvalidResponseError(f"answer larger than {limit} bytes")
 
 
 async def call_json(
--- a/packages/common/src/briarthread_common/http/http_channel.py
+++ b/packages/common/src/briarthread_common/http/http_channel.py
@@ -3,11 +3,13 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import anyio
 import httpcore
 
 from briarthread_common.core.exceptions import (
     BrokenCallError,
     ConnectionRefused,
+    InvalidResponseError,
     RequestNotSentError,
 )
 from briarthread_common.http.call_connection import CallBackend, CallConnection
@@ -16,6 +18,8 @@
 
 FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 """Headers of which a response has one unless its body ends with the connection."""
+CHUNKS_PER_TURN = 64
+"""Parts of a body after which other tasks run; they may all be in one read."""
 
 
 class HttpChannel:
@@ -41,14 +45,17 @@
             content=request.body,
             extensions=self.extensions,
         )
+        connection: CallConnection | None = None
         try:
             async with response_context as response:
+                connection = response.extensions["network_stream"]
+                connection.bounds.end_head(anyio.current_time())
                 fields = _decode_headers(response.headers)
                 headers = dict(fields)
                 yield ChannelResponse(
                     response.status,
                     headers,
-                    _body(response),
+                    _body(response, connection),
                     fields,
                     FRAMING_HEADERS.isdisjoint(headers),
                 )
@@ -56,11 +63,12 @@
             raise ConnectionRefused(_describe_error(request, error)) from error
         except (httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
             raise RequestNotSentError(_describe_error(request, error)) from error
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
+        except httpcore.ProtocolError as error:
+            # Bytes that are no response do not mean that the target has ended.
+            is_lost = connection is not None and connection.ended
+            kind = BrokenCallError if is_lost else InvalidResponseError
+            raise kind(_describe_error(request, error)) from error
+        except (httpcore.NetworkError, httpcore.TimeoutException) as error:
             raise BrokenCallError(_describe_error(request, error)) from error
 
     async def close(self) -> None:
@@ -112,8 +120,15 @@
     )
 
 
-async def _body(response: httpcore.Response) -> AsyncIterator[bytes]:
+async def _body(
+    response: httpcore.Response, connection: CallConnection
+) -> AsyncIterator[bytes]:
+    """Yield the parts of a body; let other tasks run while many come at once."""
+    number = 0
     async for chunk in response.aiter_stream():
+        number += 1
+        connection.bounds.note_chunk(len(chunk), anyio.current_time())
+        if number % CHUNKS_PER_TURN == 0:
+            await anyio.lowlevel.checkpoint()
         yield chunk
-    connection: CallConnection = response.extensions["network_stream"]
-    connection.end_call()
+    await connection.end_call()
--- a/packages/entry/src/briarthread_entry/direct/attempt_outcome.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_outcome.py
@@ -39,12 +39,14 @@
     ``written`` is false if the request was not sent. ``misdirected`` is true if it was
     refused as meant for another target or version. ``faulty_rank`` is the rank of the
     group that the target reported as the cause, empty if it reported none.
+    ``has_ended`` is false if the target's refusal did not end in time.
     """
 
     error: RequestError
     written: bool = True
     misdirected: bool = False
     faulty_rank: str = ""
+    has_ended: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
@@ -20,6 +20,7 @@
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.plain_targets import PlainTargets
+from briarthread_entry.direct.response_relay import ResponseRelay
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.target_state import DirectTargetState
 
@@ -27,6 +28,9 @@
 """Time in seconds without any response above which a run that loses its connection to a
 rank does not mean that this rank crashed. The other ranks of a group wait that long for
 a lost one before they drop their connections."""
+USELESS_READS = 3
+"""Reads without an event, the last ones before the deadline, that make an attempt a
+failure of its target. An event may come in two parts."""
 SERVER_ERROR = 500
 """Lowest status of a failure of the target itself (RFC 9110, 15.6)."""
 
@@ -104,14 +108,26 @@
         request: DirectRequest,
         state: DirectTargetState,
         began: float,
-        answered: bool,
+        relay: ResponseRelay,
     ) -> None:
-        """Record an attempt that ended with its caller's departure or deadline."""
+        """
+        Record an attempt that ended with its caller's departure or deadline.
+
+        It is a failure of a target that went on sending without an end or an event.
+        """
+        answered = relay.progress.events > 0
         self.metrics.abandoned_attempts.labels(str(answered).lower()).inc()
         progress = "answered in part" if answered else "unanswered"
         seconds = anyio.current_time() - began
         reason = f"{progress} after {seconds:.3f} s"
         self.events.add("attempt-abandoned", state.target.name, reason, request.id)
+        if anyio.current_time() < request.deadline:
+            return
+        is_plain = request.service.engine is None
+        if relay.useless_reads >= USELESS_READS or (
+            is_plain and relay.progress.head_at is not None
+        ):
+            self._note_failed(request, state, "no end of its response by the deadline")
 
     def _record_run(
         self,
@@ -198,7 +214,10 @@
         self, request: DirectRequest, state: DirectTargetState, refusal: NotRun
     ) -> None:
         reason = refusal.error.detail
-        self._note_attempt_failed(request, state, reason)
+        if refusal.has_ended:
+            self._note_attempt_failed(request, state, reason)
+        else:
+            self._note_failed(request, state, f"{reason}, without an end")
         if refusal.faulty_rank:
             group = self.capacity.membership.group_of(state.target)
             self.capacity.note_refused(group, refusal.faulty_rank)
--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -1,5 +1,7 @@
 """Sending of a single attempt to a direct target."""
 
+import contextlib
+
 import anyio
 
 from briarthread_common.core.error_kind import ErrorKind
@@ -27,10 +29,7 @@
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.event_reader import EventReader
 from briarthread_entry.direct.leaving_targets import LeavingTargets
-from briarthread_entry.direct.read_response import (
-    MAX_RESPONSE_BYTES,
-    read_response,
-)
+from briarthread_entry.direct.read_response import read_response
 from briarthread_entry.direct.response_relay import HeaderFields, ResponseRelay
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.target_checker import TargetChecker
@@ -42,6 +41,11 @@
 )
 """Response headers that concern only the connection to the target."""
 STREAM_STATUS = 200
+MAX_REFUSAL_BYTES = 64 * 1024
+"""Largest body of a refusal that is read, in bytes."""
+MAX_REFUSAL_SECONDS = 0.1
+"""Longest time in seconds for which that body is read. Its head says all that counts,
+and the caller's next attempt waits."""
 
 
 class AttemptSender:
@@ -80,7 +84,9 @@
                     self._check_request_id(request, response)
                     self._record_head(state, response, sent_at, number)
                     relay.note_head()
-                    return await self._read(request, response, relay)
+                    outcome = await self._read(request, state, response, relay, number)
+                    state.unanswered.note_answer(number, anyio.current_time())
+                    return outcome
         except RequestNotSentError as error:
             return NotRun(_request_error(ErrorKind.NO_TARGET, error), written=False)
         except InvalidResponseError as error:
@@ -91,12 +97,17 @@
             )
 
     async def _read(
-        self, request: DirectRequest, response: ChannelResponse, relay: ResponseRelay
+        self,
+        request: DirectRequest,
+        state: DirectTargetState,
+        response: ChannelResponse,
+        relay: ResponseRelay,
+        number: int,
     ) -> DirectOutcome:
         names = self.names
         headers = response.headers
         if names.not_run in headers or response.status == MISDIRECTED_REQUEST:
-            await discard_bounded(response.body, MAX_RESPONSE_BYTES)
+            has_ended = await _discard_refusal(response)
             misdirected = response.status == MISDIRECTED_REQUEST
             # One that meant another target or version says nothing of the group.
             faulty_rank = "" if misdirected else headers.get(names.faulty_target, "")
@@ -107,13 +118,19 @@
                 ),
                 misdirected=misdirected,
                 faulty_rank=faulty_rank,
+                has_ended=has_ended,
             )
         self._check_response(response)
         forwarded = tuple(f for f in response.fields if f[0] not in DROPPED_HEADERS)
         if request.route.kind is CallKind.STREAM and response.status == STREAM_STATUS:
+            state.unanswered.note_answer(number, anyio.current_time())
             await self._relay_stream(request, response, forwarded, relay)
             return StreamRelayed(relay.first_event_at, relay.longest_pause)
-        body = await read_response(request, response)
+        body = await read_response(
+            request,
+            response,
+            lambda: state.unanswered.note_progress(number, anyio.current_time()),
+        )
         return TargetResponse(response.status, forwarded, body)
 
     def _check_request_id(
@@ -146,7 +163,7 @@
         state.presence.note_answer(sent_at)
         name = state.target.name
         now = anyio.current_time()
-        state.unanswered.note_answer(number, now)
+        state.unanswered.note_progress(number, now)
         limit_values = [
             raw for field, raw in response.fields if field == self.names.rate_limit
         ]
@@ -183,10 +200,11 @@
     ) -> None:
         reader = EventReader()
         async for chunk in response.body:
-            for event in reader.feed(chunk):
+            relay.note_read()
+            for event in reader.feed(chunk, anyio.current_time()):
                 await relay.forward_event(response.status, headers, event)
             if request.held is not None:
-                await request.held.cover_event(len(reader.incomplete), request.id)
+                await request.held.cover_event(len(reader.buffer), request.id)
         _check_stream_end(response, reader, relay)
         await relay.finish(response.status, headers)
 
@@ -211,6 +229,21 @@
         )
 
 
+async def _discard_refusal(response: ChannelResponse) -> bool:
+    """
+    Read a refusal to its end, so that its connection is kept, if it ends soon.
+
+    Return whether it has ended.
+    """
+    with (
+        anyio.move_on_after(MAX_REFUSAL_SECONDS),
+        contextlib.suppress(ChannelError),
+    ):
+        await discard_bounded(response.body, MAX_REFUSAL_BYTES)
+        return True
+    return False
+
+
 def _check_stream_end(
     response: ChannelResponse, reader: EventReader, relay: ResponseRelay
 ) -> None:
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -228,8 +228,7 @@
             else:
                 outcome = await self.sender.send(request, state, relay)
         except anyio.get_cancelled_exc_class():
-            answered = relay.progress.events > 0
-            self.attempt_recorder.record_abandoned(request, state, started, answered)
+            self.attempt_recorder.record_abandoned(request, state, started, relay)
             raise
         finally:
             state.running -= 1
--- a/packages/entry/src/briarthread_entry/direct/response_relay.py
+++ b/packages/entry/src/briarthread_entry/direct/response_relay.py
@@ -23,8 +23,9 @@
     same response. Events that the caller already has are then dropped, and a gap in the
     event ids is an error. ``on_event`` is called for each event with the time at which
     the previous event of the same attempt was sent. ``progress`` is that of the last
-    attempt. ``first_event_at`` is the time at which the first event was sent and
-    ``longest_pause`` the longest time, in seconds, between two events.
+    attempt, ``useless_reads`` the number of reads in it since the last event that the
+    caller did not have. ``first_event_at`` is the time at which the first event was
+    sent and ``longest_pause`` the longest time, in seconds, between two events.
     """
 
     def __init__(
@@ -36,6 +37,7 @@
         self.last_event_id = last_event_id
         self.on_event: Callable[[float | None], None] = _ignore
         self.progress = AttemptProgress()
+        self.useless_reads = 0
         self.first_event_at: float | None = None
         self.last_event_at: float | None = None
         self.longest_pause = 0.0
@@ -44,11 +46,16 @@
         """Start an attempt whose events are reported to ``on_event``."""
         self.on_event = on_event
         self.progress = AttemptProgress()
+        self.useless_reads = 0
 
     def note_head(self) -> None:
         """Note that the head of the attempt's response has been received."""
         self.progress = AttemptProgress(anyio.current_time())
 
+    def note_read(self) -> None:
+        """Note that bytes of the body have been received."""
+        self.useless_reads += 1
+
     async def forward_event(
         self, status: int, headers: HeaderFields, event: StreamEvent
     ) -> None:
@@ -61,6 +68,11 @@
                     ErrorKind.TARGET_FAILED,
                     f"event {event.id} received after event {self.last_event_id}",
                 )
+        if event.is_blank:
+            if self.call.started:
+                await self.call.send_chunk(event.raw)
+            return
+        self.useless_reads = 0
         if not self.call.started:
             await self.call.start(status, headers)
         await self.call.send_chunk(event.raw)
--- a/packages/entry/src/briarthread_entry/direct/unanswered_attempts.py
+++ b/packages/entry/src/briarthread_entry/direct/unanswered_attempts.py
@@ -12,7 +12,8 @@
     """
     Measure for how long a target has not answered anything that it was sent.
 
-    The head of any response is an answer. ``sent_at`` holds the times at which the
+    The head of a stream and the end of any other response are answers, and so is
+    progress on the way to that end. ``sent_at`` holds the times at which the
     unanswered attempts were sent by their numbers, the oldest first. ``lost_after`` is
     the silence that the last attempt left behind when it ended without an answer, so
     that a target is not forgiven when its callers give up. Times are in seconds on the
@@ -44,11 +45,17 @@
                 self._end_unanswered(number, anyio.current_time())
 
     def note_answer(self, number: int, now: float) -> None:
-        """Record the head of the response to an attempt."""
-        del self.sent_at[number]
+        """Record that an attempt has been answered."""
+        self.sent_at.pop(number, None)
         self.last_answer = now
         self.lost_after = 0.0
 
+    def note_progress(self, number: int, now: float) -> None:
+        """Record a part of the response to an attempt that is still unanswered."""
+        if number in self.sent_at:
+            self.last_answer = now
+            self.lost_after = 0.0
+
     def silent_seconds(self, now: float) -> float:
         """Return for how long nothing has been answered, 0.0 if nothing is missing."""
         if not self.sent_at:
--- a/tests/soak/soak_deployment.py
+++ b/tests/soak/soak_deployment.py
@@ -44,6 +44,7 @@
 retry_slack = {allowance.reserve}
 retry_window = {allowance.window}
 max_files = {max_files}
+memory_mb = {memory_mb}
 [peers]
 seeds = {seeds}
 [logs]
@@ -75,8 +76,9 @@
     """
     Start entries and targets as processes; the store and the proxies run here.
 
-    ``services`` has the number of targets of each service, ``max_files`` is the
-    setting of the entries, ``culprit`` a segment of prompts that ends targets.
+    ``services`` has the number of targets of each service, ``max_files`` and
+    ``memory_mb`` are settings of the entries, ``culprit`` is a segment of prompts that
+    ends targets.
     """
 
     folder: Path
@@ -85,8 +87,10 @@
     entry_count: int = ENTRY_COUNT
     allowance: RetryAllowance = RETRY_ALLOWANCE
     max_files: int = 0
+    memory_mb: float = 0.0
     culprit: str = ""
     store: FakePlatformStore = field(default_factory=FakePlatformStore)
+    raw_targets: list[SoakProcess] = field(default_factory=list)
     entries: dict[str, SoakProcess] = field(default_factory=dict)
     targets: dict[str, Target] = field(default_factory=dict)
     callers_addresses: dict[str, str] = field(default_factory=dict)
@@ -126,7 +130,7 @@
     def processes(self) -> list[SoakProcess]:
         """Return the processes of all entries and targets."""
         targets = [target.process for target in self.targets.values()]
-        return [*self.entries.values(), *targets]
+        return [*self.entries.values(), *targets, *self.raw_targets]
 
     def process_ids(self) -> list[int]:
         """Return the ids of the processes that run."""
@@ -160,9 +164,23 @@
             command.append(f"--culprit={self.culprit}")
         process = self._start_process(name, command)
         self.targets[name] = Target(process, proxy, data_centre)
+        self._list_target(name, service, f"{HOST}:{proxy_port}", data_centre)
+
+    def add_raw_target(
+        self, name: str, service: str, address: str, command: list[str]
+    ) -> Path:
+        """Start a target that speaks for itself; return the file of its output."""
+        process = self._start_process(name, command)
+        self.raw_targets.append(process)
+        self._list_target(name, service, address, FIRST_DATA_CENTRE)
+        return process.log
+
+    def _list_target(
+        self, name: str, service: str, address: str, data_centre: str
+    ) -> None:
         row = {
             "service": service,
-            "address": f"{HOST}:{proxy_port}",
+            "address": address,
             "zone": data_centre,
             "slots": 12,
             "state": "ready",
@@ -184,6 +202,7 @@
             seeds=",".join(peer_addresses),
             allowance=self.allowance,
             max_files=self.max_files,
+            memory_mb=self.memory_mb,
         )
         settings.write_text(text, encoding="utf-8")
         command = [*installed_command("briarthread"), "direct", str(settings)]
