Parse a request that offers an upgrade as one that does not

A POST that offers h2c is run without its body and answered 200; its body is run as a request of its own, which no client sent (UNASKED, MIXED). Cause: the parser ends such a request at its head and leaves the rest to the other protocol. The server speaks none and parsed the rest as requests. Change: the request is parsed again without the offer; CONNECT gets 400. The protocol classes move to server_protocol.py, since server.py had grown. Entries and agents share them. Why it works: the parser never sees an offer behind which it may stop.

--- a/packages/common/src/briarthread_common/http/server.py
+++ b/packages/common/src/briarthread_common/http/server.py
@@ -1,6 +1,5 @@
 """HTTP server of a process, based on uvicorn."""
 
-import asyncio
 import contextlib
 import logging
 import signal
@@ -10,16 +9,16 @@
 
 import anyio
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from briarthread_common.core.exceptions import ListenError
-from briarthread_common.http.call_connection import RESET_ON_CLOSE
 from briarthread_common.http.caller_connections import CallerConnections
-from briarthread_common.http.closing_transport import ClosingTransport
+from briarthread_common.http.server_protocol import (
+    LimitedProtocol,
+    UnreadDroppingProtocol,
+)
 
 KEEPALIVE_SECONDS = 75
 """Longer than the client's idle timeout, so that the client closes first."""
-MAX_HEADER_BYTES = 32 * 1024
 BACKLOG = 2048
 UVICORN_LOGGER = logging.getLogger("uvicorn.error")
 """uvicorn's logger. It writes a traceback for each response that is truncated on
@@ -34,106 +33,6 @@
         yield
 
 
-class _HeadTooLarge(Exception):  # noqa: N818
-    """The head of a request exceeds MAX_HEADER_BYTES."""
-
-
-class _LimitedProtocol(HttpToolsProtocol):
-    """
-    A connection with a limited request head and a configurable idle timeout.
-
-    The idle timeout is read from the configuration whenever the connection becomes
-    idle. The parser limits nothing by itself, so the bytes of a head are counted as
-    they arrive; too many of them end the connection with the response to a malformed
-    request.
-    """
-
-    in_head = False
-    head_bytes = 0
-    incomplete_head_bytes = 0
-    is_counted = False
-
-    @property
-    def timeout_keep_alive(self) -> float:
-        """Return the idle timeout in seconds."""
-        return self.config.timeout_keep_alive
-
-    @timeout_keep_alive.setter
-    def timeout_keep_alive(self, seconds: float) -> None:
-        pass
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Start serving a connection, or reset it if there are too many."""
-        if not self._is_accepted(transport):
-            transport.get_extra_info("socket").setsockopt(*RESET_ON_CLOSE)
-            transport.abort()
-            return
-        super().connection_made(transport)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Stop serving a connection that has ended."""
-        if self.is_counted:
-            self.is_counted = False
-            self.config.caller_connections.close()
-        super().connection_lost(exc)
-
-    def _is_accepted(self, transport: asyncio.Transport) -> bool:
-        connections: CallerConnections | None = self.config.caller_connections
-        port = transport.get_extra_info("sockname")[1]
-        if connections is None or port != connections.port:
-            return True
-        self.is_counted = connections.open()
-        return self.is_counted
-
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes; reject a head that is too large and incomplete."""
-        super().data_received(data)
-        if self.in_head:
-            self.incomplete_head_bytes += len(data)
-            if self.incomplete_head_bytes > MAX_HEADER_BYTES:
-                self.send_400_response("The head of the request is too large.")
-
-    def on_message_begin(self) -> None:
-        """Reset the counters at the start of a request."""
-        self.in_head = True
-        self.head_bytes = self.incomplete_head_bytes = 0
-        super().on_message_begin()
-
-    def on_headers_complete(self) -> None:
-        """Note that the head is complete."""
-        self.in_head = False
-        super().on_headers_complete()
-
-    def on_url(self, url: bytes) -> None:
-        """Count the bytes of a part of the request target."""
-        self._count(len(url))
-        super().on_url(url)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Count the bytes of a header."""
-        self._count(len(name) + len(value))
-        super().on_header(name, value)
-
-    def _count(self, size: int) -> None:
-        self.head_bytes += size
-        if self.head_bytes > MAX_HEADER_BYTES:
-            raise _HeadTooLarge
-
-
-class _UnreadDroppingProtocol(_LimitedProtocol):
-    """A connection that does not stay open for a client that has stopped reading."""
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Start serving a connection."""
-        super().connection_made(ClosingTransport(transport))
-
-    def on_response_complete(self) -> None:
-        """Drop what was received of a body that the response did not wait for."""
-        if self.cycle.response_complete:
-            self.cycle.body = bytearray()
-        super().on_response_complete()
-
-
 class HttpServer:
     """
     Serve an application and shut it down gracefully.
@@ -158,7 +57,7 @@
         UVICORN_LOGGER.setLevel(logging.CRITICAL)
         self.config = uvicorn.Config(
             app,
-            http=_UnreadDroppingProtocol if drops_unread else _LimitedProtocol,
+            http=UnreadDroppingProtocol if drops_unread else LimitedProtocol,
             lifespan="off",
             log_config=None,
             access_log=False,
--- a/tests/common/test_server.py
+++ b/tests/common/test_server.py
@@ -17,7 +17,8 @@
 from briarthread_common.http.channel_calls import read_bounded
 from briarthread_common.http.channel_options import ChannelOptions
 from briarthread_common.http.http_channel import HttpChannel
-from briarthread_common.http.server import MAX_HEADER_BYTES, HttpServer, open_listener
+from briarthread_common.http.server import HttpServer, open_listener
+from briarthread_common.http.server_protocol import MAX_HEADER_BYTES
 
 ANY_PORT = "127.0.0.1:0"
 TIMEOUT_SECONDS = 5.0
@@ -217,6 +218,48 @@
     run_with_server(client)
 
 
+OFFER = (
+    "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+    "HTTP2-Settings: AAMAAABk\r\n"
+)
+SMUGGLED = "POST /length HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+LENGTH = f"Content-Length: {len(SMUGGLED)}\r\n\r\n{SMUGGLED}"
+CHUNKS = (
+    f"Transfer-Encoding: chunked\r\n\r\n{len(SMUGGLED):x}\r\n{SMUGGLED}\r\n0\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("offer", [OFFER, OFFER.replace("h2c", "websocket")])
+@pytest.mark.parametrize("body", [LENGTH, CHUNKS])
+@pytest.mark.parametrize("chunk_size", [1, 50, 100, 100_000])
+def test_body_of_a_request_that_offers_an_upgrade_is_no_request(
+    offer: str, body: str, chunk_size: int
+) -> None:
+    """Guards against a request that is smuggled in the body of another one."""
+
+    async def client(address: str, server: HttpServer) -> None:
+        request = f"POST /length HTTP/1.1\r\nHost: x\r\n{offer}{body}"
+        last = "POST /length HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        last += "Content-Length: 3\r\n\r\nend"
+        async with await connect(address) as stream:
+            await _send_all(stream, f"{request}{request}{last}".encode(), chunk_size)
+            answers = await read_to_end(stream)
+        assert answers.count(b"HTTP/1.1 200") == 3
+        bodies = [part.split(b"HTTP/1.1")[0] for part in answers.split(b"\r\n\r\n")[1:]]
+        assert bodies == [b"%d" % len(SMUGGLED)] * 2 + [b"3"]
+
+    run_with_server(client)
+
+
+def test_tunnel_is_refused() -> None:
+    async def client(address: str, server: HttpServer) -> None:
+        async with await connect(address) as stream:
+            await stream.send(b"CONNECT x:80 HTTP/1.1\r\nHost: x:80\r\n\r\n" + b"x" * 9)
+            assert (await read_to_end(stream)).startswith(b"HTTP/1.1 400")
+
+    run_with_server(client)
+
+
 def test_idle_timeout_set_later_applies_to_existing_connections() -> None:
     async def client(address: str, server: HttpServer) -> None:
         async with await connect(address) as stream:
