Count the crash of a rank that falls silent, as its group reports it

Cause: only a connection that the target ends was evidence of a crash. A silent rank ends none, and the name of the rank at fault in the other ranks' refusals was not used for it. Change: RankRuns keeps unanswered runs at silent ranks; a refusal of their group gives them a strike. A second silent rank, which no refusal names, is the one that keeps connections open that all sound ranks have dropped. Why it works: the strikes reach the existing rule for segments, which needed nothing else.

--- a/packages/common/src/briarthread_common/messages/crash_words.py
+++ b/packages/common/src/briarthread_common/messages/crash_words.py
@@ -13,13 +13,15 @@
     Record that a target crashed while it was running a request.
 
     ``began`` and ``ended`` are how many seconds ago the run began and was interrupted.
-    ``segments`` are the shared segments of the request's prompt, in order.
+    ``segments`` are the shared segments of the request's prompt, in order. ``silent``
+    is true if the target fell silent, so that ``ended`` is an estimate.
     """
 
     target: str
     began: float
     ended: float
     segments: tuple[str, ...] = ()
+    silent: bool = False
 
     def aged(self, seconds: float) -> "CrashStrike":
         """Return a copy that is ``seconds`` older."""
--- a/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
@@ -4,6 +4,7 @@
 
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.core.metrics import Metrics
+from briarthread_common.direct.group_id import GroupId
 from briarthread_common.direct.response_signals import SERVICE_UNAVAILABLE
 from briarthread_entry.direct.attempt_outcome import (
     DirectOutcome,
@@ -20,14 +21,11 @@
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.plain_targets import PlainTargets
+from briarthread_entry.direct.rank_runs import GROUP_STALL_SECONDS, RankRuns
 from briarthread_entry.direct.response_relay import ResponseRelay
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.target_state import DirectTargetState
 
-GROUP_STALL_SECONDS = 1.2
-"""Time in seconds without any response above which a run that loses its connection to a
-rank does not mean that this rank crashed. The other ranks of a group wait that long for
-a lost one before they drop their connections."""
 USELESS_READS = 3
 """Reads without an event, the last ones before the deadline, that make an attempt a
 failure of its target. An event may come in two parts."""
@@ -57,6 +55,7 @@
         self.plain_targets = plain_targets
         self.metrics = metrics
         self.events = events
+        self.rank_runs = RankRuns()
 
     def record(
         self,
@@ -221,6 +220,25 @@
         if refusal.faulty_rank:
             group = self.capacity.membership.group_of(state.target)
             self.capacity.note_refused(group, refusal.faulty_rank)
+            self._note_silent_crash(group, refusal.faulty_rank)
+
+    def _note_silent_crash(self, group: GroupId, rank: str) -> None:
+        """Record what ran at ranks that fell silent; ``rank`` is the one at fault."""
+        now = anyio.current_time()
+        for run, crashed_at in self.rank_runs.take_silent(group, rank, now):
+            reason = (
+                f"silent since {now - run.last_received_at():.1f} s, its group waits"
+            )
+            self.events.add("rank-silent", run.target.name, reason, run.request.id)
+            self.crashes.note_crash(
+                run.request.digest,
+                run.target.name,
+                run.began,
+                crashed_at,
+                run.target.started_ms,
+                run.request.segments,
+                silent=True,
+            )
 
 
 def _is_served(outcome: DirectOutcome) -> bool:
--- a/packages/entry/src/briarthread_entry/direct/crash_rule.py
+++ b/packages/entry/src/briarthread_entry/direct/crash_rule.py
@@ -30,6 +30,9 @@
 after a lost connection did not crash."""
 SAME_CRASH_SECONDS = 0.5
 """Time in seconds within which lost connections to a target count as one crash."""
+SAME_SILENT_CRASH_SECONDS = 2.5
+"""The same for a target that fell silent. Entries estimate the time of its crash from
+the first refusal that names it, and it is back three seconds later at the earliest."""
 TIME_TOLERANCE_SECONDS = 0.02
 """Tolerance in seconds for times reported by different entries."""
 
@@ -41,7 +44,8 @@
 
     Times are in seconds on the event loop's clock. ``started_ms`` is the start time of
     the target's run, ``None`` if it is not known. ``segments`` are the shared segments
-    of the request's prompt, in order. ``own`` is true if this entry saw the crash.
+    of the request's prompt, in order. ``own`` is true if this entry saw the crash,
+    ``silent`` if the target fell silent, so that ``ended`` is an estimate.
     """
 
     target: str
@@ -50,6 +54,7 @@
     started_ms: int | None = None
     segments: tuple[str, ...] = ()
     own: bool = False
+    silent: bool = False
 
     def ended_with(self, target: str, ended: float) -> bool:
         """Return whether a crash of a target at some time ended this run."""
@@ -65,7 +70,10 @@
 
     def is_same_crash(self, other: "Strike") -> bool:
         """Return whether two runs ended with the same crash."""
-        return self.ended_with(other.target, other.ended)
+        if not (self.silent or other.silent):
+            return self.ended_with(other.target, other.ended)
+        apart = abs(self.ended - other.ended)
+        return self.target == other.target and apart < SAME_SILENT_CRASH_SECONDS
 
 
 def count_sequential_crashes(strikes: Iterable[Strike]) -> int:
@@ -82,9 +90,12 @@
     3
     """
     count = 0
-    last_ended = float("-inf")
+    last: Strike | None = None
     for strike in sorted(strikes, key=lambda strike: strike.ended):
-        if strike.began >= last_ended - TIME_TOLERANCE_SECONDS:
+        if last is None or (
+            strike.began >= last.ended - TIME_TOLERANCE_SECONDS
+            and not strike.is_same_crash(last)
+        ):
             count += 1
-            last_ended = strike.ended
+            last = strike
     return count
--- a/packages/entry/src/briarthread_entry/direct/crash_tracker.py
+++ b/packages/entry/src/briarthread_entry/direct/crash_tracker.py
@@ -73,11 +73,12 @@
         self.harmless: OrderedDict[str, float] = OrderedDict()
         self.cleared: dict[str, float] = {}
         self.blocked: dict[str, float] = {}
+        self.excused: set[str] = set()
         self.running: Counter[RunningRequest] = Counter()
 
     def is_blocked(self, digest: str, now: float) -> bool:
         """Return whether a request that has just arrived must be refused."""
-        if digest not in self.blocked:
+        if digest not in self.blocked or self._is_excused(digest):
             return False
         self.blocked[digest] = now
         return True
@@ -87,6 +88,22 @@
         own_crashes = count_sequential_crashes(self.strikes.get(digest, ()))
         return max(own_crashes, self.segments.crash_count(segments))
 
+    def _is_excused(self, digest: str) -> bool:
+        """
+        Return whether blocked segments of other prompts explain a request's crashes.
+
+        Such a request ran beside the cause each time, as one that many callers send
+        alike does.
+        """
+        strikes = self.strikes.get(digest, [])
+        left = [strike for strike in strikes if not self.segments.explains(strike)]
+        is_excused = bool(strikes) and count_sequential_crashes(left) < MAX_CRASHES
+        if is_excused and digest not in self.excused:
+            self.excused.add(digest)
+            self.on_decision("request-excused", digest, "its crashes are explained")
+            self.on_cleared(digest)
+        return is_excused
+
     def note_start(self, run: RunningRequest) -> None:
         """Record that a request is being sent to a run of a target."""
         self.running[run] += 1
@@ -121,13 +138,17 @@
         now: float,
         started_ms: int | None = None,
         segments: tuple[str, ...] | None = None,
+        silent: bool = False,
     ) -> None:
         """
-        Record that a target dropped the connection before it answered much.
+        Record that a target crashed at ``now`` before it answered much.
 
-        ``segments`` are those of the prompt, ``None`` for a request without one.
+        ``segments`` are those of the prompt, ``None`` for a request without one. With
+        ``silent`` it fell silent, without ending its connections.
         """
-        strike = Strike(target, began, now, started_ms, segments or (), own=True)
+        strike = Strike(
+            target, began, now, started_ms, segments or (), own=True, silent=silent
+        )
         if segments is not None:
             self.segments.note_crash(strike)
         if self._is_harmless(digest, now):
@@ -184,10 +205,14 @@
         return CrashWords(
             reported,
             _ages(self.cleared, now),
-            _ages(self.blocked, now),
+            _ages(self._blocked_by_crashes(), now),
             *self.segments.report(now),
         )
 
+    def _blocked_by_crashes(self) -> dict[str, float]:
+        """Return what is blocked, apart from requests that are excused."""
+        return {d: at for d, at in self.blocked.items() if d not in self.excused}
+
     def merge(self, source: str, report: CrashWords, now: float) -> None:
         """Merge the report of another entry."""
         for digest, age in report.cleared.items():
@@ -197,7 +222,10 @@
         for digest, strikes in report.strikes.items():
             for reported in strikes:
                 strike = Strike(
-                    reported.target, now - reported.began, now - reported.ended
+                    reported.target,
+                    now - reported.began,
+                    now - reported.ended,
+                    silent=reported.silent,
                 )
                 if not self._is_harmless(digest, strike.ended):
                     self._add(digest, strike, now, source)
@@ -267,6 +295,7 @@
             self.on_decision("request-cleared", digest, reason)
         for records in (self.strikes, self.own, self.blocked):
             records.pop(digest, None)
+        self.excused.discard(digest)
 
     def _drop_expired(self, now: float) -> None:
         for digest in [
@@ -283,7 +312,7 @@
 
 def _reported_strike(strike: Strike, now: float) -> CrashStrike:
     began, ended = round(now - strike.began, 3), round(now - strike.ended, 3)
-    return CrashStrike(strike.target, began, ended)
+    return CrashStrike(strike.target, began, ended, silent=strike.silent)
 
 
 def _ages(times: dict[str, float], now: float) -> dict[str, float]:
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -34,6 +34,7 @@
 from briarthread_entry.direct.final_error import final_error, retry_reason
 from briarthread_entry.direct.group_admission import GroupAdmission
 from briarthread_entry.direct.group_capacity import GroupCapacityTracker
+from briarthread_entry.direct.rank_runs import RankRun
 from briarthread_entry.direct.response_relay import ResponseRelay
 from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
 from briarthread_entry.direct.silent_attempts import SilentAttempts
@@ -85,6 +86,7 @@
         self.attempt_recorder = AttemptRecorder(
             capacity, crashes, sender.backoffs, chooser.plain_targets, metrics, events
         )
+        self.rank_runs = self.attempt_recorder.rank_runs
         self.rng = rng
 
     async def run(self, request: DirectRequest, call: Call) -> None:
@@ -220,6 +222,7 @@
             request.segments,
         )
         self.crashes.note_start(run)
+        rank_run = self._start_rank_run(request, state, started, relay)
         state.running += 1
         state.prompt_tokens += request.prompt_tokens
         try:
@@ -234,6 +237,8 @@
             state.running -= 1
             state.prompt_tokens -= request.prompt_tokens
             self.crashes.note_end(run)
+            if rank_run is not None:
+                self.rank_runs.end(rank_run, anyio.current_time())
         self.attempt_recorder.record(
             request,
             state,
@@ -244,6 +249,19 @@
         )
         return outcome
 
+    def _start_rank_run(
+        self,
+        request: DirectRequest,
+        state: DirectTargetState,
+        began: float,
+        relay: ResponseRelay,
+    ) -> RankRun | None:
+        """Record an attempt at a rank of a group, ``None`` for any other target."""
+        if request.service.engine is None:
+            return None
+        group = self.capacity.membership.group_of(state.target)
+        return self.rank_runs.start(request, state.target, group, began, relay)
+
     def _note_event(
         self,
         request: DirectRequest,
--- a/packages/entry/src/briarthread_entry/direct/segment_tracker.py
+++ b/packages/entry/src/briarthread_entry/direct/segment_tracker.py
@@ -132,6 +132,15 @@
         """Return whether one of some segments is a suspect."""
         return not self.suspects().isdisjoint(segments)
 
+    def explains(self, strike: Strike) -> bool:
+        """Return whether a crash is explained by a prompt with blocked segments."""
+        return any(
+            set(combination).issubset(other.segments)
+            for other in self.strikes
+            if other.is_same_crash(strike)
+            for combination in self.blocked
+        )
+
     def note_crash(self, strike: Strike) -> None:
         """Record that a target crashed while this entry ran a prompt there."""
         self.own.append(strike)
@@ -192,6 +201,7 @@
                 round(now - strike.began, 3),
                 round(now - strike.ended, 3),
                 strike.segments,
+                strike.silent,
             )
             for strike in self.own
             if MIN_DOWNTIME_SECONDS <= now - strike.ended < REPORTED_SECONDS
@@ -226,7 +236,10 @@
         """Merge what another entry reports on segments."""
         for one in report.prompts:
             began, ended = now - one.began, now - one.ended
-            self.add(Strike(one.target, began, ended, segments=one.segments), source)
+            strike = Strike(
+                one.target, began, ended, segments=one.segments, silent=one.silent
+            )
+            self.add(strike, source)
         times = {segment: now - age for segment, age in report.answered.items()}
         self._note_answers(times, source)
         for one in report.blocked:
--- a/packages/standins/src/briarthread_standins/direct_worker.py
+++ b/packages/standins/src/briarthread_standins/direct_worker.py
@@ -48,7 +48,9 @@
     in its prompt, after ``events_before_crash`` events, or before the head of its
     response if that is ``None``. While its group is ``broken_by`` another worker it
     refuses new requests; running streams stall until ``stalled_until`` and are then cut
-    off. ``refusals`` sets when it responds 503 with Retry-After. ``leaving`` is the
+    off, and with ``stalls_new`` new requests are refused only then. Until the event
+    ``revived`` the worker itself answers nothing and ends no connection.
+    ``refusals`` sets when it responds 503 with Retry-After. ``leaving`` is the
     value of the server-leaving header, which is omitted for ``None``. Until
     ``cold_until`` it states in its responses how long it is cold. A request takes
     ``slow_delay`` instead of ``delay`` if it comes before ``slow_until`` while
@@ -81,6 +83,8 @@
         self.on_crash: Callable[[DirectWorker], None] | None = None
         self.broken_by = ""
         self.stalled_until = 0.0
+        self.stalls_new = False
+        self.revived: anyio.Event | None = None
         self.faults: list[WorkerFault] = []
         self.runs: Counter[str] = Counter()
         self.received_headers: list[dict[str, str]] = []
@@ -113,7 +117,11 @@
             at_fault = [("at-server", self.name), ("x-instance-id", self.name)]
             await call.reply(421, b"", [*at_fault, *common])
             return
+        if self.revived is not None:
+            await self._stay_silent()
         if self.broken_by:
+            if self.stalls_new:
+                await self._wait_stall()
             broken_rank = ("at-server", self.broken_by)
             await call.reply(503, b"", [("x-not-executed", "1"), *common, broken_rank])
             return
@@ -207,8 +215,19 @@
     async def _crash(self) -> None:
         if self.on_crash is not None:
             self.on_crash(self)
+            if self.revived is not None:
+                await self._stay_silent()
             await anyio.sleep_forever()
 
+    async def _stay_silent(self) -> None:
+        """Answer nothing until this worker is started again."""
+        if self.revived is not None:
+            await self.revived.wait()
+        raise ResponseAborted("the worker was silent until its restart")
+
+    async def _wait_stall(self) -> None:
+        await anyio.sleep(max(self.stalled_until - anyio.current_time(), 0.0))
+
     async def _stream(
         self,
         call: Call,
@@ -230,7 +249,7 @@
             if crashes and number - first >= (self.events_before_crash or 0):
                 await self._crash()
             if self.broken_by:
-                await anyio.sleep(max(self.stalled_until - anyio.current_time(), 0.0))
+                await self._wait_stall()
                 raise ResponseAborted("stream cut off: a rank of the group was lost")
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if (
--- a/packages/standins/src/briarthread_standins/segment_crash_scenario.py
+++ b/packages/standins/src/briarthread_standins/segment_crash_scenario.py
@@ -18,9 +18,10 @@
     ``culprits_from`` on. Their prompts have the segments of ``culprits`` and ``sound``,
     taken in turn, and one of their own; ``*`` stands for an id that no other prompt
     has. A target crashes as ``events_before_crash`` says, see DirectWorker, is back
-    after ``down_seconds`` and meanwhile stalls all others if they are in
-    ``lock_step``. Callers repeat a refused request ``retries`` times. Each second
-    ``other_crashes`` targets crash by themselves.
+    after ``down_seconds``, is ``silent`` until then instead of ending its connections,
+    and meanwhile stalls all others if they are in
+    ``lock_step``. Callers repeat a refused request ``retries`` times. Each
+    ``other_interval`` seconds ``other_crashes`` targets crash by themselves.
 
     ``restarted`` is the number of entries that are killed at ``disturbed_at`` and start
     again a second later; ``cut_seconds`` is for how long one data centre is cut off
@@ -37,8 +38,10 @@
     sound: tuple[str, ...] = (FIRST_SEGMENT, f"{FIRST_SEGMENT},{SHARED_SEGMENT}")
     events_before_crash: int | None = 0
     down_seconds: float = 3.0
+    silent: bool = False
     retries: int = 1
     other_crashes: int = 0
+    other_interval: float = 1.0
     restarted: int = 0
     cut_seconds: float = 0.0
     disturbed_at: float = 16.0
--- a/packages/standins/src/briarthread_standins/segment_crash_simulation.py
+++ b/packages/standins/src/briarthread_standins/segment_crash_simulation.py
@@ -145,14 +145,21 @@
     async def _stop_and_restart(self, worker: DirectWorker) -> None:
         """Stop a target for a while; a rank breaks its whole group."""
         address = self.world.addresses[worker.name]
+        worker.revived = anyio.Event() if self.scenario.silent else None
         site = self.world.network.nodes[address].site
-        self.world.network.close(address)
+        if worker.revived is None:
+            self.world.network.close(address)
         if self.scenario.lock_step:
             for other in self.world.workers.values():
                 other.stalled_until = anyio.current_time() + STALL_SECONDS
                 other.broken_by = address
+                other.stalls_new = self.scenario.silent
         await anyio.sleep(self.scenario.down_seconds)
-        self.world.network.listen(address, site, worker.app)
+        if worker.revived is None:
+            self.world.network.listen(address, site, worker.app)
+        else:
+            worker.revived.set()
+            worker.revived = None
         self.down.discard(worker.name)
         if not self.down:
             for other in self.world.workers.values():
@@ -160,7 +167,7 @@
 
     async def _crash_others(self) -> None:
         while self.scenario.other_crashes and self._now() < self.scenario.seconds:
-            await anyio.sleep(1.0)
+            await anyio.sleep(self.scenario.other_interval)
             up = [w for w in self.world.workers.values() if w.name not in self.down]
             count = min(self.scenario.other_crashes, max(len(up) - 1, 0))
             for worker in self.rng.sample(up, count):
--- a/tests/direct/test_crashing_segments.py
+++ b/tests/direct/test_crashing_segments.py
@@ -42,6 +42,19 @@
     "24 entries, dense": replace(GROUP, entries=24, culprit_rate=6.0),
     "independent targets": INDEPENDENT,
     "independent targets, dense": replace(INDEPENDENT, culprit_rate=12.0),
+    "silent ranks": replace(GROUP, silent=True, seconds=60.0),
+    "silent ranks, 3 entries": replace(
+        GROUP, silent=True, entries=3, targets=6, seconds=60.0
+    ),
+    "silent ranks before the head": replace(
+        GROUP, silent=True, events_before_crash=None, seconds=60.0
+    ),
+    "silent ranks, among varying segments": replace(
+        GROUP,
+        silent=True,
+        culprits=(f"{FIRST_SEGMENT},{CULPRIT}:90,*:70",),
+        seconds=70.0,
+    ),
     "before the head": replace(GROUP, events_before_crash=None),
     "after an event": replace(GROUP, events_before_crash=1),
     "after an event, independent": replace(INDEPENDENT, events_before_crash=1),
@@ -82,6 +95,9 @@
     "one a second": replace(INDEPENDENT, other_crashes=1),
     "four a second": replace(INDEPENDENT, other_crashes=4, down_seconds=1.0),
     "most of them": replace(INDEPENDENT, other_crashes=8, down_seconds=2.0),
+    "silent ranks": replace(
+        GROUP, other_crashes=1, other_interval=6.0, silent=True, seconds=60.0
+    ),
     "ranks of a group": replace(GROUP, other_crashes=1, down_seconds=0.5),
     "prompts with one shared segment": replace(
         INDEPENDENT, other_crashes=2, sound=(FIRST_SEGMENT,), rate=30.0
@@ -131,6 +147,29 @@
     assert is_refused(tracker, 19.0, "a/culprit", "a/9")
 
 
+def test_bystander_of_crashes_that_blocked_segments_explain_is_served() -> None:
+    """Guards against refusing what many callers send alike, beside the cause."""
+    tracker = CrashTracker()
+    for at in (1.0, 5.0, 9.0):
+        crash(tracker, at, "a/first", "a/culprit")
+        tracker.note_crash("bystander", "t-1", at - 0.1, at, segments=("a/first",))
+    assert tracker.is_blocked("bystander", 9.1)
+    assert is_refused(tracker, 11.0, "a/first", "a/culprit")
+    assert not tracker.is_blocked("bystander", 11.0)
+    assert "bystander" not in tracker.report(11.0).shut_out
+
+
+def test_request_that_crashes_targets_without_the_blocked_segments_stays_blocked() -> (
+    None
+):
+    tracker = CrashTracker()
+    for at in (1.0, 5.0, 9.0):
+        crash(tracker, at, "a/first", "a/culprit")
+        tracker.note_crash("other", "t-2", at - 0.1, at)
+    assert is_refused(tracker, 11.0, "a/first", "a/culprit")
+    assert tracker.is_blocked("other", 11.0)
+
+
 def test_segment_that_was_answered_until_lately_can_be_blocked() -> None:
     tracker = CrashTracker()
     tracker.segments.note_answered(("a/first", "a/culprit"), 0.5)
