Wait for a poller for 0.4 s, not 1.5 s

Cause: they ask two pollers one after the other, and each may take as long as any exchange. Change: a poller has 0.4 s, so that a change is in force after the check's interval and 0.8 s. Result: the new test (all pollers suspended as the change is made) is red before, green now.

--- a/packages/common/src/briarthread_common/spread/feed_replicator.py
+++ b/packages/common/src/briarthread_common/spread/feed_replicator.py
@@ -99,9 +99,15 @@
         """Install new versions from the platform; may raise PlatformError."""
         self.install_all(await self.source.poll(self.feeds))
 
-    async def exchange_with(self, address: str) -> Exchange:
-        """Exchange versions and patches with a peer; may raise ChannelError."""
-        return await self._exchange(address, self._message([]))
+    async def exchange_with(
+        self, address: str, timeout: float = EXCHANGE_TIMEOUT_SECONDS
+    ) -> Exchange:
+        """
+        Exchange versions and patches with a peer.
+
+        Raise ChannelError if it fails or takes longer than ``timeout`` seconds.
+        """
+        return await self._exchange(address, self._message([]), timeout)
 
     def source_age(self) -> float:
         """Return the seconds since the platform's last answer; 0 if not tracked."""
@@ -175,16 +181,26 @@
         except ChannelError as error:
             logger.debug("spread: {}", error)
 
-    async def _exchange(self, address: str, message: Exchange) -> Exchange:
+    async def _exchange(
+        self,
+        address: str,
+        message: Exchange,
+        timeout: float = EXCHANGE_TIMEOUT_SECONDS,
+    ) -> Exchange:
         """Send a message, install the reply's patches and send those it lacks."""
-        reply = await self._send(address, message)
+        reply = await self._send(address, message, timeout)
         self._receive(reply)
         missing = self._message_for(reply.versions)
         if missing.patches:
             await self._send(address, missing)
         return reply
 
-    async def _send(self, address: str, message: Exchange) -> Exchange:
+    async def _send(
+        self,
+        address: str,
+        message: Exchange,
+        timeout: float = EXCHANGE_TIMEOUT_SECONDS,
+    ) -> Exchange:
         return await call_json(
             self.channel,
             address,
@@ -192,7 +208,7 @@
             EXCHANGE_PATH,
             message,
             Exchange,
-            EXCHANGE_TIMEOUT_SECONDS,
+            timeout,
             compressed=True,
         )
 
--- a/packages/common/src/briarthread_common/spread/long_poll_replicator.py
+++ b/packages/common/src/briarthread_common/spread/long_poll_replicator.py
@@ -46,6 +46,10 @@
 MAX_SOURCE_AGE_SECONDS = LONG_POLL_SECONDS + 1.5
 """Maximum age, in seconds, of the last answer that a poller had from the platform. A
 long poll ends before this, and one more answer is due then."""
+POLLER_TIMEOUT_SECONDS = 0.4
+"""Longest wait, in seconds, for a poller, which answers within milliseconds. All
+pollers may be suspended at the same time, and a change must be in force in two
+seconds."""
 POLLER_CHECK_TRIES = 2
 """Number of pollers tried in a row. A third would come too late if the first two do
 not answer."""
@@ -235,7 +239,7 @@
     async def _poller_fault(self, poller: str) -> str:
         """Exchange with a poller; return why it is of no use, or an empty string."""
         try:
-            received = await self.exchange_with(poller)
+            received = await self.exchange_with(poller, POLLER_TIMEOUT_SECONDS)
         except ChannelError as error:
             return f"{poller}: {error}"
         if received.source_well <= 0 or received.source_age > MAX_SOURCE_AGE_SECONDS:
--- a/tests/direct/test_configuration.py
+++ b/tests/direct/test_configuration.py
@@ -211,6 +211,22 @@
     run_in_direct_world(scenario, ENTRIES)
 
 
+def test_change_is_in_force_in_time_while_all_pollers_are_suspended() -> None:
+    """Guards against entries that wait for one suspended poller after the other."""
+
+    async def scenario(world: DirectWorld) -> None:
+        await anyio.sleep(5)
+        pollers = world.entries["entry-1"].replicator.poller_selection.names()
+        for name in pollers:
+            world.network.freeze(world.entries[name].settings.listen, True)
+        world.store.put("op", "config", new_config(2))
+        await anyio.sleep(IN_FORCE_SECONDS)
+        for name in set(world.entries) - set(pollers):
+            assert (await world.call(name, "/v2/1")).status == 200
+
+    run_in_direct_world(scenario, ENTRIES)
+
+
 def test_pollers_that_die_are_replaced_in_time() -> None:
     async def scenario(world: DirectWorld) -> None:
         await anyio.sleep(5)
