--- a/tests/direct/test_configuration.py
+++ b/tests/direct/test_configuration.py
@@ -39,6 +39,19 @@
     run_in_direct_world(scenario, ENTRIES)
 
 
+def test_no_key_is_accepted_once_the_last_account_is_removed() -> None:
+    """Guards against an empty list of accounts that is read as having none."""
+
+    async def scenario(world: DirectWorld) -> None:
+        world.store.put("op", "config", build_config(2, tenants=[]))
+        await anyio.sleep(IN_FORCE_SECONDS / 2)
+        assert await statuses(world, "/list/1") == [401] * 4
+        headers = {"x-credential": ""}
+        assert (await world.call("entry-1", "/list/1", headers)).status == 401
+
+    run_in_direct_world(scenario, ENTRIES)
+
+
 def test_lower_version_is_ignored() -> None:
     async def scenario(world: DirectWorld) -> None:
         world.store.put("op", "config", new_config(5))
