Survive a SIGHUP during the start, and reload after it

Cause: the handler is installed once all is imported and started; until then the default action holds.

--- a/packages/agent/src/briarthread_agent/__main__.py
+++ b/packages/agent/src/briarthread_agent/__main__.py
@@ -1,6 +1,13 @@
 """Entry point of ``python -m briarthread_agent``."""
 
-from briarthread_agent.main import main
+import sys
+
+from briarthread_common.conf.early_signals import EARLY_SIGNALS
 
 if __name__ == "__main__":
+    if sys.argv[1:2] == ["--direct"]:
+        EARLY_SIGNALS.install()
+    # The other imports take some tenths of a second.
+    from briarthread_agent.main import main
+
     main()
