--- a/packages/entry/src/briarthread_entry/direct/read_request.py
+++ b/packages/entry/src/briarthread_entry/direct/read_request.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
 
 import anyio
@@ -46,6 +46,9 @@
 LEAST_URGENT = 9
 """Largest value of the urgency header; less urgent priorities are sent as this one."""
 NO_ACCOUNT = DirectAccount("")
+HeaderFields = Sequence[tuple[str, str]]
+"""Header fields in order, as they were when the head had been read: those of a trailer
+follow later, and are not forwarded."""
 
 
 class RequestReader:
@@ -68,7 +71,7 @@
         self, call: Call, routes: RouteMap, arrived: float, held: HeldBytes
     ) -> DirectRequest:
         """Return the request of a call; the bytes of its body are reserved first."""
-        headers = call.headers
+        headers, fields = call.headers, call.header_fields
         host = headers.get("host", "").partition(":")[0].lower()
         route = routes.match(host, call.raw_path)
         if route is None:
@@ -88,7 +91,7 @@
             id=headers.get(self.names.request_id, ""),
             method=call.method,
             path=call.raw_target,
-            headers=self._target_headers(call, headers, service, priority),
+            headers=self._target_headers(fields, headers, service, priority),
             body=body,
             route=route,
             service=service,
@@ -207,7 +210,7 @@
 
     def _target_headers(
         self,
-        call: Call,
+        fields: HeaderFields,
         headers: dict[str, str],
         service: DirectService,
         priority: int,
@@ -218,7 +221,7 @@
         If the routes of the service differ in priority, the request's own priority
         replaces what the caller sent.
         """
-        forwarded = self._forwarded_headers(call, headers)
+        forwarded = self._forwarded_headers(fields, headers)
         if not service.has_priorities:
             return forwarded
         urgency = self.names.urgency
@@ -226,13 +229,13 @@
         return (*(pair for pair in forwarded if pair[0] != urgency), (urgency, value))
 
     def _forwarded_headers(
-        self, call: Call, headers: dict[str, str]
+        self, fields: HeaderFields, headers: dict[str, str]
     ) -> tuple[tuple[str, str], ...]:
         connection_options = {
             name.strip().lower() for name in headers.get("connection", "").split(",")
         }
         dropped = CONNECTION_HEADERS | self.consumed_headers | connection_options
-        return tuple(pair for pair in call.header_fields if pair[0] not in dropped)
+        return tuple(pair for pair in fields if pair[0] not in dropped)
 
 
 def _parse_token_counts(raw: str) -> tuple[int, int]:
