Accept lists in several header lines, and keep an empty query

Change: headers that are lists may be repeated (RFC 9110, 5.3), all others are refused as before; the server notes a target that ends with a question mark, which the parser drops.

--- a/packages/common/src/briarthread_common/http/call.py
+++ b/packages/common/src/briarthread_common/http/call.py
@@ -20,6 +20,23 @@
 Headers = Iterable[tuple[str, str]]
 
 
+EMPTY_QUERY = "briarthread.empty_query"
+"""Key of an ASGI scope that is true for a target that ends with a question mark."""
+LIST_HEADERS = frozenset(
+    {
+        "accept",
+        "accept-charset",
+        "accept-encoding",
+        "accept-language",
+        "cache-control",
+        "connection",
+        "forwarded",
+        "pragma",
+        "via",
+        "x-forwarded-for",
+    }
+)
+"""Headers whose values are lists, so that several lines mean the same as one."""
 REPLY_TIMEOUT_SECONDS = 5.0
 """Time limit for sending a complete response to a slow client."""
 
@@ -43,8 +60,9 @@
 
     ``started`` is true once the response's head was sent, ``finished`` once its
     body was sent completely. ``close_connection`` closes the connection after
-    this call. Header names are lower case. A repeated header is rejected, because
-    two components could each use a different one of its values.
+    this call. Header names are lower case. A repeated header is rejected, unless it is
+    one of LIST_HEADERS, because two components could each use a different one of its
+    values.
     """
 
     def __init__(
@@ -70,8 +88,10 @@
 
     @property
     def raw_target(self) -> str:
-        """Return the path and the query as received."""
-        return f"{self.raw_path}?{self.query}" if self.query else self.raw_path
+        """Return the path and the query as received, with an empty query too."""
+        if self.query or self.scope.get(EMPTY_QUERY, False):
+            return f"{self.raw_path}?{self.query}"
+        return self.raw_path
 
     @property
     def header_fields(self) -> list[tuple[str, str]]:
@@ -88,7 +108,10 @@
         for raw_name, raw_value in self.scope["headers"]:
             name = raw_name.decode("latin-1")
             if name in by_name:
-                raise RequestError(ErrorKind.BAD_REQUEST, f"repeated header {name}")
+                if name not in LIST_HEADERS:
+                    raise RequestError(ErrorKind.BAD_REQUEST, f"repeated header {name}")
+                by_name[name] += f", {raw_value.decode('latin-1')}"
+                continue
             by_name[name] = raw_value.decode("latin-1")
         if "content-length" in by_name and "transfer-encoding" in by_name:
             raise RequestError(
--- a/packages/common/src/briarthread_common/http/server_protocol.py
+++ b/packages/common/src/briarthread_common/http/server_protocol.py
@@ -5,6 +5,7 @@
 import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from briarthread_common.http.call import EMPTY_QUERY
 from briarthread_common.http.call_connection import RESET_ON_CLOSE
 from briarthread_common.http.caller_connections import CallerConnections
 from briarthread_common.http.closing_transport import ClosingTransport
@@ -111,6 +112,7 @@
         self.in_head = False
         self.offers_upgrade = self.parser.should_upgrade()
         if not self.offers_upgrade:
+            self.scope[EMPTY_QUERY] = self.url.endswith(b"?")
             super().on_headers_complete()
 
     def on_message_complete(self) -> None:
--- a/tests/common/test_call.py
+++ b/tests/common/test_call.py
@@ -28,6 +28,14 @@
     assert sent[-1]["body"] == b"whole"
 
 
+def test_repeated_lists_are_joined() -> None:
+    """Guards against refusing what may be sent in several lines."""
+    headers = [(b"accept", b"text/plain"), (b"host", b"x"), (b"accept", b"text/html")]
+    scope = {"method": "GET", "path": "/", "headers": headers}
+    call = Call(scope, anyio.sleep_forever, anyio.sleep)
+    assert call.headers == {"accept": "text/plain, text/html", "host": "x"}
+
+
 @pytest.mark.parametrize(
     "headers",
     [
--- a/tests/common/test_server.py
+++ b/tests/common/test_server.py
@@ -41,6 +41,10 @@
     await call.reply(200, b"early")
 
 
+async def reply_with_target(call: Call) -> None:
+    await call.reply(200, call.raw_target.encode())
+
+
 async def reply_with_length(call: Call) -> None:
     await call.reply(200, str(len(await call.read_body(10**6))).encode())
 
@@ -74,6 +78,7 @@
         Route("POST", "/early", reply_before_body),
         Route("POST", "/length", reply_with_length),
         Route("POST", "/cut", abort_response),
+        Route("GET", "/target", reply_with_target),
     ]
 )
 
@@ -251,6 +256,20 @@
     run_with_server(client)
 
 
+@pytest.mark.parametrize("target", ["/target", "/target?", "/target?a=1", "/target??"])
+def test_target_of_a_request_is_kept_as_sent(target: str) -> None:
+    """Guards against a query that is lost because it is empty."""
+
+    async def client(address: str, server: HttpServer) -> None:
+        async with await connect(address) as stream:
+            head = f"GET {target} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+            await stream.send(head.encode())
+            answer = await read_to_end(stream)
+        assert answer.endswith(f"\r\n\r\n{target}".encode())
+
+    run_with_server(client)
+
+
 def test_tunnel_is_refused() -> None:
     async def client(address: str, server: HttpServer) -> None:
         async with await connect(address) as stream:
