Treat a connection that is closed at once as a call that was not sent

Cause: the stream of a connection that was closed before anyone looked at it has no socket; the library asks it all the same, and the AttributeError is no channel error. The same question is put to an idle connection that its target has closed. Change: the channel sets the socket options itself; a connection without a socket was closed before anything was sent (not refused: something accepted it); an idle one counts as readable, so it is closed.

--- a/packages/common/src/briarthread_common/http/call_connection.py
+++ b/packages/common/src/briarthread_common/http/call_connection.py
@@ -8,7 +8,7 @@
 import anyio
 import httpcore
 
-from briarthread_common.core.exceptions import BrokenCallError
+from briarthread_common.core.exceptions import BrokenCallError, RequestNotSentError
 from briarthread_common.http.response_bounds import HEAD_READ_BYTES, ResponseBounds
 
 RESET_ON_CLOSE = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -74,8 +74,12 @@
         await self.stream.aclose()
 
     def get_extra_info(self, info: str) -> Any:
-        """Return a property of the underlying connection."""
-        return self.stream.get_extra_info(info)
+        """Return a property of the connection; a closed one is readable."""
+        try:
+            return self.stream.get_extra_info(info)
+        except AttributeError:
+            # The stream of a closed connection has no socket to ask.
+            return True if info == "is_readable" else None
 
 
 class CallBackend(httpcore.AnyIOBackend):
@@ -89,7 +93,21 @@
         local_address: str | None = None,
         socket_options: Iterable[httpcore.SOCKET_OPTION] | None = None,
     ) -> CallConnection:
-        """Return a new connection to a host and port."""
-        options = [*(socket_options or ()), RESET_ON_CLOSE]
-        stream = await super().connect_tcp(host, port, timeout, local_address, options)
-        return CallConnection(stream)
+        """
+        Return a new connection to a host and port.
+
+        Raise RequestNotSentError if it was closed before its options could be set. It
+        was accepted, so it does not count as refused.
+        """
+        stream = await super().connect_tcp(host, port, timeout, local_address)
+        try:
+            connection = CallConnection(stream)
+            for option in (*(socket_options or ()), RESET_ON_CLOSE):
+                connection.socket.setsockopt(*option)
+        except (OSError, AttributeError) as error:
+            # The stream of a closed connection has no socket to ask.
+            await stream.aclose()
+            raise RequestNotSentError(
+                f"{host}:{port} closed the connection at once: {error}"
+            ) from error
+        return connection
--- a/tests/common/test_http_channel.py
+++ b/tests/common/test_http_channel.py
@@ -3,12 +3,14 @@
 import socket
 import subprocess
 import sys
+import threading
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import anyio
 import pytest
 
+from briarthread_common.core.exceptions import ChannelError
 from briarthread_common.core.run_loop import run_loop
 from briarthread_common.http.call_connection import RESET_ON_CLOSE
 from briarthread_common.http.channel import ChannelRequest
@@ -212,3 +214,30 @@
 async def _read_response(channel: HttpChannel, request: ChannelRequest) -> None:
     async with channel.stream(request) as response:
         assert [chunk async for chunk in response.body] == [b"hello"]
+
+
+def test_connection_that_is_reset_at_once_fails_as_a_call() -> None:
+    """Guards against an error that is no channel error and ends the process."""
+    calls = 200
+
+    def reset_all(listener: socket.socket) -> None:
+        for _ in range(calls):
+            connection, _ = listener.accept()
+            connection.setsockopt(*RESET_ON_CLOSE)
+            connection.close()
+
+    async def scenario() -> None:
+        channel = HttpChannel()
+        failures = 0
+        for _ in range(calls):
+            with pytest.raises(ChannelError):
+                async with channel.stream(ChannelRequest("GET", address, "/")):
+                    pass
+            failures += 1
+        assert failures == calls
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = "{}:{}".format(*listener.getsockname())
+        thread = threading.Thread(target=reset_all, args=(listener,), daemon=True)
+        thread.start()
+        run_loop(scenario)
