--- a/packages/standins/src/briarthread_standins/recorded_worker.py
+++ b/packages/standins/src/briarthread_standins/recorded_worker.py
@@ -22,9 +22,11 @@
   --culprit=ID     Segment of prompts at whose first event the process ends.
 
 Each line has the seconds of the steady clock, "arrived", "refused" or "ended",
-and the request's id. From SIGUSR1 until SIGUSR2 all requests are refused.
+and the request's id; one meant for another worker is refused. From SIGUSR1 until
+SIGUSR2 all requests are refused.
 """
 ID_HEADER = b"x-request-id"
+EXPECTED_HEADER = b"x-expect-instance"
 
 
 class RecordedWorker:
@@ -46,11 +48,18 @@
 
     async def __call__(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         """Handle one ASGI call."""
-        request = dict(scope.get("headers", [])).get(ID_HEADER, b"").decode()
+        headers = dict(scope.get("headers", []))
+        request = headers.get(ID_HEADER, b"").decode()
         worker = self.refusing_worker if self.refusing else self.worker
         if worker is self.refusing_worker:
             worker.faults.append(WorkerFault.REFUSE)
-        _print(request, "refused" if worker is self.refusing_worker else "arrived")
+        if not request:
+            await worker.app(scope, receive, send)
+            return
+        name = self.worker.name.encode()
+        is_misdirected = headers.get(EXPECTED_HEADER, name) != name
+        is_refused = worker is self.refusing_worker or is_misdirected
+        _print(request, "refused" if is_refused else "arrived")
         try:
             await worker.app(scope, receive, send)
         finally:
--- a/tests/processes/endless_bytes.py
+++ b/tests/processes/endless_bytes.py
@@ -1,8 +1,6 @@
 """Callers of a real entry before sound targets and one whose bytes never end."""
 
-import os
 import re
-import sys
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -10,7 +8,7 @@
 
 import anyio
 import httpcore
-from soak.soak_deployment import SoakDeployment, free_address
+from soak.soak_deployment import SoakDeployment
 
 from briarthread_entry.direct.shared_retry_budget import RetryAllowance
 from briarthread_measure.process_usage import read_usage
@@ -89,7 +87,10 @@
         logs: list[Path] = []
         try:
             if kind is not None:
-                logs = [_add_target(deployment, s, kind, pace) for s in SOUND_TARGETS]
+                logs = [
+                    deployment.add_endless_target(f"endless-{s}", s, kind, pace).log
+                    for s in SOUND_TARGETS
+                ]
             await deployment.start()
             await anyio.sleep(LIST_SECONDS)
             pid = deployment.entries["entry-0"].handle.pid
@@ -105,17 +106,6 @@
     return result
 
 
-def _add_target(
-    deployment: SoakDeployment, service: str, kind: EndlessKind, pace: str
-) -> Path:
-    address = free_address()
-    module = "processes.endless_target"
-    tests = str(Path(__file__).parents[1])
-    os.environ["PYTHONPATH"] = f"{tests}:{os.environ.get('PYTHONPATH', '')}"
-    command = [sys.executable, "-m", module, kind, pace, address]
-    return deployment.add_raw_target(f"endless-{service}", service, address, command)
-
-
 async def _send_calls(address: str, seconds: float, result: EndlessResult) -> None:
     async with anyio.create_task_group() as callers:
         with anyio.move_on_after(seconds):
--- a/tests/soak/run_soak.py
+++ b/tests/soak/run_soak.py
@@ -37,8 +37,10 @@
 from soak.soak_faults import (
     Disturbance,
     FaultInjector,
+    draw_endless_bytes,
     draw_evacuation,
     draw_faults,
+    draw_foreign_rows,
     draw_refusals_with_kills,
 )
 from soak.soak_monitor import BusyMonitor
@@ -111,6 +113,8 @@
     faults.append(draw_evacuation(rng, seconds))
     if refusals:
         faults += draw_refusals_with_kills(rng, list(deployment.entries), seconds)
+    faults += draw_foreign_rows(rng, seconds)
+    faults.append(draw_endless_bytes(rng, seconds))
     injector = FaultInjector(deployment)
     soak_callers = [
         SoakCaller(f"c{number}", deployment.callers_addresses, seed)
--- a/tests/soak/soak_deployment.py
+++ b/tests/soak/soak_deployment.py
@@ -9,6 +9,8 @@
 import anyio
 import httpcore
 from anyio.abc import TaskGroup
+from processes import endless_target
+from processes.endless_target import EndlessKind
 
 from briarthread_common.http.server import HttpServer, open_listener
 from briarthread_entry.direct.shared_retry_budget import RetryAllowance
@@ -78,7 +80,7 @@
 
     ``services`` has the number of targets of each service, ``max_files`` and
     ``memory_mb`` are settings of the entries, ``culprit`` is a segment of prompts that
-    ends targets.
+    ends targets. ``rows`` are those of all targets in the store.
     """
 
     folder: Path
@@ -90,7 +92,8 @@
     memory_mb: float = 0.0
     culprit: str = ""
     store: FakePlatformStore = field(default_factory=FakePlatformStore)
-    raw_targets: list[SoakProcess] = field(default_factory=list)
+    rows: dict[str, dict[str, object]] = field(default_factory=dict)
+    endless_targets: list[SoakProcess] = field(default_factory=list)
     entries: dict[str, SoakProcess] = field(default_factory=dict)
     targets: dict[str, Target] = field(default_factory=dict)
     callers_addresses: dict[str, str] = field(default_factory=dict)
@@ -130,7 +133,7 @@
     def processes(self) -> list[SoakProcess]:
         """Return the processes of all entries and targets."""
         targets = [target.process for target in self.targets.values()]
-        return [*self.entries.values(), *targets, *self.raw_targets]
+        return [*self.entries.values(), *targets, *self.endless_targets]
 
     def process_ids(self) -> list[int]:
         """Return the ids of the processes that run."""
@@ -166,26 +169,28 @@
         self.targets[name] = Target(process, proxy, data_centre)
         self._list_target(name, service, f"{HOST}:{proxy_port}", data_centre)
 
-    def add_raw_target(
-        self, name: str, service: str, address: str, command: list[str]
-    ) -> Path:
-        """Start a target that speaks for itself; return the file of its output."""
+    def add_endless_target(
+        self, name: str, service: str, kind: EndlessKind, pace: str
+    ) -> SoakProcess:
+        """Start a target whose bytes are no answer, and list it."""
+        address = free_address()
+        command = [sys.executable, endless_target.__file__, kind, pace, address]
         process = self._start_process(name, command)
-        self.raw_targets.append(process)
+        self.endless_targets.append(process)
         self._list_target(name, service, address, FIRST_DATA_CENTRE)
-        return process.log
+        return process
 
     def _list_target(
         self, name: str, service: str, address: str, data_centre: str
     ) -> None:
-        row = {
+        self.rows[name] = {
             "service": service,
             "address": address,
             "zone": data_centre,
             "slots": 12,
             "state": "ready",
         }
-        self.store.put("servers", name, row)
+        self.store.put("servers", name, self.rows[name])
 
     def _start_entry(
         self, name: str, number: int, store_address: str, peer_addresses: list[str]
--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 
 import anyio
+from processes.endless_target import EndlessKind
 
 from soak.soak_deployment import SECOND_DATA_CENTRE, SoakDeployment, SoakProcess
 
@@ -16,6 +17,20 @@
 DELAY_SECONDS = (0.02, 0.2)
 KILLS_OF_ALL_ENTRIES = 4
 RESTART_PAUSE_SECONDS = 0.3
+FOREIGN_CHANGES: list[dict[str, object]] = [
+    {},
+    {"state": "archived"},
+    {"service": "unnamed"},
+    {"zone": "elsewhere"},
+    {"slots": 0},
+]
+"""Fields of another writer; none at all in the first row."""
+FOREIGN_ROUNDS = 3
+ENDLESS_SECONDS = 5.0
+LIST_SECONDS = 1.5
+"""Time until all entries know a change of the list."""
+ANSWERING_KINDS = (EndlessKind.PAST_LENGTH, EndlessKind.SECOND_ANSWERS)
+"""Kinds whose answers are whole, which the checks of answers do not know."""
 
 
 class FaultKind(StrEnum):
@@ -33,6 +48,8 @@
     ENTRY_STOPPED = "entry-stopped"
     EVACUATED = "evacuated"
     TARGETS_REFUSE = "targets-refuse"
+    FOREIGN_ROWS = "foreign-rows"
+    ENDLESS_BYTES = "endless-bytes"
 
 
 HELD_DIRECTIONS = {
@@ -42,7 +59,12 @@
     FaultKind.RESPONSES_HELD: (False, True),
 }
 """Directions that a fault holds: requests to the target, responses from it."""
-DEPLOYMENT_FAULTS = (FaultKind.EVACUATED, FaultKind.TARGETS_REFUSE)
+DEPLOYMENT_FAULTS = (
+    FaultKind.EVACUATED,
+    FaultKind.TARGETS_REFUSE,
+    FaultKind.FOREIGN_ROWS,
+    FaultKind.ENDLESS_BYTES,
+)
 """Faults that concern many targets at once and are not drawn for one process."""
 ENTRY_FAULTS = (
     FaultKind.ENTRY_PAUSED,
@@ -109,6 +131,30 @@
     )
 
 
+def draw_foreign_rows(rng: random.Random, seconds: float) -> list[PlannedFault]:
+    """Return rows of another writer at all targets, with a field that is drawn."""
+    changes = rng.sample(range(len(FOREIGN_CHANGES)), FOREIGN_ROUNDS)
+    return [
+        PlannedFault(
+            FaultKind.FOREIGN_ROWS,
+            str(change),
+            rng.uniform(0.0, seconds),
+            rng.uniform(*FAULT_SECONDS),
+            0.0,
+        )
+        for change in changes
+    ]
+
+
+def draw_endless_bytes(rng: random.Random, seconds: float) -> PlannedFault:
+    """Return a target whose bytes are no answer, of a kind that is drawn."""
+    kind = rng.choice([kind for kind in EndlessKind if kind not in ANSWERING_KINDS])
+    at = rng.uniform(0.0, seconds / 2)
+    return PlannedFault(
+        FaultKind.ENDLESS_BYTES, kind, at, ENDLESS_SECONDS, float(rng.random() < 0.5)
+    )
+
+
 def draw_refusals_with_kills(
     rng: random.Random, entries: list[str], seconds: float
 ) -> list[PlannedFault]:
@@ -151,6 +197,10 @@
                 await self._evacuate(fault)
             elif fault.kind is FaultKind.TARGETS_REFUSE:
                 await self._let_targets_refuse(fault)
+            elif fault.kind is FaultKind.FOREIGN_ROWS:
+                await self._write_foreign_rows(fault)
+            elif fault.kind is FaultKind.ENDLESS_BYTES:
+                await self._send_endless_bytes(fault)
             elif fault.subject in self.deployment.entries:
                 await self._disturb_entry(fault, self.deployment.entries[fault.subject])
             else:
@@ -165,6 +215,34 @@
         await anyio.sleep(fault.seconds)
         self.deployment.store.delete("op", key)
 
+    async def _write_foreign_rows(self, fault: PlannedFault) -> None:
+        store, change = self.deployment.store, FOREIGN_CHANGES[int(fault.subject)]
+        copies = {
+            f"foreign-{fault.subject}-{name}": {**row, **change}
+            for name, row in self.deployment.rows.items()
+        }
+        for name, row in copies.items():
+            store.put("servers", name, row)
+        await anyio.sleep(fault.seconds)
+        for name in copies:
+            store.delete("servers", name)
+
+    async def _send_endless_bytes(self, fault: PlannedFault) -> None:
+        """List an endless target of each service; ``delay`` makes it trickle."""
+        pace = "trickle" if fault.delay else "fast"
+        kind = EndlessKind(fault.subject)
+        names = {service: f"endless-{service}" for service in self.deployment.services}
+        processes = [
+            self.deployment.add_endless_target(name, service, kind, pace)
+            for service, name in names.items()
+        ]
+        await anyio.sleep(fault.seconds)
+        for name in names.values():
+            self.deployment.store.delete("servers", name)
+        await anyio.sleep(LIST_SECONDS)
+        for process in processes:
+            process.handle.kill()
+
     async def _let_targets_refuse(self, fault: PlannedFault) -> None:
         self._signal_targets(signal.SIGUSR1)
         await anyio.sleep(fault.seconds)
