--- a/packages/entry/src/briarthread_entry/direct/address_holders.py
+++ b/packages/entry/src/briarthread_entry/direct/address_holders.py
@@ -9,7 +9,6 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from itertools import groupby
 
 from briarthread_entry.direct.standing import Standing
 from briarthread_entry.direct.target_presence import NEVER
@@ -56,7 +55,8 @@
     """
     Tell the standing of each target from what is known of all at its address.
 
-    ``states`` are all listed targets, ``shared`` those at addresses with several.
+    ``shared`` holds the targets at each address that has several, ``refused`` those in
+    whose name calls were refused.
 
     >>> from briarthread_common.direct.direct_target import DirectTarget
     >>> first, second = (
@@ -72,51 +72,59 @@
     >>> str(holders.standing(first, now=8.3)), str(holders.standing(second, now=8.3))
     ('trusted', 'excluded')
     >>> first.presence.note_absence(sent_at=9.0)
+    >>> holders.note_evidence([first])
     >>> str(holders.standing(first, now=9.1)), str(holders.standing(second, now=9.1))
     ('excluded', 'trusted')
     """
 
     def __init__(self) -> None:
-        self.states: list[DirectTargetState] = []
-        self.shared: list[list[DirectTargetState]] = []
+        self.shared: dict[str, list[DirectTargetState]] = {}
+        self.refused: set[DirectTargetState] = set()
         self.cached: dict[str, Standing] = {}
         self.cached_until = NEVER
 
     def update(self, states: Iterable[DirectTargetState]) -> None:
         """Apply a new version of the list."""
-        self.states = sorted(states, key=_address)
-        groups = (list(group) for _, group in groupby(self.states, key=_address))
-        self.shared = [group for group in groups if len(group) > 1]
+        by_address: dict[str, list[DirectTargetState]] = {}
+        for state in states:
+            by_address.setdefault(state.target.address, []).append(state)
+        self.shared = {a: group for a, group in by_address.items() if len(group) > 1}
+        self.refused = {
+            state
+            for state in self.refused
+            if state in by_address.get(_address(state), ())
+        }
         self.cached_until = NEVER
 
-    def note_evidence(self) -> None:
-        """Forget the standings, since what is known of a target has changed."""
+    def note_evidence(self, states: Iterable[DirectTargetState]) -> None:
+        """Derive the standings anew, since what is known of targets has changed."""
+        self.refused.update(state for state in states if state.presence.is_refused)
         self.cached_until = NEVER
 
     def standing(self, state: DirectTargetState, now: float) -> Standing:
         """Return a target's standing."""
+        return self.untrusted(now).get(state.target.name, Standing.TRUSTED)
+
+    def untrusted(self, now: float) -> dict[str, Standing]:
+        """Return the standing of each target that is not trusted, by its name."""
         if now >= self.cached_until:
             self.cached = self._find_untrusted(now)
             self.cached_until = now + CACHE_SECONDS
-        return self.cached.get(state.target.name, Standing.TRUSTED)
+        return self.cached
 
     def unsettled(self) -> dict[str, list[DirectTargetState]]:
         """Return the addresses at which a check is needed, with their targets."""
-        found = {
-            _address(group[0]): group for group in self.shared if not _settled(group)
-        }
-        for state in self.states:
-            if state.presence.is_refused and not self._is_shared(state):
+        found = {a: group for a, group in self.shared.items() if not _settled(group)}
+        for state in self.refused:
+            if state.presence.is_refused and _address(state) not in self.shared:
                 found[_address(state)] = [state]
         return found
 
-    def _is_shared(self, state: DirectTargetState) -> bool:
-        return any(_address(group[0]) == _address(state) for group in self.shared)
-
     def _find_untrusted(self, now: float) -> dict[str, Standing]:
         """Return the standing of all targets that are not trusted."""
         found: dict[str, Standing] = {}
-        for state in self.states:
+        self.refused = {state for state in self.refused if state.presence.is_refused}
+        for state in self.refused:
             if state.presence.is_absent:
                 found[state.target.name] = Standing.EXCLUDED
             elif (
@@ -124,7 +132,7 @@
                 and now < state.presence.refused_at + DOUBT_SECONDS
             ):
                 found[state.target.name] = Standing.DOUBTED
-        for group in self.shared:
+        for group in self.shared.values():
             rivals = _Rivals.among(group)
             for state in group if rivals is not None else ():
                 if _is_excluded(state, rivals, now):
--- a/packages/entry/src/briarthread_entry/direct/target_checker.py
+++ b/packages/entry/src/briarthread_entry/direct/target_checker.py
@@ -60,7 +60,7 @@
         """Record that a target refused a caller's request as not meant for it."""
         state.presence.note_refusal(sent_at)
         if state.presence.is_refused:
-            self.holders.note_evidence()
+            self.holders.note_evidence([state])
             self.request_checks()
 
     def request_checks(self) -> None:
@@ -121,7 +121,7 @@
                 result = await self._check(state, path, states)
                 self.metrics.target_checks.labels(result).inc()
                 self.events.add("target-checked", state.target.name, result)
-                self.holders.note_evidence()
+                self.holders.note_evidence(states)
                 if result != CHECK_ABSENT or self._is_settled(address):
                     return
         finally:
--- a/packages/entry/src/briarthread_entry/direct/target_registry.py
+++ b/packages/entry/src/briarthread_entry/direct/target_registry.py
@@ -1,6 +1,6 @@
 """Registry of the direct targets that an entry knows."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 
 import anyio
@@ -75,10 +75,12 @@
     def available_targets(self, service: str, now: float) -> list[DirectTargetState]:
         """Return the targets of a service that accept new requests."""
         self.refresh(now)
+        untrusted = self.holders.untrusted(now)
         return [
             state
             for state in self.states.values()
-            if state.target.service == service and self.accepts_requests(state)
+            if state.target.service == service
+            and self._accepts_requests(state, untrusted)
         ]
 
     def standing(self, state: DirectTargetState) -> Standing:
@@ -87,27 +89,36 @@
 
     def accepts_requests(self, state: DirectTargetState) -> bool:
         """Return whether new requests may be sent to a target."""
+        untrusted = self.holders.untrusted(anyio.current_time())
+        return self._accepts_requests(state, untrusted)
+
+    def _accepts_requests(
+        self, state: DirectTargetState, untrusted: Mapping[str, Standing]
+    ) -> bool:
         if self.evacuations.data_centres and self.is_evacuated(state):
             return False
-        return self._is_in_service(state)
+        return self._is_in_service(state, untrusted)
 
     def evacuated_targets(self, service: str) -> list[DirectTargetState]:
         """Return the targets that would accept requests without an evacuation."""
         if not self.evacuations.data_centres:
             return []
+        untrusted = self.holders.untrusted(anyio.current_time())
         return [
             state
             for state in self.states.values()
             if state.target.service == service
             and self.is_evacuated(state)
-            and self._is_in_service(state)
+            and self._is_in_service(state, untrusted)
         ]
 
-    def _is_in_service(self, state: DirectTargetState) -> bool:
+    def _is_in_service(
+        self, state: DirectTargetState, untrusted: Mapping[str, Standing]
+    ) -> bool:
         return (
             state.is_usable()
             and not self.is_leaving(state)
-            and self.standing(state) is not Standing.EXCLUDED
+            and untrusted.get(state.target.name) is not Standing.EXCLUDED
         )
 
     def is_evacuated(self, state: DirectTargetState) -> bool:
