--- a/packages/entry/src/briarthread_entry/direct/address_holders.py
+++ b/packages/entry/src/briarthread_entry/direct/address_holders.py
@@ -127,10 +127,7 @@
         for state in self.refused:
             if state.presence.is_absent:
                 found[state.target.name] = Standing.EXCLUDED
-            elif (
-                state.presence.is_refused
-                and now < state.presence.refused_at + DOUBT_SECONDS
-            ):
+            elif now < state.presence.refused_at + DOUBT_SECONDS:
                 found[state.target.name] = Standing.DOUBTED
         for group in self.shared.values():
             rivals = _Rivals.among(group)
@@ -178,8 +175,7 @@
     ):
         return False
     # Requests to the earlier target of the same service show which of them answers.
-    is_tested = state.target.service == earliest.target.service
-    is_tested = is_tested and earliest.is_usable()
+    is_tested = state.target.service == earliest.target.service and earliest.is_usable()
     return is_tested or now < presence.listed_at + PROOF_SECONDS
 
 
