--- a/tests/direct/test_crashing_segments.py
+++ b/tests/direct/test_crashing_segments.py
@@ -98,6 +98,7 @@
     "silent ranks": replace(
         GROUP, other_crashes=1, other_interval=6.0, silent=True, seconds=60.0
     ),
+    "silent ranks, one a second": replace(GROUP, other_crashes=1, silent=True),
     "ranks of a group": replace(GROUP, other_crashes=1, down_seconds=0.5),
     "prompts with one shared segment": replace(
         INDEPENDENT, other_crashes=2, sound=(FIRST_SEGMENT,), rate=30.0
