--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -39,10 +40,17 @@
 
 
 def free_port(host: str = HOST) -> int:
-    """Return a port that no process listens on now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """
+    Return a port that no process uses now.
+
+    It lies below those that the system gives to outgoing connections, which could
+    take it before the process that is started listens on it.
+    """
+    while True:
+        port = random.randrange(16_000, 32_000)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((host, port))
+            return port
 
 
 @dataclass
