Let the workers of the review's scripts write their heartbeats

Seen by reading: PROTOCOL.md says that a worker writes its row about every heartbeatMs; the workers of cases 4 to 8 wrote it once. They now write it each 1.2 s, and none that is down does. No check is changed.

--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
@@ -22,6 +23,8 @@
 HOST = "127.0.0.1"
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
 PAGE_ROWS = 500
+HEARTBEAT_S = 1.2
+"""heartbeatMs of the deployment's sheet."""
 
 
 class Record:
@@ -198,6 +201,13 @@
         raw = value if isinstance(value, bytes) else json.dumps(value).encode()
         return self._set(table, key, base64.b64encode(raw).decode())
 
+    def refresh(self, key: str) -> None:
+        """Write a worker's row again as its heartbeat, with the next ``seq``."""
+        row = self.rows.get(("servers", key))
+        if row is not None and row.value is not None:
+            value = json.loads(base64.b64decode(row.value))
+            self.put("servers", key, {**value, "seq": value["seq"] + 1})
+
     def drop(self, table: str, key: str) -> int:
         """Remove a row."""
         return self._set(table, key, None)
@@ -461,6 +471,18 @@
         self.ready: dict[str, str] = {}
         self.restart_delay_s = 0.5
         self.watcher: asyncio.Task[None] | None = None
+        self.heartbeats: asyncio.Task[None] | None = None
+
+    def start_heartbeats(self, workers: Iterable["PlainWorker"]) -> None:
+        """Write the rows of workers again and again, but of none that is down."""
+        self.heartbeats = asyncio.create_task(self._beat(workers))
+
+    async def _beat(self, workers: Iterable["PlainWorker"]) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            for worker in workers:
+                if not getattr(worker, "is_down", False):
+                    self.store.refresh(worker.name)
 
     async def start_entries(self, zones: list[str], **more: object) -> None:
         """Start an entry in each of the zones and wait until all are ready."""
@@ -525,6 +547,8 @@
         """End all processes that were started here."""
         if self.watcher is not None:
             self.watcher.cancel()
+        if self.heartbeats is not None:
+            self.heartbeats.cancel()
         for program in self.programs.values():
             program.stopping = True
             program.signal(signal.SIGCONT)
