Decode what others write in one place that raises one error

What callers saw: from one row of another writer on, 1,500 arrays within each other, no entry answered.

Cause: the JSON decoder raises RecursionError for deep nesting, also in fields that are ignored, and int() raises ValueError from 4,301 digits on. Each reader caught a list of errors of its own, and none had these, so the reading task ended its process, again at each start. The traceback in the entry's log shows it. Ruled out: the row's size (3 KB), and what it says, since it was never in the registry.

The same cause on related paths: a port of 5,000 digits; slots, born and other whole numbers of 400 digits, with which no float can be calculated; a row of our own table of instances whose address is none, which ended each entry that called it; engines' and peers' answers; stored feeds, leases, shares and the blocklist.

Change: core/decoding.py is the only module that decodes JSON, which a test checks. It raises DecodeError for any bytes. Rows are bounded to 64 levels of nesting, because the interpreter's bound depends on the depth of its stack and one process would have used a row that another one rejects. Whole numbers are bounded by their types. An instance is listed under its own name and a valid address only, a target under a name that a request can carry.

--- a/packages/agent/src/briarthread_agent/attempts/attempt_handler.py
+++ b/packages/agent/src/briarthread_agent/attempts/attempt_handler.py
@@ -9,9 +9,10 @@
 from briarthread_agent.attempts.record import Record
 from briarthread_agent.attempts.response_buffer import Headers
 from briarthread_agent.reports.load_reporter import LoadReporter
+from briarthread_common.core.decoding import decode_json
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.error_response import ERROR_RESPONSES
-from briarthread_common.core.exceptions import RequestError
+from briarthread_common.core.exceptions import DecodeError, RequestError
 from briarthread_common.core.metrics import Metrics
 from briarthread_common.http.app import ResponseAborted
 from briarthread_common.http.call import Call
@@ -146,8 +147,8 @@
 def _read_attempt(call: Call) -> Attempt:
     raw = call.headers.get(ATTEMPT_HEADER, "")
     try:
-        return msgspec.json.decode(raw, type=Attempt)
-    except msgspec.MsgspecError as error:
+        return decode_json(raw, Attempt)
+    except DecodeError as error:
         raise RequestError(
             ErrorKind.BAD_REQUEST, f"invalid attempt header: {error}"
         ) from error
--- a/packages/agent/src/briarthread_agent/ranks/group_caller.py
+++ b/packages/agent/src/briarthread_agent/ranks/group_caller.py
@@ -17,8 +17,13 @@
 import msgspec
 from loguru import logger
 
+from briarthread_common.core.decoding import decode_json
 from briarthread_common.core.error_kind import ErrorKind
-from briarthread_common.core.exceptions import ChannelError, RequestError
+from briarthread_common.core.exceptions import (
+    ChannelError,
+    DecodeError,
+    RequestError,
+)
 from briarthread_common.http.app import Route
 from briarthread_common.http.call_many import call_many
 from briarthread_common.http.channel import Channel
@@ -136,10 +141,10 @@
         answers: dict[str, T] = {}
         for address in messages.keys() & relay_answer.answers.keys():
             try:
-                answers[address] = msgspec.json.decode(
-                    relay_answer.answers[address], type=answer_type
+                answers[address] = decode_json(
+                    relay_answer.answers[address], answer_type
                 )
-            except msgspec.MsgspecError as error:
+            except DecodeError as error:
                 logger.info("rank: invalid answer from {}: {}", address, error)
         return answers
 
--- a/packages/common/src/briarthread_common/core/exceptions.py
+++ b/packages/common/src/briarthread_common/core/exceptions.py
@@ -69,7 +69,7 @@
 
 
 class DecodeError(BriarthreadError):
-    """A row of the platform violates its interface."""
+    """What another program has written cannot be read or is not what it should be."""
 
 
 class RankError(BriarthreadError):
--- a/packages/common/src/briarthread_common/direct/rank_state.py
+++ b/packages/common/src/briarthread_common/direct/rank_state.py
@@ -2,13 +2,15 @@
 
 from dataclasses import dataclass
 
+from briarthread_common.core.decoding import WholeNumber
+
 
 @dataclass(frozen=True, slots=True)
 class ArmedMap:
     """A map to which a rank switches at the start of pass ``step``."""
 
-    version: int
-    step: int
+    version: WholeNumber
+    step: WholeNumber
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,14 +26,14 @@
     """
 
     group: str
-    epoch: int
-    rank: int
-    size: int
+    epoch: WholeNumber
+    rank: WholeNumber
+    size: WholeNumber
     serving: bool
-    step: int
-    map_version: int
-    prepared: int | None = None
+    step: WholeNumber
+    map_version: WholeNumber
+    prepared: WholeNumber | None = None
     armed: ArmedMap | None = None
-    held: int | None = None
-    running: int = 0
+    held: WholeNumber | None = None
+    running: WholeNumber = 0
     slowdown: float = 1.0
--- a/packages/common/src/briarthread_common/feeds/feed_patch.py
+++ b/packages/common/src/briarthread_common/feeds/feed_patch.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from briarthread_common.core.decoding import WholeNumber
+
 SNAPSHOT_BASE = 0
 """Base of a snapshot patch, which replaces all items."""
 
@@ -16,6 +18,6 @@
     """
 
     feed: str
-    base: int
-    number: int
+    base: WholeNumber
+    number: WholeNumber
     changes: dict[str, str | None]
--- a/packages/common/src/briarthread_common/http/call.py
+++ b/packages/common/src/briarthread_common/http/call.py
@@ -6,8 +6,9 @@
 import anyio
 import msgspec
 
+from briarthread_common.core.decoding import decode_json
 from briarthread_common.core.error_kind import ErrorKind
-from briarthread_common.core.exceptions import RequestError
+from briarthread_common.core.exceptions import DecodeError, RequestError
 from briarthread_common.http.compression import (
     CONTENT_ENCODING_HEADER,
     ENCODING,
@@ -154,8 +155,8 @@
         if self._has_header(b"content-encoding", ENCODING):
             raw = decompress_body(raw, limit)
         try:
-            return msgspec.json.decode(raw, type=message_type)
-        except msgspec.MsgspecError as error:
+            return decode_json(raw, message_type)
+        except DecodeError as error:
             raise RequestError(
                 ErrorKind.BAD_REQUEST, f"invalid JSON: {error}"
             ) from error
--- a/packages/common/src/briarthread_common/http/channel_calls.py
+++ b/packages/common/src/briarthread_common/http/channel_calls.py
@@ -6,8 +6,10 @@
 import anyio
 import msgspec
 
+from briarthread_common.core.decoding import decode_json
 from briarthread_common.core.exceptions import (
     BrokenCallError,
+    DecodeError,
     InvalidResponseError,
     RequestError,
 )
@@ -84,8 +86,8 @@
     try:
         if response.headers.get("content-encoding") == ENCODING:
             raw = decompress_body(raw, MAX_MESSAGE_BYTES)
-        return msgspec.json.decode(raw, type=answer_type)
-    except (msgspec.MsgspecError, RequestError) as error:
+        return decode_json(raw, answer_type)
+    except (DecodeError, RequestError) as error:
         raise BrokenCallError(f"{address} sent invalid JSON: {error}") from error
 
 
--- a/packages/common/src/briarthread_common/http/report_stream.py
+++ b/packages/common/src/briarthread_common/http/report_stream.py
@@ -6,7 +6,8 @@
 import anyio
 import msgspec
 
-from briarthread_common.core.exceptions import BrokenCallError
+from briarthread_common.core.decoding import decode_json
+from briarthread_common.core.exceptions import BrokenCallError, DecodeError
 from briarthread_common.http.call import Call
 from briarthread_common.http.channel import Channel, ChannelRequest
 from briarthread_common.http.lines import read_lines
@@ -97,6 +98,6 @@
 
 def _decode(line: bytes, report: type[T]) -> T:
     try:
-        return msgspec.json.decode(line, type=report)
-    except msgspec.MsgspecError as error:
+        return decode_json(line, report)
+    except DecodeError as error:
         raise BrokenCallError(f"invalid report: {error}") from error
--- a/packages/common/src/briarthread_common/messages/blocklist_entry.py
+++ b/packages/common/src/briarthread_common/messages/blocklist_entry.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from briarthread_common.core.decoding import decode_row
 from briarthread_common.core.exceptions import DecodeError
 
 
@@ -38,6 +39,6 @@
 def decode_blocklist(text: str) -> list[BlocklistEntry]:
     """Return the entries in a text, or raise DecodeError."""
     try:
-        return msgspec.json.decode(text, type=list[BlocklistEntry])
-    except msgspec.MsgspecError as error:
+        return decode_row(text, list[BlocklistEntry])
+    except DecodeError as error:
         raise DecodeError(f"blocklist: {error}") from error
--- a/packages/common/src/briarthread_common/messages/exchange.py
+++ b/packages/common/src/briarthread_common/messages/exchange.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from briarthread_common.core.decoding import WholeNumber
 from briarthread_common.feeds.feed_patch import FeedPatch
 
 
@@ -16,7 +17,7 @@
     many seconds it has answered without a failure, 0 if it does not answer.
     """
 
-    versions: dict[str, int]
+    versions: dict[str, WholeNumber]
     patches: list[FeedPatch] = field(default_factory=list)
     source_age: float = 0.0
     source_well: float = 0.0
--- a/packages/common/src/briarthread_common/messages/running_report.py
+++ b/packages/common/src/briarthread_common/messages/running_report.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from briarthread_common.core.decoding import Integer, WholeNumber
 from briarthread_common.messages.crash_words import CrashWords, merge_crash_words
 from briarthread_common.messages.limit_report import LimitReport, newest_limits
 
@@ -25,7 +26,7 @@
 MIN_DEMAND_CHANGE_FRACTION = 0.5
 """The same as a fraction of the larger demand, for sums over many entries."""
 
-Demand = dict[str, dict[int, float]]
+Demand = dict[str, dict[Integer, float]]
 """Requests per second by service and rank, which is 0 for the most urgent."""
 
 
@@ -48,14 +49,14 @@
     services whose routes differ in priority.
     """
 
-    running: dict[str, int] = {}
+    running: dict[str, WholeNumber] = {}
     each: dict[str, float] = {}
     limits: dict[str, LimitReport] = {}
     crashes: CrashWords = CrashWords()
     leaving: tuple[str, ...] = ()
     backoffs: dict[str, float] = {}
     cold: dict[str, float] = {}
-    starts: dict[str, int] = {}
+    starts: dict[str, WholeNumber] = {}
     demand: Demand = {}
 
     def same_as(self, other: "RunningReport") -> bool:
--- a/packages/common/src/briarthread_common/platform/feed_store.py
+++ b/packages/common/src/briarthread_common/platform/feed_store.py
@@ -2,7 +2,12 @@
 
 import msgspec
 
-from briarthread_common.core.exceptions import ConflictError, PlatformError
+from briarthread_common.core.decoding import decode_row, read_whole_number
+from briarthread_common.core.exceptions import (
+    ConflictError,
+    DecodeError,
+    PlatformError,
+)
 from briarthread_common.feeds.feed_patch import SNAPSHOT_BASE, FeedPatch
 from briarthread_common.platform.platform_client import PlatformClient
 from briarthread_common.platform.table_messages import ABSENT, Row, RowCheck, RowWrite
@@ -113,7 +118,12 @@
 
 def head_version(head: Row | None) -> int:
     """Return the version in a head row, 0 if the row doesn't exist."""
-    return int(head.value) if head else 0
+    if head is None:
+        return 0
+    number = read_whole_number(head.value)
+    if number is None:
+        raise PlatformError(f"{head.key} holds no version: {head.value[:40]!r}")
+    return number
 
 
 def _encode(patch: FeedPatch) -> str:
@@ -121,4 +131,7 @@
 
 
 def _decode(row: Row) -> FeedPatch:
-    return msgspec.json.decode(row.value, type=FeedPatch)
+    try:
+        return decode_row(row.value, FeedPatch)
+    except DecodeError as error:
+        raise PlatformError(f"{row.key} holds no patch: {error}") from error
--- a/packages/common/src/briarthread_common/platform/lease.py
+++ b/packages/common/src/briarthread_common/platform/lease.py
@@ -3,8 +3,10 @@
 from dataclasses import dataclass
 
 import msgspec
+from loguru import logger
 
-from briarthread_common.core.exceptions import ConflictError
+from briarthread_common.core.decoding import decode_row
+from briarthread_common.core.exceptions import ConflictError, DecodeError
 from briarthread_common.platform.platform_client import PlatformClient
 from briarthread_common.platform.table_messages import ABSENT, RowCheck, RowWrite
 from briarthread_common.utils.clock import Clock
@@ -58,8 +60,9 @@
         """
         row = (await self.platform.read([self.key])).get(self.key)
         if row is not None:
-            current = msgspec.json.decode(row.value, type=LeaseRow)
-            if current.holder != holder and current.expires > self.clock.now():
+            current = self._decode(row.value)
+            is_other = current is not None and current.holder != holder
+            if is_other and current.expires > self.clock.now():
                 return LeaseHeldByOther(current.holder)
         version = row.version if row else ABSENT
         renewed = LeaseRow(holder, self.clock.now() + self.seconds)
@@ -71,3 +74,11 @@
         except ConflictError:
             return LeaseHeldByOther("a concurrent process")
         return LeaseAcquired(version + 1)
+
+    def _decode(self, raw: str) -> LeaseRow | None:
+        """Return a lease, ``None`` for an invalid row, which nobody holds."""
+        try:
+            return decode_row(raw, LeaseRow)
+        except DecodeError as error:
+            logger.warning("platform: {} is ignored: {}", self.key, error)
+            return None
--- a/packages/common/src/briarthread_common/shares/share_view.py
+++ b/packages/common/src/briarthread_common/shares/share_view.py
@@ -1,7 +1,9 @@
 """Typed view of the shares feed."""
 
-import msgspec
+from loguru import logger
 
+from briarthread_common.core.decoding import decode_row
+from briarthread_common.core.exceptions import DecodeError
 from briarthread_common.feeds.feed import Feed
 from briarthread_common.shares.share_row import ShareRow, share_name
 
@@ -11,7 +13,7 @@
 
     def __init__(self, feed: Feed) -> None:
         self.feed = feed
-        self.decoded: dict[str, tuple[str, ShareRow]] = {}
+        self.decoded: dict[str, tuple[str, ShareRow | None]] = {}
 
     def get(self, service: str, data_centre: str, share: int) -> ShareRow | None:
         """Return the row of a share, or ``None`` if no agent ever held it."""
@@ -21,6 +23,16 @@
             return None
         cached = self.decoded.get(name)
         if cached is None or cached[0] != raw:
-            cached = (raw, msgspec.json.decode(raw, type=ShareRow))
+            known = None if cached is None else cached[1]
+            cached = (raw, _decode(name, raw, known))
             self.decoded[name] = cached
         return cached[1]
+
+
+def _decode(name: str, raw: str, known: ShareRow | None) -> ShareRow | None:
+    """Return a row; if it cannot be read, the one that is known from before."""
+    try:
+        return decode_row(raw, ShareRow)
+    except DecodeError as error:
+        logger.error("shares: invalid row {} ignored: {}", name, error)
+        return known
--- a/packages/common/src/briarthread_common/spread/directory.py
+++ b/packages/common/src/briarthread_common/spread/directory.py
@@ -1,14 +1,16 @@
 """Directory of the known instances."""
 
-import msgspec
 from loguru import logger
 
+from briarthread_common.core.decoding import decode_row
+from briarthread_common.core.exceptions import DecodeError
 from briarthread_common.feeds.feed import Feed
 from briarthread_common.messages.instance import (
     Instance,
     InstanceRole,
     InstanceState,
 )
+from briarthread_common.utils.host_of import is_address
 
 
 class Directory:
@@ -77,7 +79,17 @@
         if cached is not None and cached[0] == raw:
             return cached
         try:
-            return raw, msgspec.json.decode(raw, type=Instance)
-        except (msgspec.MsgspecError, UnicodeEncodeError) as error:
+            return raw, _decode_instance(name, raw)
+        except DecodeError as error:
             logger.warning("spread: invalid instance row {} ignored: {}", name, error)
             return raw, None
+
+
+def _decode_instance(name: str, raw: str) -> Instance:
+    """Return the instance in a row, or raise DecodeError."""
+    row = decode_row(raw, Instance)
+    if row.name != name:
+        raise DecodeError(f"it is the row of {row.name[:40]!r}")
+    if not is_address(row.address):
+        raise DecodeError(f"{row.address[:40]!r} is not IP:PORT")
+    return row
--- a/packages/common/src/briarthread_common/text/text_store.py
+++ b/packages/common/src/briarthread_common/text/text_store.py
@@ -6,9 +6,11 @@
 
 import msgspec
 
+from briarthread_common.core.decoding import decode_row
 from briarthread_common.core.exceptions import (
     ChecksFailed,
     ConflictError,
+    DecodeError,
     PlatformError,
 )
 from briarthread_common.platform.feed_store import FeedStore
@@ -31,6 +33,10 @@
     try_id: str
 
 
+UNKNOWN_META = Meta("unknown", 0.0, "")
+"""Meta of a version that has none which can be read."""
+
+
 @dataclass(frozen=True, slots=True)
 class Accepted:
     """The text was accepted as this version."""
@@ -130,5 +136,8 @@
 def _meta(items: Mapping[str, str | None]) -> Meta:
     raw = items.get(META)
     if raw is None:
-        return Meta("unknown", 0.0, "")
-    return msgspec.json.decode(raw, type=Meta)
+        return UNKNOWN_META
+    try:
+        return decode_row(raw, Meta)
+    except DecodeError:
+        return UNKNOWN_META
--- a/packages/common/src/briarthread_common/utils/host_of.py
+++ b/packages/common/src/briarthread_common/utils/host_of.py
@@ -2,6 +2,8 @@
 
 from ipaddress import ip_address
 
+from briarthread_common.core.decoding import read_whole_number
+
 PORT_COUNT = 65536
 
 
@@ -25,8 +27,11 @@
     [True, True, False, False]
     """
     host, _, port = raw.rpartition(":")
+    is_bracketed = host.startswith("[") and host.endswith("]")
     try:
-        ip_address(host.strip("[]"))
+        ip_address(host[1:-1] if is_bracketed else host)
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port) < PORT_COUNT
+    number = read_whole_number(port)
+    is_scoped = "%" in host
+    return not is_scoped and number is not None and 0 < number < PORT_COUNT
--- a/packages/entry/src/briarthread_entry/routing/load_watcher.py
+++ b/packages/entry/src/briarthread_entry/routing/load_watcher.py
@@ -3,11 +3,15 @@
 import random
 
 import anyio
-import msgspec
 from anyio.abc import TaskGroup
 
+from briarthread_common.core.decoding import decode_json
 from briarthread_common.core.event_log import EventLog
-from briarthread_common.core.exceptions import BrokenCallError, ChannelError
+from briarthread_common.core.exceptions import (
+    BrokenCallError,
+    ChannelError,
+    DecodeError,
+)
 from briarthread_common.http.channel import Channel, ChannelRequest
 from briarthread_common.http.lines import read_lines
 from briarthread_common.messages.load_report import LoadReport, heartbeat_interval
@@ -116,8 +120,8 @@
         if line is None:
             raise BrokenCallError("load report stream ended")
         try:
-            report = msgspec.json.decode(line, type=LoadReport)
-        except msgspec.MsgspecError as error:
+            report = decode_json(line, LoadReport)
+        except DecodeError as error:
             raise BrokenCallError(f"invalid load report: {error}") from error
         if not state.connected:
             self.events.add("target-up", state.instance.name, report.i)
--- a/packages/entry/src/briarthread_entry/serving/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/serving/attempt_sender.py
@@ -5,10 +5,12 @@
 import anyio
 import msgspec
 
+from briarthread_common.core.decoding import decode_json
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.exceptions import (
     BrokenCallError,
     ChannelError,
+    DecodeError,
     RequestError,
     RequestNotSentError,
 )
@@ -228,8 +230,8 @@
     ) -> None:
         raw = response.headers.get(LOAD_HEADER, "")
         try:
-            report = msgspec.json.decode(raw, type=LoadReport)
-        except msgspec.MsgspecError:
+            report = decode_json(raw, LoadReport)
+        except DecodeError:
             return
         target.apply_report(report, self.clock.now())
 
