Read numbers in headers with one bound, and fail calls that cannot be encoded

What callers saw: 500 for X-Token-Count or Last-Event-Id of 5,000 digits and for X-Deadline-Ms: nan, a broken stream for such an id of an event, 500 for each request of a route to a service that is not configured, of a split whose weights are all zero, and of an account whose name is not in Latin-1. A health path or an address that cannot be encoded ended the entry, as the task that sends knows errors of the channel only.

The channel encoded outside of its error handling.

Change: read_whole_number() and read_amount() read all numbers in headers. A number that cannot be read is none; a time that cannot be read is answered 400. The channel raises RequestNotSentError for a request that cannot be encoded: nothing was written. An account's name is sent in UTF-8, as the configuration has it. The stand-in for the network encodes header values like the channel.

--- a/packages/common/src/briarthread_common/http/http_channel.py
+++ b/packages/common/src/briarthread_common/http/http_channel.py
@@ -38,10 +38,11 @@
     @asynccontextmanager
     async def stream(self, request: ChannelRequest) -> AsyncIterator[ChannelResponse]:
         """Send a call over a pooled connection; see Channel."""
+        url, fields = _encode(request)
         response_context = self._pool(request.address, request.new_connection).stream(
             request.method,
-            _url(request),
-            headers=_headers(request),
+            url,
+            headers=fields,
             content=request.body,
             extensions=self.extensions,
         )
@@ -63,6 +64,11 @@
             raise ConnectionRefused(_describe_error(request, error)) from error
         except (httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
             raise RequestNotSentError(_describe_error(request, error)) from error
+        except httpcore.LocalProtocolError as error:
+            # It concerns the head of the request, which is not written then.
+            is_sent = connection is not None
+            kind = InvalidResponseError if is_sent else RequestNotSentError
+            raise kind(_describe_error(request, error)) from error
         except httpcore.ProtocolError as error:
             # Bytes that are no response do not mean that the target has ended.
             is_lost = connection is not None and connection.ended
@@ -93,6 +99,16 @@
         return pool
 
 
+def _encode(
+    request: ChannelRequest,
+) -> tuple[httpcore.URL, list[tuple[bytes, bytes]]]:
+    """Return the URL and the headers as bytes, or raise RequestNotSentError."""
+    try:
+        return _url(request), _headers(request)
+    except (TypeError, ValueError) as error:
+        raise RequestNotSentError(_describe_error(request, error)) from error
+
+
 def _url(request: ChannelRequest) -> httpcore.URL:
     """Return the URL; the path is sent with its percent-encoding unchanged."""
     host, _, port = request.address.rpartition(":")
--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -216,7 +216,7 @@
         headers = [*request.headers, (names.time_left, str(int(time_left * 1000)))]
         headers.append((names.expected_target, state.target.name))
         if request.account:
-            headers.append((names.account_name, request.account))
+            headers.append((names.account_name, _as_field(request.account)))
         if relay.last_event_id is not None:
             headers.append((names.resume_from, str(relay.last_event_id)))
         return ChannelRequest(
@@ -261,5 +261,10 @@
         raise InvalidResponseError("stream ended within an event")
 
 
+def _as_field(text: str) -> str:
+    """Return the characters that stand for the bytes of a text in UTF-8."""
+    return text.encode().decode("latin-1")
+
+
 def _request_error(kind: ErrorKind, error: Exception) -> RequestError:
     return RequestError(kind, str(error) or type(error).__name__)
--- a/packages/entry/src/briarthread_entry/direct/event_reader.py
+++ b/packages/entry/src/briarthread_entry/direct/event_reader.py
@@ -3,6 +3,7 @@
 import re
 from dataclasses import dataclass
 
+from briarthread_common.core.decoding import read_whole_number
 from briarthread_common.core.exceptions import InvalidResponseError
 from briarthread_common.http.response_bounds import MAX_PARTIAL_SECONDS
 
@@ -99,6 +100,5 @@
     """Return the number in an event's id line, ``None`` without a valid one."""
     for line in raw.split(b"\n"):
         if line.startswith(b"id:"):
-            value = line[3:].strip()
-            return int(value) if value.isdigit() else None
+            return read_whole_number(line[3:].strip().decode("latin-1"))
     return None
--- a/packages/entry/src/briarthread_entry/direct/read_request.py
+++ b/packages/entry/src/briarthread_entry/direct/read_request.py
@@ -7,8 +7,9 @@
 
 import anyio
 
+from briarthread_common.core.decoding import read_amount, read_whole_number
 from briarthread_common.core.error_kind import ErrorKind
-from briarthread_common.core.exceptions import RequestError
+from briarthread_common.core.exceptions import DecodeError, RequestError
 from briarthread_common.direct.direct_account import DirectAccount
 from briarthread_common.direct.direct_service import DirectService
 from briarthread_common.direct.header_names import HeaderNames
@@ -79,7 +80,7 @@
         account = self._account(headers, route, routes)
         reserve = partial(self._reserve, headers, route, held)
         body = await self._read_body(call, headers, routes, reserve)
-        service = routes.services[self._choose_service(route)]
+        service = self._find_service(route, routes)
         prompt_tokens, answer_tokens = _parse_token_counts(
             headers.get(self.names.token_counts, "")
         )
@@ -103,7 +104,7 @@
             caller_timeout=caller_timeout,
             prompt_tokens=prompt_tokens,
             answer_tokens=answer_tokens,
-            last_event_id=_parse_event_id(headers.get(self.names.resume_from)),
+            last_event_id=read_whole_number(headers.get(self.names.resume_from, "")),
             digest=request_digest(
                 account.name, call.method, call.raw_target, body, segments
             ),
@@ -141,10 +142,10 @@
         if "content-length" not in headers and "transfer-encoding" not in headers:
             return None
         limit = routes.limits.max_body_bytes
-        stated_length = headers.get("content-length", "")
-        is_known = stated_length.isdecimal()
-        if is_known:
-            reserve(min(int(stated_length), limit))
+        length = read_whole_number(headers.get("content-length", ""))
+        is_known = length is not None
+        if length is not None:
+            reserve(min(length, limit))
         try:
             with anyio.fail_after(routes.limits.idle_timeout):
                 return await call.read_body(limit, None if is_known else reserve)
@@ -191,10 +192,16 @@
         opens_in = max(min(opens_in, route.timeout), MIN_RETRY_AFTER_SECONDS)
         return retry_after_backoff(time_left, opens_in, jitter)
 
+    def _find_service(self, route: HostRoute, routes: RouteMap) -> DirectService:
+        name = self._choose_service(route)
+        if name not in routes.services:
+            raise RequestError(ErrorKind.NO_TARGET, f"no service {name[:40]!r}")
+        return routes.services[name]
+
     def _choose_service(self, route: HostRoute) -> str:
-        if len(route.shares) == 1:
-            return route.shares[0].service
         weights = [share.weight for share in route.shares]
+        if len(weights) == 1 or not any(weights):
+            return route.shares[0].service
         return self.rng.choices(route.shares, weights)[0].service
 
     def _caller_timeout(self, headers: dict[str, str]) -> float | None:
@@ -202,10 +209,10 @@
         if raw is None:
             return None
         try:
-            return float(raw) / 1000
-        except ValueError as error:
+            return read_amount(raw) / 1000
+        except DecodeError as error:
             raise RequestError(
-                ErrorKind.BAD_REQUEST, f"{self.names.time_left} is not a number"
+                ErrorKind.BAD_REQUEST, f"{self.names.time_left}: {error}"
             ) from error
 
     def _target_headers(
@@ -246,12 +253,7 @@
     ((1460, 80), (0, 0))
     """
     prompt_tokens, _, answer_tokens = raw.partition(",")
-    return _parse_number(prompt_tokens), _parse_number(answer_tokens)
-
-
-def _parse_number(raw: str) -> int:
-    return int(raw) if raw.isdecimal() else 0
-
-
-def _parse_event_id(raw: str | None) -> int | None:
-    return int(raw) if raw is not None and raw.isdecimal() else None
+    return (
+        read_whole_number(prompt_tokens) or 0,
+        read_whole_number(answer_tokens) or 0,
+    )
--- a/packages/entry/src/briarthread_entry/direct/read_response.py
+++ b/packages/entry/src/briarthread_entry/direct/read_response.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Callable
 
+from briarthread_common.core.decoding import read_whole_number
 from briarthread_common.http.channel import ChannelResponse
 from briarthread_common.http.channel_calls import read_bounded
 from briarthread_entry.direct.direct_request import DirectRequest
@@ -58,5 +59,4 @@
     """Return the length of the body, ``None`` if it is not known."""
     if request.method == "HEAD" or response.status == NOT_MODIFIED:
         return 0
-    raw = response.headers.get("content-length", "")
-    return int(raw) if raw.isdecimal() else None
+    return read_whole_number(response.headers.get("content-length", ""))
--- a/packages/entry/src/briarthread_entry/serving/read_outcome.py
+++ b/packages/entry/src/briarthread_entry/serving/read_outcome.py
@@ -1,7 +1,10 @@
 """Outcomes of an attempt, as the end of an exchange with an agent shows them."""
 
+from loguru import logger
+
+from briarthread_common.core.decoding import read_amount
 from briarthread_common.core.error_kind import ErrorKind
-from briarthread_common.core.exceptions import RequestError
+from briarthread_common.core.exceptions import DecodeError, RequestError
 from briarthread_common.core.outcome import Outcome
 from briarthread_common.http.channel import ChannelResponse
 from briarthread_entry.serving.attempt_outcome import (
@@ -18,19 +21,27 @@
         kind = ErrorKind(result)
     except ValueError:
         return outcome_unknown(f"the agent answered {response.status} without a result")
-    retry_after = response.headers.get("retry-after")
     outcome = response.headers.get("briarthread-outcome")
     error = RequestError(
         kind,
         "the agent refused",
         outcome=Outcome.NOT_RUN if outcome == Outcome.NOT_RUN else Outcome.UNKNOWN,
-        retry_after=float(retry_after) if retry_after else None,
+        retry_after=_read_retry_after(response),
     )
     if error.outcome is Outcome.NOT_RUN:
         return NotRun(error)
     return Failed(error)
 
 
+def _read_retry_after(response: ChannelResponse) -> float | None:
+    raw = response.headers.get("retry-after")
+    try:
+        return None if raw is None else read_amount(raw)
+    except DecodeError as error:
+        logger.warning("attempts: retry-after ignored: {}", error)
+        return None
+
+
 def revoked() -> NotRun:
     """Return the outcome of an attempt that its agent has revoked."""
     return NotRun(
--- a/packages/standins/src/briarthread_standins/fake_call.py
+++ b/packages/standins/src/briarthread_standins/fake_call.py
@@ -31,7 +31,7 @@
             "raw_path": path.encode("latin-1"),
             "query_string": query.encode(),
             "client": (caller, 0),
-            "headers": [(k.encode(), v.encode()) for k, v in request.headers],
+            "headers": [(k.encode(), v.encode("latin-1")) for k, v in request.headers],
         }
 
     async def receive(self) -> dict[str, Any]:
--- a/tests/common/test_http_channel.py
+++ b/tests/common/test_http_channel.py
@@ -1,16 +1,18 @@
 """Tests for the closing of a channel's connections, over real sockets."""
 
+import contextlib
 import socket
 import subprocess
 import sys
 import threading
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import Any
 
 import anyio
 import pytest
 
-from briarthread_common.core.exceptions import ChannelError
+from briarthread_common.core.exceptions import ChannelError, RequestNotSentError
 from briarthread_common.core.run_loop import run_loop
 from briarthread_common.http.call_connection import RESET_ON_CLOSE
 from briarthread_common.http.channel import ChannelRequest
@@ -98,6 +100,36 @@
     run_loop(scenario)
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"headers": (("x-tenant", "\u82b1\u5712"),)},
+        {"headers": (("x-tenant", "a\r\nx-more: b"),)},
+        {"headers": (("x tenant", "a"),)},
+        {"path": "/\u82b1"},
+        {"path": "/a b"},
+        {"address": "nowhere"},
+        {"address": "127.0.0.1:" + "9" * 5000},
+        {"address": "\u82b1:80"},
+    ],
+)
+def test_request_that_cannot_be_sent_is_an_error_of_the_channel(
+    change: dict[str, Any],
+) -> None:
+    """Guards against an error that no caller of the channel knows."""
+
+    async def client(channel: HttpChannel, target: SuspendedTarget) -> None:
+        request = ChannelRequest("POST", target.address, "/", body=b"x")
+        with pytest.raises(RequestNotSentError):
+            async with channel.stream(replace(request, **change)):
+                pass
+        target.listener.settimeout(0.0)
+        with contextlib.suppress(BlockingIOError):
+            assert target.read_to_end(target.accept()).data == b""
+
+    run_with_target(client)
+
+
 @pytest.mark.parametrize("new_connection", [True, False])
 def test_request_is_not_delivered_after_it_was_abandoned(new_connection: bool) -> None:
     async def client(channel: HttpChannel, target: SuspendedTarget) -> None:
--- a/tests/direct/test_attempts.py
+++ b/tests/direct/test_attempts.py
@@ -235,6 +235,9 @@
         ("/book/1", {"host": "other.example"}, 404),
         ("/book/1", {"x-credential": "unknown"}, 401),
         ("/book/1", {"x-deadline-ms": "soon"}, 400),
+        ("/book/1", {"x-deadline-ms": "nan"}, 400),
+        ("/book/1", {"x-deadline-ms": "inf"}, 400),
+        ("/book/1", {"x-deadline-ms": "-5"}, 400),
     ],
 )
 def test_invalid_request_is_refused_and_not_run(
@@ -247,6 +250,61 @@
     run_in_direct_world(scenario)
 
 
+@pytest.mark.parametrize("header", ["x-token-count", "last-event-id"])
+@pytest.mark.parametrize("value", ["9" * 5000, "-1", "1.5", "x", "\xb2", ""])
+def test_number_that_cannot_be_read_is_taken_for_none(header: str, value: str) -> None:
+    """Guards against a header whose digits the interpreter refuses to convert."""
+
+    async def scenario(world: DirectWorld) -> None:
+        for path in ("/book/1", "/chat/1"):
+            headers = {"x-token-count": "100,30", header: value}
+            reply = await world.call("entry-1", path, headers)
+            assert (reply.status, reply.complete) == (200, True)
+
+    run_in_direct_world(scenario)
+
+
+def test_route_to_a_service_that_is_not_configured_is_refused() -> None:
+    """Guards against an internal error at each of its requests."""
+
+    async def scenario(world: DirectWorld) -> None:
+        reply = await world.call("entry-1", "/odd/1")
+        assert reply.status == 503
+        assert reply.headers["briarthread-outcome"] == "not-run"
+        assert (await world.call("entry-1", "/book/1")).status == 200
+
+    rows = [*build_config()["routes"], build_route_row("/odd/", "unnamed", "safe")]
+    run_in_direct_world(scenario, config=build_config(routes=rows))
+
+
+def test_split_route_without_weights_is_served() -> None:
+    """Guards against a choice by weights that are all zero."""
+
+    async def scenario(world: DirectWorld) -> None:
+        assert (await world.call("entry-1", "/mix/1")).status == 200
+
+    row = build_route_row("/mix/", DIARY, "safe")
+    row["split"] = [{"service": DIARY, "weight": 0}, {"service": "cards", "weight": 0}]
+    run_in_direct_world(scenario, config=build_config(routes=[row]))
+
+
+def test_account_name_reaches_the_target_in_any_script() -> None:
+    """Guards against a name that no header can carry as it is."""
+
+    async def scenario(world: DirectWorld) -> None:
+        reply = await world.call("entry-1", "/book/1", {"x-credential": "key-9"})
+        assert reply.status == 200
+        names = [
+            headers["x-tenant"].encode("latin-1").decode()
+            for worker in world.workers.values()
+            for headers in worker.received_headers
+        ]
+        assert names == ["\u82b1\u5712"]
+
+    tenants = [{"name": "\u82b1\u5712", "apiKeys": ["key-9"]}]
+    run_in_direct_world(scenario, config=build_config(tenants=tenants))
+
+
 def test_oversized_body_is_refused() -> None:
     async def scenario(world: DirectWorld) -> None:
         reply = await world.call("entry-1", "/book/1", body=b"x" * 1001)
--- a/tests/direct/test_event_reader.py
+++ b/tests/direct/test_event_reader.py
@@ -54,3 +54,10 @@
     reader = EventReader()
     with pytest.raises(InvalidResponseError):
         reader.feed(b"\n\n" * (EVENT_BURST + 1), now=0.0)
+
+
+@pytest.mark.parametrize("value", [b"9" * 5000, b"-1", b"x", b"\xb2", b"\xff", b""])
+def test_id_that_cannot_be_read_is_none(value: bytes) -> None:
+    """Guards against an id whose digits the interpreter refuses to convert."""
+    events = EventReader().feed(b"id: " + value + b"\ndata: a\n\n", now=0.0)
+    assert [event.id for event in events] == [None]
