Pass a target's 408, 429 or 503 on only if it has not run the request

What callers saw: a worker made a booking and then answered 503 without saying that it had not run it.

Cause: whether a target had said that it did not run a request decided on a retry only; for the answer to the caller nothing but the status counted. Ruled out: errors of the entry after an attempt that may have run, which final_error() already calls unknown.

Change: a response of a target with one of these statuses, without the target's word, is answered 502 with an unknown outcome if the request may run only once: on plain calls, on streams that may not be resumed, after earlier attempts, and on the path with agents. Requests that may run again get the target's answer, a refusal by the target's own word is retried and passed on as before, and what the head says of the target's rest is still learned.

--- a/packages/common/src/briarthread_common/core/outcome.py
+++ b/packages/common/src/briarthread_common/core/outcome.py
@@ -13,3 +13,11 @@
 
     NOT_RUN = "not-run"
     UNKNOWN = "unknown"
+
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""
+Statuses that callers take as the promise that a request did not run and never will.
+
+They repeat even a request that may run only once after one of these.
+"""
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -11,6 +11,7 @@
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.core.exceptions import RequestError
 from briarthread_common.core.metrics import Metrics
+from briarthread_common.core.outcome import NOT_RUN_STATUSES
 from briarthread_common.direct.group_id import GroupId
 from briarthread_common.http.app import ResponseAborted
 from briarthread_common.http.call import Call
@@ -152,7 +153,7 @@
                     self.admission.note_served(request)
                     return
                 case TargetResponse(status=status) if status < SERVER_ERROR:
-                    await _send_response(request, call, outcome)
+                    await self._pass_on(request, call, outcome)
                     return
                 case NotRun(written=False):
                     pass
@@ -364,10 +365,27 @@
     ) -> None:
         last_outcome = failures[-1]
         if isinstance(last_outcome, TargetResponse) and not call.started:
-            await _send_response(request, call, last_outcome)
+            await self._pass_on(request, call, last_outcome)
             return
         raise self._final_error(request, failures)
 
+    async def _pass_on(
+        self, request: DirectRequest, call: Call, response: TargetResponse
+    ) -> None:
+        """
+        Send the caller a target's response, unless it would make a false promise.
+
+        Raise RequestError for a status that promises that a request did not run if
+        the target has not said so and the request may run only once.
+        """
+        if response.status in NOT_RUN_STATUSES and not request.route.retryable:
+            raise RequestError(
+                ErrorKind.TARGET_FAILED,
+                f"the target may have run the request that it answered with "
+                f"{response.status}",
+            )
+        await _send_response(request, call, response)
+
     def _final_error(
         self,
         request: DirectRequest,
--- a/packages/entry/src/briarthread_entry/serving/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/serving/attempt_sender.py
@@ -14,6 +14,7 @@
     RequestError,
     RequestNotSentError,
 )
+from briarthread_common.core.outcome import NOT_RUN_STATUSES
 from briarthread_common.http.app import ResponseAborted
 from briarthread_common.http.call import Call
 from briarthread_common.http.channel import Channel, ChannelRequest, ChannelResponse
@@ -47,6 +48,7 @@
 from briarthread_entry.serving.read_outcome import (
     deadline_passed,
     outcome_unknown,
+    promise_without_proof,
     read_refusal,
     revoked,
 )
@@ -183,6 +185,8 @@
             result = response.headers.get(RESULT_HEADER, "")
             if result != ANSWERED:
                 return read_refusal(result, response)
+            if response.status in NOT_RUN_STATUSES and not request.idempotent:
+                return promise_without_proof(response.status)
             await self._relay_response(request, response, call)
         return ResponseRelayed()
 
--- a/packages/entry/src/briarthread_entry/serving/read_outcome.py
+++ b/packages/entry/src/briarthread_entry/serving/read_outcome.py
@@ -60,6 +60,14 @@
     )
 
 
+def promise_without_proof(status: int) -> Failed:
+    """Return the outcome for a status that promises what no agent has confirmed."""
+    detail = f"the target may have run the request that it answered with {status}"
+    return Failed(
+        RequestError(ErrorKind.TARGET_FAILED, detail, outcome=Outcome.UNKNOWN)
+    )
+
+
 def outcome_unknown(detail: str) -> OutcomeUnknown:
     """Return the outcome of an attempt that may have run or not."""
     return OutcomeUnknown(RequestError(ErrorKind.OUTCOME_UNKNOWN, detail))
--- a/packages/standins/src/briarthread_standins/direct_worker.py
+++ b/packages/standins/src/briarthread_standins/direct_worker.py
@@ -50,11 +50,12 @@
     refuses new requests; running streams stall until ``stalled_until`` and are then cut
     off, and with ``stalls_new`` new requests are refused only then. Until the event
     ``revived`` the worker itself answers nothing and ends no connection.
-    ``refusals`` sets when it responds 503 with Retry-After. ``leaving`` is the
-    value of the server-leaving header, which is omitted for ``None``. Until
-    ``cold_until`` it states in its responses how long it is cold. A request takes
-    ``slow_delay`` instead of ``delay`` if it comes before ``slow_until`` while
-    ``slow_running`` others are in progress; both vary by a log-normal factor with
+    ``refusals`` sets when it responds 503 with Retry-After. Each run takes one of
+    ``run_statuses``, if there is any, and is answered with it and ``run_fields``.
+    ``leaving`` is the value of the server-leaving header, which is omitted for
+    ``None``. Until ``cold_until`` it states in its responses how long it is cold. A
+    request takes ``slow_delay`` instead of ``delay`` if it comes before ``slow_until``
+    while ``slow_running`` others are in progress; both vary by a log-normal factor with
     ``delay_sigma``. A health check takes ``health_delay`` seconds.
     """
 
@@ -86,6 +87,8 @@
         self.stalls_new = False
         self.revived: anyio.Event | None = None
         self.faults: list[WorkerFault] = []
+        self.run_statuses: list[int] = []
+        self.run_fields: HeaderFields = []
         self.runs: Counter[str] = Counter()
         self.received_headers: list[dict[str, str]] = []
         self.received_bodies: list[bytes] = []
@@ -185,6 +188,10 @@
         self, call: Call, headers: dict[str, str], fault: WorkerFault | None
     ) -> None:
         common = self._common_headers(headers)
+        if self.run_statuses:
+            fields = [STAMP_HEADER, *common, *self.run_fields]
+            await call.reply(self.run_statuses.pop(0), b"failed", fields)
+            return
         match fault:
             case WorkerFault.SERVER_ERROR:
                 await call.reply(500, b"broken", [STAMP_HEADER, *common])
--- a/tests/world/test_backoffs.py
+++ b/tests/world/test_backoffs.py
@@ -86,3 +86,21 @@
             assert service.refusals.max_early_requests() <= MAX_EARLY_REQUESTS, name
 
     run_in_world(scenario)
+
+
+@pytest.mark.parametrize(("service", "status"), [("diary", 502), ("cards", 503)])
+def test_targets_own_503_is_passed_on_only_if_the_request_may_run_again(
+    service: str, status: int
+) -> None:
+    """Guards against callers who take a target's failure for a promise not to run."""
+
+    async def scenario(world: World) -> None:
+        request_backoff(
+            world, *(name for name in world.services if name.startswith(service))
+        )
+        answer = await world.call(ENTRIES[0], f"{service}/x", "salon-0", None, b"x")
+        assert answer.status == status
+        if service == "diary":
+            assert answer.headers["briarthread-outcome"] == "unknown"
+
+    run_in_world(scenario)
