Keep the ports of tests for the processes that are told of them

Of 360 starts of three entries, six at a time, 3 failed at first: "cannot listen on 127.0.0.1:21462: Address already in use". Of 200 starts, two at a time, none failed.

Cause: the port was free when it was chosen and taken when the entry listened, by an outgoing connection or another test.

Change: a socket stays bound to the address. Only a server that reuses addresses, as all of ours do, can still listen there. A start that fails now raises an error with the exit code and the log of each entry.

Each line is written at once now.

--- a/tests/processes/endless_target.py
+++ b/tests/processes/endless_target.py
@@ -111,7 +111,7 @@
         connection.settimeout(OPEN_SECONDS)
         for path, request_id in read_requests(connection):
             began, sent = time.monotonic(), 0
-            print(f"request {path}", flush=True)
+            print_line(f"request {path}")
             try:
                 connection.sendall(build_start(kind, request_id))
                 while time.monotonic() < began + OPEN_SECONDS:
@@ -121,10 +121,16 @@
                         time.sleep(TRICKLE_SECONDS)
             except OSError:
                 seconds = time.monotonic() - began
-                print(f"closed {path} {sent} {seconds:.3f}", flush=True)
+                print_line(f"closed {path} {sent} {seconds:.3f}")
             return
 
 
+def print_line(text: str) -> None:
+    """Print a line at once, so that those of other threads do not come between."""
+    sys.stdout.write(f"{text}\n")
+    sys.stdout.flush()
+
+
 def main() -> None:
     """Serve until killed."""
     kind, pace, listen = sys.argv[1:]
--- a/tests/soak/soak_deployment.py
+++ b/tests/soak/soak_deployment.py
@@ -54,6 +54,16 @@
 """
 
 
+LOG_CHARACTERS = 4000
+"""Characters at the end of a log that the report of a failed start has."""
+RESERVATIONS: list[socket.socket] = []
+"""Sockets that keep the ports of processes free until these listen."""
+
+
+class StartError(Exception):
+    """An entry was not ready in time; the text has the logs of all entries."""
+
+
 @dataclass(slots=True)
 class SoakProcess:
     """A process of the deployment and the command that starts it."""
@@ -110,10 +120,22 @@
         peer_addresses = [free_address() for _ in range(self.entry_count)]
         for number in range(self.entry_count):
             self._start_entry(f"entry-{number}", number, store_address, peer_addresses)
-        with anyio.fail_after(START_TIMEOUT_SECONDS):
-            for name in self.entries:
-                while not await self.is_ready(name):
-                    await anyio.sleep(0.1)
+        try:
+            with anyio.fail_after(START_TIMEOUT_SECONDS):
+                for name in self.entries:
+                    while not await self.is_ready(name):
+                        await anyio.sleep(0.1)
+        except TimeoutError as error:
+            raise StartError(self._describe_entries()) from error
+
+    def _describe_entries(self) -> str:
+        """Return the exit code and the end of the log of each entry."""
+        described = []
+        for name, process in self.entries.items():
+            code = process.handle.poll()
+            log = process.log.read_text(encoding="utf-8", errors="replace")
+            described.append(f"{name}, exit code {code}:\n{log[-LOG_CHARACTERS:]}")
+        return "\n".join(described)
 
     async def is_ready(self, entry: str) -> bool:
         """Return whether an entry answers its readiness probe with 200."""
@@ -219,10 +241,17 @@
 
 
 def free_address() -> str:
-    """Return an address that no process listens on now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return "{}:{}".format(*probe.getsockname())
+    """
+    Return an address that only a process that is told of it will use.
+
+    A socket stays bound to it, so that neither an outgoing connection nor another test
+    gets its port before that process listens. A server, which reuses addresses, may.
+    """
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind((HOST, 0))
+    RESERVATIONS.append(reservation)
+    return "{}:{}".format(*reservation.getsockname())
 
 
 def _spawn(command: list[str], log: Path) -> subprocess.Popen[bytes]:
