Let agents that ask each other for a planner not keep its role vacant

Callers feel a skew that nobody mends. Found by a test of engines with unusual reports.

Cause: an agent that learns from another one when a planner was last heard noted that time as now. The others then learned from it that a planner was heard just now, and so on in turn.

Change: it notes when the other agent heard the planner.

Test: test_role_is_taken_again_after_the_planner_was_started_anew fails on the code before.

--- a/packages/agent/src/briarthread_agent/ranks/planner_role.py
+++ b/packages/agent/src/briarthread_agent/ranks/planner_role.py
@@ -9,6 +9,7 @@
 from briarthread_common.direct.platform_adapter import PlatformStore
 from briarthread_common.messages.rank_messages import (
     ANY_GROUP,
+    MAX_PLANNER_SILENCE_SECONDS,
     NO_FENCE,
     RankQuery,
 )
@@ -91,10 +92,16 @@
 
     async def _take_if_vacant(self, group: str, size: int) -> None:
         view = await self.peers.view(group, RankQuery())
-        if any(
-            m.answer.planner_silence < PLANNER_TIMEOUT_SECONDS for m in view.members
-        ):
-            self.controller.planner_seen_at = anyio.current_time()
+        silence = min(
+            (member.answer.planner_silence for member in view.members),
+            default=MAX_PLANNER_SILENCE_SECONDS,
+        )
+        if silence < PLANNER_TIMEOUT_SECONDS:
+            # Not now: agents that defer to each other would never end it.
+            seen_at = anyio.current_time() - silence
+            self.controller.planner_seen_at = max(
+                self.controller.planner_seen_at, seen_at
+            )
             return
         answered = {member.address for member in view.members} - view.unresponsive
         if len(answered) < min(size, MIN_ANSWERS):
--- a/tests/ranks/test_unresponsive_agents.py
+++ b/tests/ranks/test_unresponsive_agents.py
@@ -84,6 +84,20 @@
     run_in_group_world(scenario, ranks=6)
 
 
+def test_role_is_taken_again_after_the_planner_was_started_anew() -> None:
+    """Guards against agents that defer to each other and so keep a role vacant."""
+
+    async def scenario(world: GroupWorld) -> None:
+        await anyio.sleep(3)
+        planner = world.planner()
+        world.kill_agent(planner)
+        world.start_agent(planner)
+        await anyio.sleep(6)
+        assert world.planner() is not None
+
+    run_in_group_world(scenario)
+
+
 def test_map_does_not_change_while_a_rank_has_no_engine() -> None:
     async def scenario(world: GroupWorld) -> None:
         await anyio.sleep(3)
