Bound the time before a connection's first request, and that of a head

Cause: the server starts its idle timer only when a response is complete, and the time limit of a head was decoded and used nowhere. Readiness ignored the bound on connections.

A head has to be complete in its time, but a request that is being served is not cut off by a part of the next one. An entry that takes no new connection is not ready.

--- a/packages/common/src/briarthread_common/http/caller_connections.py
+++ b/packages/common/src/briarthread_common/http/caller_connections.py
@@ -69,7 +69,7 @@
 
     def open(self) -> bool:
         """Count a new connection; return false if it has to be rejected."""
-        if self.count >= self.bounds.most:
+        if self.rejects():
             if not self.is_full:
                 logger.warning("callers: all {} connections are open", self.count)
             self.is_full = True
@@ -83,6 +83,10 @@
         """Stop counting a connection that was open."""
         self.count -= 1
 
+    def rejects(self) -> bool:
+        """Return whether a new connection would be rejected now."""
+        return self.count >= self.bounds.most
+
     def is_crowded(self) -> bool:
         """Return whether connections are to be closed after their responses."""
         return self.count > self.bounds.kept
--- a/packages/common/src/briarthread_common/http/server.py
+++ b/packages/common/src/briarthread_common/http/server.py
@@ -19,6 +19,8 @@
 
 KEEPALIVE_SECONDS = 75
 """Longer than the client's idle timeout, so that the client closes first."""
+HEAD_SECONDS = 10.0
+"""Time in seconds that a client may take for the head of a request by default."""
 BACKLOG = 2048
 UVICORN_LOGGER = logging.getLogger("uvicorn.error")
 """uvicorn's logger. It writes a traceback for each response that is truncated on
@@ -68,6 +70,7 @@
             timeout_graceful_shutdown=int(drain_timeout) + 1,
         )
         self.config.caller_connections = caller_connections
+        self.config.head_timeout = HEAD_SECONDS
         self.server = _Server(self.config)
 
     async def run(self, on_drain: Callable[[], Awaitable[None]]) -> None:
@@ -83,6 +86,10 @@
         """Set the idle timeout of connections, existing ones included."""
         self.config.timeout_keep_alive = seconds
 
+    def set_head_timeout(self, seconds: float) -> None:
+        """Set the time that a client may take for the head of a request."""
+        self.config.head_timeout = seconds
+
     async def _wait_signal(self, on_drain: Callable[[], Awaitable[None]]) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
--- a/packages/common/src/briarthread_common/http/server_protocol.py
+++ b/packages/common/src/briarthread_common/http/server_protocol.py
@@ -21,10 +21,12 @@
 
 class LimitedProtocol(HttpToolsProtocol):
     """
-    A connection with a limited request head and a configurable idle timeout.
+    A connection with limits on a request's head and on the time that a client takes.
 
-    The idle timeout is read from the configuration whenever the connection becomes
-    idle. The parser limits nothing by itself, so the bytes of a head are counted as
+    The timeouts are read from the configuration when they begin. A connection is idle
+    from its start until the first byte of a request, and from a response until the
+    next one. If many are open, one that has carried no request has only the time of a
+    head. The parser limits nothing by itself, so the bytes of a head are counted as
     they arrive; too many of them end the connection with the response to a malformed
     request.
 
@@ -38,6 +40,7 @@
     head_bytes = 0
     incomplete_head_bytes = 0
     is_counted = False
+    head_timer: asyncio.TimerHandle | None = None
 
     @property
     def timeout_keep_alive(self) -> float:
@@ -55,9 +58,20 @@
             transport.abort()
             return
         super().connection_made(transport)
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self._first_byte_timeout(), self.timeout_keep_alive_handler
+        )
+
+    def _first_byte_timeout(self) -> float:
+        """Return the time in seconds within which the first request has to begin."""
+        connections: CallerConnections | None = self.config.caller_connections
+        is_crowded = self.is_counted and connections.is_crowded()
+        return self.config.head_timeout if is_crowded else self.timeout_keep_alive
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop serving a connection that has ended."""
+        self._unset_keepalive_if_required()
+        self._stop_head_timer()
         if self.is_counted:
             self.is_counted = False
             self.config.caller_connections.close()
@@ -76,10 +90,31 @@
         self._unset_keepalive_if_required()
         self._parse(data)
         if self.in_head:
+            self._start_head_timer()
             self.incomplete_head_bytes += len(data)
             if self.incomplete_head_bytes > MAX_HEADER_BYTES:
                 self.send_400_response("The head of the request is too large.")
 
+    def _start_head_timer(self) -> None:
+        """Close the connection unless the head is complete in time."""
+        if self.head_timer is None:
+            self.head_timer = self.loop.call_later(
+                self.config.head_timeout, self._end_slow_head
+            )
+
+    def _end_slow_head(self) -> None:
+        """Close the connection, but not while an earlier request is being served."""
+        self.head_timer = None
+        if self.cycle is not None and not self.cycle.response_complete:
+            self._start_head_timer()
+        else:
+            self.transport.close()
+
+    def _stop_head_timer(self) -> None:
+        if self.head_timer is not None:
+            self.head_timer.cancel()
+            self.head_timer = None
+
     def _parse(self, data: bytes) -> None:
         try:
             self.parser.feed_data(data)
@@ -110,6 +145,7 @@
     def on_headers_complete(self) -> None:
         """Note that the head is complete; begin the request unless it offers more."""
         self.in_head = False
+        self._stop_head_timer()
         self.offers_upgrade = self.parser.should_upgrade()
         if not self.offers_upgrade:
             self.scope[EMPTY_QUERY] = self.url.endswith(b"?")
--- a/packages/entry/src/briarthread_entry/commands/direct.py
+++ b/packages/entry/src/briarthread_entry/commands/direct.py
@@ -69,6 +69,7 @@
         app = PortApp({port: entry.app}, entry.peer_app)
         connections = CallerConnections(settings.connection_bounds, port)
         entry.handler.is_crowded = connections.is_crowded
+        entry.is_full = connections.rejects
         connections.on_rejected = entry.metrics.rejected_connections.inc
         entry.metrics.caller_connections.set_function(lambda: connections.count)
         server = HttpServer(
@@ -81,7 +82,7 @@
         async with anyio.create_task_group() as tasks:
             entry.start(tasks)
             tasks.start_soon(reload_on_signal, path, load_direct_settings, entry.apply)
-            tasks.start_soon(_update_idle_timeout, entry, server)
+            tasks.start_soon(_update_timeouts, entry, server)
             logger.info(
                 "entry: {} listens for callers on {}",
                 settings.name,
@@ -105,8 +106,8 @@
         )
 
 
-async def _update_idle_timeout(entry: DirectEntry, server: HttpServer) -> None:
-    """Apply the idle timeout of each new configuration to callers' connections."""
+async def _update_timeouts(entry: DirectEntry, server: HttpServer) -> None:
+    """Apply the timeouts of each new configuration to callers' connections."""
     number = 0
     while True:
         await entry.feeds.routes.wait_for_newer(number)
@@ -114,3 +115,4 @@
         routes = entry.routes.current()
         if routes is not None:
             server.set_idle_timeout(routes.limits.idle_timeout)
+            server.set_head_timeout(routes.limits.header_timeout)
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -1,7 +1,7 @@
 """Composition of an entry that sends to targets directly."""
 
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import replace as replace_field
 
 import anyio
@@ -73,7 +73,7 @@
 
     ``app`` serves callers, ``peer_app`` other entries and operators. There are separate
     channels for targets, peers and the platform, since each of them needs other
-    timeouts.
+    timeouts. ``is_full`` returns whether it rejects new connections of callers.
     """
 
     def __init__(
@@ -91,6 +91,7 @@
         self.events = EventLog(clock, "entry")
         self.memory = MemoryBudget(settings.memory_mb, self.metrics, self.events)
         self.draining = False
+        self.is_full: Callable[[], bool] = _is_never_full
         self.feeds = FeedSet(DIRECT_FEEDS)
         self.directory = Directory(self.feeds.instances)
         self.store = adapter.open_store(store_channel, settings.store)
@@ -309,6 +310,8 @@
             return "no configuration yet"
         if not self.feeds.targets.items:
             return "no targets known yet"
+        if self.is_full():
+            return "all connections of callers are open"
         return ""
 
     def _discard_removed_targets(self) -> None:
@@ -443,3 +446,7 @@
             },
             "ready": self.ready() or "yes",
         }
+
+
+def _is_never_full() -> bool:
+    return False
--- a/tests/direct/test_configuration.py
+++ b/tests/direct/test_configuration.py
@@ -254,3 +254,17 @@
             assert (await world.call(name, "/v2/1")).status == 200
 
     run_in_direct_world(scenario, ENTRIES)
+
+
+def test_entry_that_takes_no_new_connection_is_not_ready() -> None:
+    """Guards against callers who are sent to an entry that resets them all."""
+
+    async def scenario(world: DirectWorld) -> None:
+        entry = world.entries["entry-1"]
+        assert not entry.ready()
+        entry.is_full = lambda: True
+        assert "connections" in entry.ready()
+        entry.is_full = lambda: False
+        assert not entry.ready()
+
+    run_in_direct_world(scenario)
