--- a/packages/common/src/briarthread_common/http/call.py
+++ b/packages/common/src/briarthread_common/http/call.py
@@ -29,15 +29,29 @@
         "accept-charset",
         "accept-encoding",
         "accept-language",
+        "baggage",
         "cache-control",
         "connection",
+        "content-language",
         "forwarded",
+        "if-match",
+        "if-none-match",
+        "link",
         "pragma",
+        "prefer",
+        "te",
+        "tracestate",
+        "trailer",
         "via",
+        "warning",
         "x-forwarded-for",
     }
 )
-"""Headers whose values are lists, so that several lines mean the same as one."""
+"""
+Headers of requests whose values are lists, so that several lines mean the same as one.
+
+They are those of RFC 9110 and RFC 9111, and of W3C's Baggage and Trace Context.
+"""
 REPLY_TIMEOUT_SECONDS = 5.0
 """Time limit for sending a complete response to a slow client."""
 
