Accept numbers below zero in the configuration and in engines' reports as before

The types that bound whole numbers also refused those below zero, which the code before took. Both are bounded to either side now. Rows of targets keep what they had: no slots and no cold time below zero.

--- a/packages/common/src/briarthread_common/core/decoding.py
+++ b/packages/common/src/briarthread_common/core/decoding.py
@@ -25,8 +25,10 @@
 """Whole number from zero on in JSON, in a range that allows any calculation."""
 Integer = Annotated[int, msgspec.Meta(ge=-MAX_WHOLE_NUMBER, le=MAX_WHOLE_NUMBER)]
 """Whole number of either sign in JSON."""
-MAX_AMOUNT = float(MAX_WHOLE_NUMBER)
-Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+MAX_NUMBER = float(MAX_WHOLE_NUMBER)
+Number = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+"""Number of either sign in JSON."""
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 """Number from zero on in JSON, such as a time."""
 WHOLE_NUMBER = re.compile(rf"[0-9]{{1,{MAX_DIGITS}}}")
 JSON_STRING = re.compile(rb'"(?>[^"\\]+|\\.)*+"?', re.DOTALL)
--- a/packages/common/src/briarthread_common/direct/rank_state.py
+++ b/packages/common/src/briarthread_common/direct/rank_state.py
@@ -2,15 +2,15 @@
 
 from dataclasses import dataclass
 
-from briarthread_common.core.decoding import WholeNumber
+from briarthread_common.core.decoding import Integer
 
 
 @dataclass(frozen=True, slots=True)
 class ArmedMap:
     """A map to which a rank switches at the start of pass ``step``."""
 
-    version: WholeNumber
-    step: WholeNumber
+    version: Integer
+    step: Integer
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,14 +26,14 @@
     """
 
     group: str
-    epoch: WholeNumber
-    rank: WholeNumber
-    size: WholeNumber
+    epoch: Integer
+    rank: Integer
+    size: Integer
     serving: bool
-    step: WholeNumber
-    map_version: WholeNumber
-    prepared: WholeNumber | None = None
+    step: Integer
+    map_version: Integer
+    prepared: Integer | None = None
     armed: ArmedMap | None = None
-    held: WholeNumber | None = None
-    running: WholeNumber = 0
+    held: Integer | None = None
+    running: Integer = 0
     slowdown: float = 1.0
