Recognise a request at which targets of a plain service fall silent

Cause: only a connection that a target ends was evidence of a crash. An attempt that ended unanswered was a failure and no more, and that the target was gone some seconds later was not connected with it.

Change: runs that were answered nothing are kept. A request that the entry itself repeated counts once.

Three scenarios of test_request_that_crashed_three_targets_is_blocked failed on the code before and pass.

--- a/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
@@ -23,6 +23,7 @@
 from briarthread_entry.direct.plain_targets import PlainTargets
 from briarthread_entry.direct.rank_runs import GROUP_STALL_SECONDS, RankRuns
 from briarthread_entry.direct.response_relay import ResponseRelay
+from briarthread_entry.direct.silent_runs import SilentRuns
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.target_state import DirectTargetState
 
@@ -56,6 +57,7 @@
         self.metrics = metrics
         self.events = events
         self.rank_runs = RankRuns()
+        self.silent_runs = SilentRuns()
 
     def record(
         self,
@@ -96,6 +98,7 @@
                 reason = f"{factor:.1f} times slower, continuing on another rank"
                 self.events.add("attempt-moved", state.target.name, reason, request.id)
             case TargetSilent(seconds=silent):
+                self._note_silent(request, state, began, progress)
                 self.plain_targets.note_moved(state, silent, running)
                 reason = f"nothing answered for {silent:.3f} s, repeated elsewhere"
                 self.events.add("attempt-moved", state.target.name, reason, request.id)
@@ -120,6 +123,7 @@
         seconds = anyio.current_time() - began
         reason = f"{progress} after {seconds:.3f} s"
         self.events.add("attempt-abandoned", state.target.name, reason, request.id)
+        self._note_silent(request, state, began, relay.progress)
         if anyio.current_time() < request.deadline:
             return
         is_plain = request.service.engine is None
@@ -128,6 +132,38 @@
         ):
             self._note_failed(request, state, "no end of its response by the deadline")
 
+    def note_gone_targets(self) -> None:
+        """Record that the unanswered runs at targets that are gone crashed them."""
+        now = anyio.current_time()
+        for run in self.silent_runs.take_crashed(self._is_gone, now):
+            target = run.state.target
+            reason = f"gone {now - run.began:.1f} s after it was sent the request"
+            self.events.add("target-silent", target.name, reason, run.request.id)
+            self.crashes.note_crash(
+                run.request.digest,
+                target.name,
+                run.began,
+                run.began,
+                target.started_ms,
+                silent=True,
+            )
+
+    def _is_gone(self, state: DirectTargetState) -> bool:
+        """Return whether a target ended without having announced it."""
+        registry = self.capacity.registry
+        is_listed = registry.states.get(state.target.name) is state
+        return not is_listed and not registry.is_leaving(state)
+
+    def _note_silent(
+        self,
+        request: DirectRequest,
+        state: DirectTargetState,
+        began: float,
+        progress: AttemptProgress,
+    ) -> None:
+        if request.service.engine is None and progress.head_at is None:
+            self.silent_runs.note(request, state, began)
+
     def _record_run(
         self,
         request: DirectRequest,
@@ -164,6 +200,7 @@
                 self.crashes.note_alive(name, began, started_ms)
             case OutcomeUnknown(connection_lost=True) if (
                 not self.capacity.registry.is_leaving(state)
+                and not self.silent_runs.has_run(request)
             ):
                 in_group = request.service.engine is not None
                 silent_seconds = now - progress.last_received_at(began)
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -316,6 +316,7 @@
 
     def _discard_removed_targets(self) -> None:
         """Drop what is known of removed targets, such as their limits."""
+        self.runner.attempt_recorder.note_gone_targets()
         self.limits.retain(self.registry.states)
         self.tokens.retain(self.registry.states)
         self.leaving_targets.retain(self.registry.states)
@@ -337,6 +338,7 @@
         self.leaving_targets.discard(names)
         self.crashes.discard_running(names)
         self.peer_reports.discard_former_runs(names)
+        self.runner.attempt_recorder.note_gone_targets()
         self._assume_cold(names, "restart")
 
     def _end_evacuation(self, names: Sequence[str]) -> None:
--- a/packages/standins/src/briarthread_standins/crash_scenario.py
+++ b/packages/standins/src/briarthread_standins/crash_scenario.py
@@ -13,9 +13,10 @@
     ``rate`` ordinary requests per second arrive at ``entries`` in three data centres;
     ``identical_share`` of them are identical. Every ``crash_interval`` seconds a
     request arrives that crashes the target that starts it; the target restarts after
-    ``down_seconds``. Its caller retries it ``retries`` times, and waits for Retry-After
-    if it ``honours_retry_after``. ``kind`` is that of the route. Each second
-    ``crashes_per_second`` targets, chosen at random, crash by themselves.
+    ``down_seconds``, as another one for the list if it was ``silent`` meanwhile instead
+    of ending its connections. Its caller retries it ``retries`` times, and waits for
+    Retry-After if it ``honours_retry_after``. ``kind`` is that of the route. Each
+    second ``crashes_per_second`` targets, chosen at random, crash by themselves.
     """
 
     entries: int = 3
@@ -28,6 +29,7 @@
     retries: int = 1
     honours_retry_after: bool = True
     down_seconds: float = 3.0
+    silent: bool = False
     crashes_per_second: int = 0
     seconds: float = 30.0
     seed: int = 1
@@ -42,5 +44,10 @@
     ),
     "ranks": CrashScenario(crash_interval=4.0, rate=8.0, seconds=40.0),
     "plain, 24 entries": replace(PLAIN_SERVICE, entries=24),
+    "plain, silent, safe": replace(PLAIN_SERVICE, silent=True),
+    "plain, silent, unsafe": replace(PLAIN_SERVICE, silent=True, kind="unsafe"),
+    "plain, silent, 24 entries": replace(
+        PLAIN_SERVICE, silent=True, kind="unsafe", entries=24, targets=12
+    ),
 }
 """Scenarios in which one request crashes its targets repeatedly."""
--- a/packages/standins/src/briarthread_standins/crash_simulation.py
+++ b/packages/standins/src/briarthread_standins/crash_simulation.py
@@ -148,8 +148,27 @@
             self.down.add(worker.name)
             self.tasks.start_soon(self._stop_and_restart, worker)
 
+    async def _fall_silent(self, worker: DirectWorker) -> None:
+        """Let a target answer nothing for a while, and list it under another name."""
+        name = worker.name
+        worker.revived = anyio.Event()
+        await anyio.sleep(self.scenario.down_seconds)
+        self.world.store.delete("servers", name)
+        base, _, boot = name.partition("+")
+        worker.name = f"{base}+{int(boot or 0) + 1}"
+        self.world.addresses[worker.name] = self.world.addresses[name]
+        self.world.register_worker(
+            worker.name, self.scenario.service, data_centre_of(base)
+        )
+        worker.revived.set()
+        worker.revived = None
+        self.down.discard(name)
+
     async def _stop_and_restart(self, worker: DirectWorker) -> None:
         """Stop a target for a while; a rank breaks its whole group."""
+        if self.scenario.silent:
+            await self._fall_silent(worker)
+            return
         address = self.world.addresses[worker.name]
         site = self.world.network.nodes[address].site
         self.world.network.close(address)
--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -56,6 +56,13 @@
         PLAIN_SERVICE, crashes_per_second=2, rate=100.0, entries=9, down_seconds=2.0
     ),
     "ranks": CrashScenario(crashes_per_second=1, rate=8.0, down_seconds=0.5),
+    "silent": replace(PLAIN_SERVICE, crashes_per_second=1, silent=True),
+    "silent, unsafe": replace(
+        PLAIN_SERVICE, kind="unsafe", crashes_per_second=1, silent=True
+    ),
+    "silent, under load": replace(
+        PLAIN_SERVICE, crashes_per_second=1, silent=True, rate=100.0, entries=9
+    ),
 }
 
 
