Log the call number of the connection with each served request

Neither logs nor metrics could tell whether the answer came over a connection that had carried others. Change: the line 'request-served' ends with 'call N of its connection', and the counter briarthread_target_connections counts the connections opened to targets, so that handshakes can be compared. A line for each refused answer ('attempt-failed ... response to another request') was there. No decision depends on either.

--- a/packages/common/src/briarthread_common/core/metrics.py
+++ b/packages/common/src/briarthread_common/core/metrics.py
@@ -150,6 +150,11 @@
             ["result"],
             registry=self.registry,
         )
+        self.target_connections = Counter(
+            "briarthread_target_connections",
+            "Connections that were opened to targets.",
+            registry=self.registry,
+        )
         self.former_run_reports = Counter(
             "briarthread_former_run_reports",
             "Reports on former runs of targets that were ignored, by what they state.",
--- a/packages/common/src/briarthread_common/http/call_connection.py
+++ b/packages/common/src/briarthread_common/http/call_connection.py
@@ -2,7 +2,7 @@
 
 import socket
 import struct
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import anyio
@@ -24,14 +24,15 @@
     After a graceful close the kernel still delivers a request that its target has not
     read, so the target would work on it although nobody waits for the response. The
     kernel also resets the connection if the process ends during a call. ``bounds`` are
-    those of the current response; ``ended`` is true once the target has closed the
-    connection.
+    those of the current response, ``calls`` is the number of calls with the current
+    one; ``ended`` is true once the target has closed the connection.
     """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self.stream = stream
         self.socket: socket.socket = stream.get_extra_info("socket")
         self.in_call = False
+        self.calls = 0
         self.ended = False
         self.bounds = ResponseBounds()
 
@@ -57,6 +58,7 @@
         """Send a part of a request."""
         if not self.in_call:
             self.in_call = True
+            self.calls += 1
             self.bounds = ResponseBounds()
         await self.stream.write(buffer, timeout)
 
@@ -83,7 +85,10 @@
 
 
 class CallBackend(httpcore.AnyIOBackend):
-    """Open the connections of a channel's pools."""
+    """Open the connections of a channel's pools; ``on_opened`` is called for each."""
+
+    def __init__(self, on_opened: Callable[[], None]) -> None:
+        self.on_opened = on_opened
 
     async def connect_tcp(
         self,
@@ -110,4 +115,5 @@
             raise RequestNotSentError(
                 f"{host}:{port} closed the connection at once: {error}"
             ) from error
+        self.on_opened()
         return connection
--- a/packages/common/src/briarthread_common/http/channel.py
+++ b/packages/common/src/briarthread_common/http/channel.py
@@ -33,7 +33,8 @@
     order; names are lower case. Iterating over ``body`` raises BrokenCallError
     if the body is truncated. With ``ends_with_connection`` the body has neither a
     length nor chunks, so that a truncated one is recognised only if the connection is
-    reset (RFC 9112, 6.3).
+    reset (RFC 9112, 6.3). ``call_number`` is the number of calls that the connection
+    has carried, with this one.
     """
 
     status: int
@@ -41,6 +42,7 @@
     body: AsyncIterator[bytes]
     fields: tuple[tuple[str, str], ...] = ()
     ends_with_connection: bool = False
+    call_number: int = 1
 
 
 class Channel(Protocol):
--- a/packages/common/src/briarthread_common/http/http_channel.py
+++ b/packages/common/src/briarthread_common/http/http_channel.py
@@ -1,6 +1,6 @@
 """Channel that calls over HTTP with httpcore."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import anyio
@@ -28,10 +28,12 @@
 
     A pool searches all its connections at each call, so with a single pool for
     all addresses the cost of a call would grow with the number of peers.
+    ``on_opened`` is called for each new connection.
     """
 
     def __init__(self, options: ChannelOptions | None = None) -> None:
         self.options = options or ChannelOptions()
+        self.on_opened: Callable[[], None] = _ignore
         self.pools: dict[tuple[str, bool], httpcore.AsyncConnectionPool] = {}
         self.extensions = {"timeout": {"connect": self.options.connect_timeout}}
 
@@ -59,6 +61,7 @@
                     _body(response, connection),
                     fields,
                     FRAMING_HEADERS.isdisjoint(headers),
+                    connection.calls,
                 )
         except httpcore.ConnectError as error:
             raise ConnectionRefused(_describe_error(request, error)) from error
@@ -93,7 +96,7 @@
                 else self.options.max_idle,
                 keepalive_expiry=self.options.keepalive_seconds,
                 socket_options=self.options.socket_options(),
-                network_backend=CallBackend(),
+                network_backend=CallBackend(lambda: self.on_opened()),
             )
             self.pools[address, new_connection] = pool
         return pool
@@ -148,3 +151,7 @@
             await anyio.lowlevel.checkpoint()
         yield chunk
     await connection.end_call()
+
+
+def _ignore() -> None:
+    """Ignore a new connection."""
--- a/packages/entry/src/briarthread_entry/commands/direct.py
+++ b/packages/entry/src/briarthread_entry/commands/direct.py
@@ -94,16 +94,18 @@
         return ExitCode.DONE
 
     def _build(self, settings: DirectSettings) -> DirectEntry:
-        adapter = load_adapter(settings.adapter)
-        return DirectEntry(
+        targets = HttpChannel(TARGET_CHANNEL_OPTIONS)
+        entry = DirectEntry(
             settings,
-            adapter,
-            HttpChannel(TARGET_CHANNEL_OPTIONS),
+            load_adapter(settings.adapter),
+            targets,
             HttpChannel(PEER_CHANNEL_OPTIONS),
             HttpChannel(STORE_CHANNEL_OPTIONS),
             Clock.from_system(),
             random.SystemRandom(),
         )
+        targets.on_opened = entry.metrics.target_connections.inc
+        return entry
 
 
 async def _update_timeouts(entry: DirectEntry, server: HttpServer) -> None:
--- a/packages/entry/src/briarthread_entry/direct/attempt_progress.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_progress.py
@@ -9,12 +9,15 @@
     State how much of the response to an attempt has been received.
 
     ``head_at`` and ``last_event_at`` are times on the event loop's clock, ``None``
-    before the head or the first event. ``events`` is the number of events.
+    before the head or the first event. ``events`` is the number of events,
+    ``call_number`` that of the calls on the connection with this one, 0 before the
+    head.
     """
 
     head_at: float | None = None
     events: int = 0
     last_event_at: float | None = None
+    call_number: int = 0
 
     def last_received_at(self, began: float) -> float:
         """
--- a/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
@@ -80,9 +80,9 @@
         match outcome:
             case StreamRelayed():
                 result = _describe_stream(request, outcome)
-                self._note_served(request, state, result, seconds)
+                self._note_served(request, state, result, seconds, progress)
             case TargetResponse(status=status) if status < SERVER_ERROR:
-                self._note_served(request, state, str(status), seconds)
+                self._note_served(request, state, str(status), seconds, progress)
             case TargetResponse(status=status) if self._backing_off(state, status):
                 self._note_attempt_failed(
                     request, state, "the target requested a backoff"
@@ -221,10 +221,14 @@
         state: DirectTargetState,
         result: str,
         seconds: float,
+        progress: AttemptProgress,
     ) -> None:
         state.note_success(seconds)
         waited = anyio.current_time() - seconds - request.arrived
-        reason = f"{result} in {seconds:.3f} s, sent after {waited:.3f} s"
+        reason = (
+            f"{result} in {seconds:.3f} s, sent after {waited:.3f} s, "
+            f"call {progress.call_number} of its connection"
+        )
         self.events.add("request-served", state.target.name, reason, request.id)
 
     def _backing_off(self, state: DirectTargetState, status: int) -> bool:
--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -83,7 +83,7 @@
                 async with self.channel.stream(channel_request) as response:
                     self._check_request_id(request, response)
                     self._record_head(state, response, sent_at, number)
-                    relay.note_head()
+                    relay.note_head(response.call_number)
                     outcome = await self._read(request, state, response, relay, number)
                     state.unanswered.note_answer(number, anyio.current_time())
                     return outcome
--- a/packages/entry/src/briarthread_entry/direct/response_relay.py
+++ b/packages/entry/src/briarthread_entry/direct/response_relay.py
@@ -48,9 +48,13 @@
         self.progress = AttemptProgress()
         self.useless_reads = 0
 
-    def note_head(self) -> None:
-        """Note that the head of the attempt's response has been received."""
-        self.progress = AttemptProgress(anyio.current_time())
+    def note_head(self, call_number: int) -> None:
+        """
+        Note that the head of the attempt's response has been received.
+
+        ``call_number`` is the number of calls on its connection with this one.
+        """
+        self.progress = AttemptProgress(anyio.current_time(), call_number=call_number)
 
     def note_read(self) -> None:
         """Note that bytes of the body have been received."""
