--- a/tests/processes/raw_target.py
+++ b/tests/processes/raw_target.py
@@ -48,7 +48,7 @@
     async def _serve(self, stream: SocketStream) -> None:
         self.connections += 1
         async with stream:
-            headers = await _read_request(stream)
+            headers = await read_request(stream)
             if headers is None:
                 return
             end = self.ends.popleft() if self.ends else ResponseEnd.WHOLE
@@ -87,7 +87,7 @@
             await stream.send(event)
 
 
-async def _read_request(stream: SocketStream) -> dict[str, str] | None:
+async def read_request(stream: SocketStream) -> dict[str, str] | None:
     """Read one request and return its headers, ``None`` if none came."""
     connection = h11.Connection(h11.SERVER)
     headers: dict[str, str] | None = None
--- /dev/null
+++ b/tests/processes/stuttering_target.py
@@ -0,0 +1,94 @@
+"""A target over a real socket that sends answers twice, whole or in part."""
+
+from collections import deque
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+
+from processes.raw_target import read_request
+
+STAMP_BYTES = 24
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """
+    What a target sends for one request.
+
+    ``late`` is the number of bytes of a second answer to the request before it on the
+    connection that come first, ``surplus`` the number of bytes of a second answer to
+    this request that come with the answer. A body of ``size`` bytes is sent with its
+    length, or in chunks.
+    """
+
+    status: int = 200
+    late: int = 0
+    surplus: int = 0
+    size: int = 40
+    chunked: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that a target has answered; connections are numbered from 1."""
+
+    id: str
+    status: int
+    body: bytes
+    connection: int
+
+
+class StutteringTarget:
+    """
+    Serve connections that are kept; each request takes the next of ``answers``.
+
+    Without any left it is answered once, with 200. ``arrivals`` are the requests that
+    came, ``connections`` the number of connections.
+    """
+
+    def __init__(self) -> None:
+        self.answers: deque[Answer] = deque()
+        self.arrivals: list[Arrival] = []
+        self.connections = 0
+
+    async def start(self, tasks: TaskGroup) -> str:
+        """Listen on a free port of the loopback interface and return the address."""
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        tasks.start_soon(listener.serve, self._serve)
+        port = listener.extra(SocketAttribute.local_port)
+        return f"127.0.0.1:{port}"
+
+    async def _serve(self, stream: SocketStream) -> None:
+        self.connections += 1
+        number = self.connections
+        before = b""
+        async with stream:
+            while (headers := await read_request(stream)) is not None:
+                answer = self.answers.popleft() if self.answers else Answer()
+                request_id = headers.get("x-request-id", "")
+                data, body = build_answer(answer, request_id)
+                self.arrivals.append(Arrival(request_id, answer.status, body, number))
+                try:
+                    await stream.send(
+                        before[: answer.late] + data + data[: answer.surplus]
+                    )
+                except anyio.BrokenResourceError:
+                    return
+                before = data
+
+
+def build_answer(answer: Answer, request_id: str) -> tuple[bytes, bytes]:
+    """Return the bytes of a whole answer, and the body in it."""
+    text = f"{answer.status} to {request_id}".encode()
+    body = text.ljust(answer.size, b".")
+    framing = "Transfer-Encoding: chunked" if answer.chunked else None
+    head = (
+        f"HTTP/1.1 {answer.status} Reason\r\n"
+        f"X-Request-Id: {request_id}\r\n"
+        f"X-Server-Stamp: {request_id.rjust(STAMP_BYTES, '0')}\r\n"
+        f"{framing or f'Content-Length: {len(body)}'}\r\n\r\n"
+    ).encode()
+    if answer.chunked:
+        return head + b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body), body
+    return head + body, body
