Take no part of an earlier response for the head of the next

What callers saw: a success where the target had answered with another status. Cause: a call went out on a kept connection whose next bytes were not those of its response, and the parser joined them with the response. Class: what the bytes on a connection answer was taken from their place, not from themselves. Change: a head on a kept connection that has another status line in it is refused; the end of a response in chunks is exact; CallConnection keeps what was received and not read, and starts no call on a connection with unread bytes, but on another one. An address that sends bytes which no call asked for gets new connections for 5 s. Such bytes are logged and counted (briarthread_surplus_bytes). Why it holds: the status line of a response is always in what the parser took for the head, since it can not begin a line there.

--- a/packages/common/src/briarthread_common/core/exceptions.py
+++ b/packages/common/src/briarthread_common/core/exceptions.py
@@ -52,6 +52,10 @@
     """Nothing of the call was sent, so the server cannot have received it."""
 
 
+class UnreadBytesError(RequestNotSentError):
+    """The call was not sent, since unread bytes lay on its connection."""
+
+
 class ConnectionRefused(RequestNotSentError):  # noqa: N818
     """The connection was refused: no process listens on the address."""
 
@@ -64,6 +68,10 @@
     """A response was received but isn't a valid response to the call."""
 
 
+class ForeignResponseError(InvalidResponseError):
+    """The response belongs to another call."""
+
+
 class PlatformError(BriarthreadError):
     """The platform did not answer, or its answer violates its interface."""
 
--- a/packages/common/src/briarthread_common/core/metrics.py
+++ b/packages/common/src/briarthread_common/core/metrics.py
@@ -155,6 +155,11 @@
             "Connections that were opened to targets.",
             registry=self.registry,
         )
+        self.surplus_bytes = Counter(
+            "briarthread_surplus_bytes",
+            "Times that a target sent bytes that no call asked for.",
+            registry=self.registry,
+        )
         self.former_run_reports = Counter(
             "briarthread_former_run_reports",
             "Reports on former runs of targets that were ignored, by what they state.",
--- a/packages/common/src/briarthread_common/http/call_connection.py
+++ b/packages/common/src/briarthread_common/http/call_connection.py
@@ -1,20 +1,29 @@
 """Connections of a channel, which are reset if a call on them is abandoned."""
 
+import os
 import socket
 import struct
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Any
 
 import anyio
 import httpcore
 
-from briarthread_common.core.exceptions import BrokenCallError, RequestNotSentError
+from briarthread_common.core.exceptions import (
+    BrokenCallError,
+    RequestNotSentError,
+    UnreadBytesError,
+)
 from briarthread_common.http.response_bounds import HEAD_READ_BYTES, ResponseBounds
 
 RESET_ON_CLOSE = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 """Socket option with which a close discards undelivered bytes."""
 GRACEFUL_CLOSE = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 0, 0))
 """Socket option with which a close still delivers them."""
+RECEIVE_BYTES = 1024 * 1024
+"""Bytes that are taken from a stream at a time, more than an event loop delivers at
+once, so that the stream keeps none."""
 
 
 class CallConnection(httpcore.AsyncNetworkStream):
@@ -25,16 +34,22 @@
     read, so the target would work on it although nobody waits for the response. The
     kernel also resets the connection if the process ends during a call. ``bounds`` are
     those of the current response, ``calls`` is the number of calls with the current
-    one; ``ended`` is true once the target has closed the connection.
+    one; ``unread`` are bytes that were received and not read yet; ``ended`` is true
+    once the target has closed the connection. ``on_surplus`` is called for bytes that
+    no call asked for and that came later than the response before them.
     """
 
-    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+    def __init__(
+        self, stream: httpcore.AsyncNetworkStream, on_surplus: Callable[[], None]
+    ) -> None:
         self.stream = stream
+        self.on_surplus = on_surplus
         self.socket: socket.socket = stream.get_extra_info("socket")
         self.in_call = False
         self.calls = 0
         self.ended = False
         self.bounds = ResponseBounds()
+        self.unread = b""
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """
@@ -46,7 +61,8 @@
         self.bounds.check(anyio.current_time())
         if self.bounds.in_head:
             max_bytes = min(max_bytes, HEAD_READ_BYTES)
-        data = await self.stream.read(max_bytes, timeout)
+        received = self.unread or await self.stream.read(RECEIVE_BYTES, timeout)
+        data, self.unread = received[:max_bytes], received[max_bytes:]
         if not data:
             self.ended = True
             if self.bounds.in_head:
@@ -55,8 +71,15 @@
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Send a part of a request."""
+        """
+        Send a part of a request.
+
+        Raise UnreadBytesError if the request is not begun because of bytes that the
+        parser would take for its response.
+        """
         if not self.in_call:
+            if self.calls and self.has_unread():
+                raise UnreadBytesError("unread bytes on the connection")
             self.in_call = True
             self.calls += 1
             self.bounds = ResponseBounds()
@@ -64,12 +87,23 @@
 
     async def end_call(self) -> None:
         """Note that the response has been read; close if more bytes follow it."""
-        if self.bounds.has_excess() or self.get_extra_info("is_readable"):
+        if self.bounds.has_excess() or self.has_unread():
             await self.aclose()
         self.in_call = False
 
+    def has_unread(self) -> bool:
+        """Return whether there are bytes to read, or the end of the connection."""
+        if not self.unread and not self._is_readable():
+            return False
+        if self.unread or _has_bytes(self.socket):
+            self.on_surplus()
+        return True
+
     async def aclose(self) -> None:
         """Close the connection; reset it during a call."""
+        if self.in_call and self.calls > 1 and self.bounds.is_in_head():
+            # What came cannot have been the head of the response to this call.
+            self.on_surplus()
         is_open = self.socket.fileno() >= 0
         if is_open and not self.in_call:
             self.socket.setsockopt(*GRACEFUL_CLOSE)
@@ -77,18 +111,34 @@
 
     def get_extra_info(self, info: str) -> Any:
         """Return a property of the connection; a closed one is readable."""
+        if info == "is_readable":
+            return self.has_unread()
         try:
             return self.stream.get_extra_info(info)
+        except AttributeError:
+            return None
+
+    def _is_readable(self) -> bool:
+        try:
+            return self.stream.get_extra_info("is_readable")
         except AttributeError:
             # The stream of a closed connection has no socket to ask.
-            return True if info == "is_readable" else None
+            return True
 
 
 class CallBackend(httpcore.AnyIOBackend):
-    """Open the connections of a channel's pools; ``on_opened`` is called for each."""
+    """
+    Open the connections of a channel's pools; ``on_opened`` is called for each.
+
+    ``on_surplus`` is called with the address of a target that has sent bytes that no
+    call asked for.
+    """
 
-    def __init__(self, on_opened: Callable[[], None]) -> None:
+    def __init__(
+        self, on_opened: Callable[[], None], on_surplus: Callable[[str], None]
+    ) -> None:
         self.on_opened = on_opened
+        self.on_surplus = on_surplus
 
     async def connect_tcp(
         self,
@@ -106,7 +156,8 @@
         """
         stream = await super().connect_tcp(host, port, timeout, local_address)
         try:
-            connection = CallConnection(stream)
+            address = f"{host}:{port}"
+            connection = CallConnection(stream, partial(self.on_surplus, address))
             for option in (*(socket_options or ()), RESET_ON_CLOSE):
                 connection.socket.setsockopt(*option)
         except (OSError, AttributeError) as error:
@@ -117,3 +168,12 @@
             ) from error
         self.on_opened()
         return connection
+
+
+def _has_bytes(connection: socket.socket) -> bool:
+    """Return whether a readable socket has bytes, without reading them."""
+    try:
+        with socket.socket(fileno=os.dup(connection.fileno())) as duplicate:
+            return bool(duplicate.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
--- a/packages/common/src/briarthread_common/http/channel.py
+++ b/packages/common/src/briarthread_common/http/channel.py
@@ -55,6 +55,7 @@
         Send a call and return a context manager for its response.
 
         Raise RequestNotSentError if nothing was written, BrokenCallError if
-        something may have been.
+        something may have been. If ForeignResponseError is raised in the context of a
+        response, later calls to the address go over new connections for a while.
         """
         ...
--- a/packages/common/src/briarthread_common/http/http_channel.py
+++ b/packages/common/src/briarthread_common/http/http_channel.py
@@ -1,23 +1,32 @@
 """Channel that calls over HTTP with httpcore."""
 
+import contextlib
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import anyio
 import httpcore
+from loguru import logger
 
 from briarthread_common.core.exceptions import (
     BrokenCallError,
+    ChannelError,
     ConnectionRefused,
+    ForeignResponseError,
     InvalidResponseError,
     RequestNotSentError,
+    UnreadBytesError,
 )
 from briarthread_common.http.call_connection import CallBackend, CallConnection
 from briarthread_common.http.channel import ChannelRequest, ChannelResponse
 from briarthread_common.http.channel_options import ChannelOptions
+from briarthread_common.http.joined_heads import has_joined_heads
 
 FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 """Headers of which a response has one unless its body ends with the connection."""
+DISTRUST_SECONDS = 5.0
+"""Time in seconds for which connections to an address are not reused after it sent
+bytes that no call asked for."""
 CHUNKS_PER_TURN = 64
 """Parts of a body after which other tasks run; they may all be in one read."""
 
@@ -28,41 +37,32 @@
 
     A pool searches all its connections at each call, so with a single pool for
     all addresses the cost of a call would grow with the number of peers.
-    ``on_opened`` is called for each new connection.
+    An address that sends bytes that no call asked for gets a new connection for each
+    call for a while. ``on_opened`` is called for each new connection, ``on_surplus``
+    for each time that such bytes are seen.
     """
 
     def __init__(self, options: ChannelOptions | None = None) -> None:
         self.options = options or ChannelOptions()
         self.on_opened: Callable[[], None] = _ignore
+        self.on_surplus: Callable[[], None] = _ignore
         self.pools: dict[tuple[str, bool], httpcore.AsyncConnectionPool] = {}
+        self.distrusted_until: dict[str, float] = {}
         self.extensions = {"timeout": {"connect": self.options.connect_timeout}}
 
     @asynccontextmanager
     async def stream(self, request: ChannelRequest) -> AsyncIterator[ChannelResponse]:
         """Send a call over a pooled connection; see Channel."""
-        url, fields = _encode(request)
-        response_context = self._pool(request.address, request.new_connection).stream(
-            request.method,
-            url,
-            headers=fields,
-            content=request.body,
-            extensions=self.extensions,
-        )
         connection: CallConnection | None = None
+        may_reuse = not self._needs_new_connection(request)
         try:
-            async with response_context as response:
+            async with AsyncExitStack() as stack:
+                response = await self._begin(stack, request)
                 connection = response.extensions["network_stream"]
-                connection.bounds.end_head(anyio.current_time())
-                fields = _decode_headers(response.headers)
-                headers = dict(fields)
-                yield ChannelResponse(
-                    response.status,
-                    headers,
-                    _body(response, connection),
-                    fields,
-                    FRAMING_HEADERS.isdisjoint(headers),
-                    connection.calls,
-                )
+                yield _read_head(response, connection)
+        except ForeignResponseError:
+            self._note_surplus(request.address)
+            raise
         except httpcore.ConnectError as error:
             raise ConnectionRefused(_describe_error(request, error)) from error
         except (httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
@@ -74,8 +74,11 @@
             raise kind(_describe_error(request, error)) from error
         except httpcore.ProtocolError as error:
             # Bytes that are no response do not mean that the target has ended.
-            is_lost = connection is not None and connection.ended
-            kind = BrokenCallError if is_lost else InvalidResponseError
+            kind: type[ChannelError] = InvalidResponseError
+            if connection is not None and connection.ended:
+                kind = BrokenCallError
+            elif may_reuse and self._is_distrusted(request.address):
+                kind = ForeignResponseError
             raise kind(_describe_error(request, error)) from error
         except (httpcore.NetworkError, httpcore.TimeoutException) as error:
             raise BrokenCallError(_describe_error(request, error)) from error
@@ -86,6 +89,23 @@
             await pool.aclose()
         self.pools.clear()
 
+    async def _begin(
+        self, stack: AsyncExitStack, request: ChannelRequest
+    ) -> httpcore.Response:
+        """Send a call and return its response once the head has been read."""
+        url, fields = _encode(request)
+        while True:
+            pool = self._pool(request.address, self._needs_new_connection(request))
+            response_context = pool.stream(
+                request.method,
+                url,
+                headers=fields,
+                content=request.body,
+                extensions=self.extensions,
+            )
+            with contextlib.suppress(UnreadBytesError):
+                return await stack.enter_async_context(response_context)
+
     def _pool(self, address: str, new_connection: bool) -> httpcore.AsyncConnectionPool:
         pool = self.pools.get((address, new_connection))
         if pool is None:
@@ -96,11 +116,57 @@
                 else self.options.max_idle,
                 keepalive_expiry=self.options.keepalive_seconds,
                 socket_options=self.options.socket_options(),
-                network_backend=CallBackend(lambda: self.on_opened()),
+                network_backend=CallBackend(
+                    lambda: self.on_opened(), self._note_surplus
+                ),
             )
             self.pools[address, new_connection] = pool
         return pool
 
+    def _needs_new_connection(self, request: ChannelRequest) -> bool:
+        return request.new_connection or self._is_distrusted(request.address)
+
+    def _is_distrusted(self, address: str) -> bool:
+        """Return whether an address has sent bytes that no call asked for."""
+        until = self.distrusted_until.get(address)
+        if until is None:
+            return False
+        if anyio.current_time() < until:
+            return True
+        del self.distrusted_until[address]
+        return False
+
+    def _note_surplus(self, address: str) -> None:
+        if not self._is_distrusted(address):
+            logger.info(
+                "channel: {} sent bytes that no call asked for; new connections only "
+                "for {:g} s",
+                address,
+                DISTRUST_SECONDS,
+            )
+        self.distrusted_until[address] = anyio.current_time() + DISTRUST_SECONDS
+        self.on_surplus()
+
+
+def _read_head(
+    response: httpcore.Response, connection: CallConnection
+) -> ChannelResponse:
+    """Return a response whose head is complete, or raise ForeignResponseError."""
+    connection.bounds.end_head(anyio.current_time())
+    reason = response.extensions["reason_phrase"]
+    if connection.calls > 1 and has_joined_heads(reason, response.headers):
+        raise ForeignResponseError("two heads of responses run together")
+    fields = _decode_headers(response.headers)
+    headers = dict(fields)
+    return ChannelResponse(
+        response.status,
+        headers,
+        _body(response, connection),
+        fields,
+        FRAMING_HEADERS.isdisjoint(headers),
+        connection.calls,
+    )
+
 
 def _encode(
     request: ChannelRequest,
@@ -154,4 +220,4 @@
 
 
 def _ignore() -> None:
-    """Ignore a new connection."""
+    """Ignore what happened on a connection."""
--- a/packages/common/src/briarthread_common/http/response_bounds.py
+++ b/packages/common/src/briarthread_common/http/response_bounds.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from briarthread_common.core.exceptions import InvalidResponseError
+from briarthread_common.http.chunked_response import ChunkedResponse
 
 MAX_HEAD_BYTES = 32 * 1024
 """Largest head of a response in bytes, with the interim responses before it. The same
@@ -59,6 +60,7 @@
     body_since: float = 0.0
     body_bytes: int = 0
     small_chunks: int = 0
+    chunked: ChunkedResponse | None = None
 
     def check(self, now: float) -> None:
         """Check what has been received, before more of it is read."""
@@ -81,6 +83,8 @@
         if self.partial_since is None:
             self.partial_since = now
         if not self.in_head:
+            if self.chunked is not None:
+                self.chunked.feed(data)
             return
         self.head += data
         if self.head_since is None:
@@ -93,6 +97,9 @@
         self.in_head = False
         self.partial_since = None
         self.body_since = now
+        if b"chunked" in self.head[: self._head_bytes()].lower():
+            self.chunked = ChunkedResponse()
+            self.chunked.feed(bytes(self.head))
 
     def note_chunk(self, size: int, now: float) -> None:
         """Record a part of the body that has been parsed."""
@@ -108,16 +115,15 @@
         if self.small_chunks > SMALL_CHUNK_BURST + allowed:
             raise InvalidResponseError("body in too many small chunks")
 
-    def has_excess(self) -> bool:
-        """
-        Return whether bytes followed a response whose body has ended.
+    def is_in_head(self) -> bool:
+        """Return whether a head has begun and is not complete."""
+        return self.in_head and self.received > 0
 
-        It is exact for a body with a length. One in chunks ends with an empty line.
-        """
-        head_bytes = self._head_bytes()
-        return self.received > head_bytes + self.body_bytes and not self._is_chunked(
-            head_bytes
-        )
+    def has_excess(self) -> bool:
+        """Return whether bytes followed a response whose body has ended."""
+        if self.chunked is not None:
+            return not self.chunked.ends_exactly()
+        return self.received > self._head_bytes() + self.body_bytes
 
     def _head_bytes(self) -> int:
         """Return the size of the head with the interim responses before it."""
@@ -128,6 +134,3 @@
             if not status or not status[0].startswith(b"1"):
                 break
         return position
-
-    def _is_chunked(self, head_bytes: int) -> bool:
-        return b"chunked" in self.head[:head_bytes].lower()
--- a/tests/processes/stuttering_target.py
+++ b/tests/processes/stuttering_target.py
@@ -51,6 +51,7 @@
         self.answers: deque[Answer] = deque()
         self.arrivals: list[Arrival] = []
         self.connections = 0
+        self.streams: list[SocketStream] = []
 
     async def start(self, tasks: TaskGroup) -> str:
         """Listen on a free port of the loopback interface and return the address."""
@@ -59,8 +60,18 @@
         port = listener.extra(SocketAttribute.local_port)
         return f"127.0.0.1:{port}"
 
+    async def send_unasked(self, data: bytes) -> None:
+        """Send bytes on the newest connection, although no request waits there."""
+        await self.streams[-1].send(data)
+
+    async def close_connections(self) -> None:
+        """Send the end of each connection, as a target that closes idle ones."""
+        for stream in self.streams:
+            await stream.send_eof()
+
     async def _serve(self, stream: SocketStream) -> None:
         self.connections += 1
+        self.streams.append(stream)
         number = self.connections
         before = b""
         async with stream:
@@ -92,3 +103,12 @@
     if answer.chunked:
         return head + b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body), body
     return head + body, body
+
+
+def fill_reads(total: int, request_id: str, surplus: int, chunked: bool) -> Answer:
+    """Return an answer to a request whose head and body have a size in bytes."""
+    for size in range(total):
+        answer = Answer(size=size, surplus=surplus, chunked=chunked)
+        if len(build_answer(answer, request_id)[0]) == total:
+            return answer
+    raise ValueError(f"no answer has {total} bytes")
--- a/tests/processes/test_second_answers.py
+++ b/tests/processes/test_second_answers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from processes.one_target import Caller, Reply, run_before_target
-from processes.stuttering_target import Answer, build_answer
+from processes.stuttering_target import Answer, build_answer, fill_reads
 
 REQUEST_ID = "0" * 16
 WHOLE_BYTES = len(build_answer(Answer(), REQUEST_ID)[0])
@@ -21,15 +21,6 @@
     return f"{reply.status} {reply.body!r}, the target answered {answered}"
 
 
-def answer_of_size(size: int, surplus: int) -> Answer:
-    """Return an answer whose head and body have a size together."""
-    bodies = range(size)
-    body = next(
-        b for b in bodies if len(build_answer(Answer(size=b), REQUEST_ID)[0]) == size
-    )
-    return Answer(size=body, surplus=surplus)
-
-
 async def find_mixed(caller: Caller, first: Answer, second: Answer) -> str:
     """Return what is wrong with two replies, the second after a failure; else none."""
     for reply in (await caller.call(first), await caller.call(second)):
@@ -80,7 +71,9 @@
     async def scenario(caller: Caller) -> None:
         parts = range(10, 100, 5)
         found = [
-            await find_mixed(caller, answer_of_size(size, part), Answer(404))
+            await find_mixed(
+                caller, fill_reads(size, REQUEST_ID, part, False), Answer(404)
+            )
             for part in parts
         ]
         assert not list(filter(None, found))
