Repeat a request whose connection brought the answer to another at the same target

What callers saw: a whole second answer was refused by its id, but the answer behind it was lost with its connection. Where no other target was left the caller got a 502: 50 of 100 safe requests at an only target that sends every second answer again, late. Cause: what came over a kept connection counted as the target's answer to this request. The target was not tried again, and two such answers ejected it. Change: a foreign response on a connection that has carried other calls says nothing of the target. It is no failure of it, and the request may be repeated there, within the route's attempts and the retry budget, over a new connection. Every id and every signature of a head counts, not the last one. A request without an id, which no answer can name, goes over a new connection, and so does a check of a target's name.

--- a/packages/entry/src/briarthread_entry/commands/direct.py
+++ b/packages/entry/src/briarthread_entry/commands/direct.py
@@ -105,6 +105,7 @@
             random.SystemRandom(),
         )
         targets.on_opened = entry.metrics.target_connections.inc
+        targets.on_surplus = entry.metrics.surplus_bytes.inc
         return entry
 
 
--- a/packages/entry/src/briarthread_entry/direct/attempt_outcome.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_outcome.py
@@ -54,11 +54,14 @@
     """
     The attempt may have run, but its response was lost or is invalid.
 
-    ``connection_lost`` is true if the connection ended before the whole response came.
+    ``connection_lost`` is true if the connection ended before the whole response came,
+    ``foreign_response`` if what came over a connection that had carried other requests
+    belongs to one of them. Both say nothing of the target's response to this one.
     """
 
     error: RequestError
     connection_lost: bool = False
+    foreign_response: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
@@ -89,10 +89,9 @@
                 )
             case TargetResponse(status=status):
                 self._note_failed(request, state, f"the target answered {status}")
-            case OutcomeUnknown(connection_lost=True, error=error):
-                reason = _describe_loss(request, error.detail, progress, seconds)
-                self._note_failed(request, state, reason)
-            case NotRun(written=False, error=error) | OutcomeUnknown(error=error):
+            case OutcomeUnknown():
+                self._record_unknown(request, state, outcome, progress, seconds)
+            case NotRun(written=False, error=error):
                 self._note_failed(request, state, error.detail)
             case RankTooSlow(factor=factor):
                 reason = f"{factor:.1f} times slower, continuing on another rank"
@@ -105,6 +104,23 @@
             case NotRun():
                 self._note_refused(request, state, outcome)
 
+    def _record_unknown(
+        self,
+        request: DirectRequest,
+        state: DirectTargetState,
+        outcome: OutcomeUnknown,
+        progress: AttemptProgress,
+        seconds: float,
+    ) -> None:
+        """Record an attempt without a valid response of its own."""
+        reason = outcome.error.detail
+        if outcome.foreign_response:
+            self._note_attempt_failed(request, state, reason)
+            return
+        if outcome.connection_lost:
+            reason = _describe_loss(request, reason, progress, seconds)
+        self._note_failed(request, state, reason)
+
     def record_abandoned(
         self,
         request: DirectRequest,
--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -8,6 +8,7 @@
 from briarthread_common.core.exceptions import (
     BrokenCallError,
     ChannelError,
+    ForeignResponseError,
     InvalidResponseError,
     RequestError,
     RequestNotSentError,
@@ -89,6 +90,10 @@
                     return outcome
         except RequestNotSentError as error:
             return NotRun(_request_error(ErrorKind.NO_TARGET, error), written=False)
+        except ForeignResponseError as error:
+            return OutcomeUnknown(
+                _request_error(ErrorKind.TARGET_FAILED, error), foreign_response=True
+            )
         except InvalidResponseError as error:
             return OutcomeUnknown(_request_error(ErrorKind.TARGET_FAILED, error))
         except ChannelError as error:
@@ -136,11 +141,14 @@
     def _check_request_id(
         self, request: DirectRequest, response: ChannelResponse
     ) -> None:
-        """Raise InvalidResponseError for a response to another request."""
-        if response.headers.get(self.names.request_id, "") != request.id:
-            raise InvalidResponseError(
-                "response to another request or without a request id"
-            )
+        """Raise an error for a response that does not name this request alone."""
+        ids = _values(response, self.names.request_id) or {""}
+        if ids == {request.id}:
+            return
+        kind = (
+            ForeignResponseError if response.call_number > 1 else InvalidResponseError
+        )
+        raise kind("response to another request or without a request id")
 
     def _record_head(
         self,
@@ -184,9 +192,9 @@
         """Raise InvalidResponseError for a success that the target did not produce."""
         if response.status >= 300:
             return
-        if self.names.target_stamp not in response.headers:
+        if len(_values(response, self.names.target_stamp)) != 1:
             raise InvalidResponseError(
-                "success response without the target's signature"
+                "success response without one signature of the target"
             )
         if response.headers.get("content-encoding", "identity") != "identity":
             raise InvalidResponseError("response has an unrequested content encoding")
@@ -225,10 +233,15 @@
             request.path,
             tuple(headers),
             request.body,
-            new_connection=not request.route.retryable,
+            new_connection=not (request.route.retryable and request.id),
         )
 
 
+def _values(response: ChannelResponse, name: str) -> set[str]:
+    """Return the values of a header field, which may come several times."""
+    return {value for field, value in response.fields if field == name}
+
+
 async def _discard_refusal(response: ChannelResponse) -> bool:
     """
     Read a refusal to its end, so that its connection is kept, if it ends soon.
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -18,6 +18,7 @@
 from briarthread_entry.direct.attempt_outcome import (
     DirectOutcome,
     NotRun,
+    OutcomeUnknown,
     RankTooSlow,
     StreamRelayed,
     TargetResponse,
@@ -157,6 +158,9 @@
                     return
                 case NotRun(written=False):
                     pass
+                case OutcomeUnknown(foreign_response=True):
+                    sent += 1
+                    tried.discard(state.target.name)
                 case _:
                     sent += 1
             failures.append(outcome)
--- a/packages/entry/src/briarthread_entry/direct/target_checker.py
+++ b/packages/entry/src/briarthread_entry/direct/target_checker.py
@@ -166,7 +166,12 @@
         """Return the status of a health response and the name in it, empty if none."""
         headers = ((self.names.expected_target, state.target.name),)
         request = ChannelRequest(
-            CHECK_METHOD, state.target.address, path, headers, body=None
+            CHECK_METHOD,
+            state.target.address,
+            path,
+            headers,
+            body=None,
+            new_connection=True,
         )
         async with self.channel.stream(request) as response:
             await discard_bounded(response.body, MAX_HEALTH_BYTES)
