Let no late answer of a target be taken for that to another attempt behind an agent

What callers could see: a success or a failure that the target had given to another request, of another account too. Under an idempotency key the wrong answer was kept and given again for the whole retry horizon.

Cause: an agent reuses its connections to the target, and the next response on one was the response to the next attempt; nothing in it was compared. A target that answers twice, the second time late, thus answers the next attempt. The agent's calls of the target's engine take the same connections, so a late state of the engine could reach a caller too.

Change: requests carry briarthread-attempt-id. A target may return it; a response with another id is foreign, and so is one without an id from a target that returned one before (only one, so that a target that stops returning ids is served). A request that may run only once takes a connection that carried no call unless the target returns ids. Weighed and left: X-Request-Id, which many targets set to ids of their own; a new connection for each request, which costs a handshake a request.

Open: an idempotent request to a target that returns no ids still takes what comes next on its connection.

--- a/packages/agent/src/briarthread_agent/attempts/target_client.py
+++ b/packages/agent/src/briarthread_agent/attempts/target_client.py
@@ -7,6 +7,7 @@
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.exceptions import (
     BrokenCallError,
+    ForeignResponseError,
     RequestError,
     RequestNotSentError,
 )
@@ -18,6 +19,8 @@
 
 LEAVING_HEADER = "target-leaving"
 """Response header in which a target announces that it is shutting down."""
+ATTEMPT_ID_HEADER = "briarthread-attempt-id"
+"""Request header with the attempt's id, which a target may return in its responses."""
 
 
 class TargetClient:
@@ -25,6 +28,7 @@
     Run attempts on the target and buffer its responses.
 
     ``on_leaving`` is called for each response that announces the target's shutdown.
+    ``returns_ids`` is whether the target's last response contained an attempt's id.
     """
 
     def __init__(
@@ -38,6 +42,7 @@
         self.address = address
         self.backoff = backoff
         self.on_leaving = on_leaving
+        self.returns_ids = False
 
     async def run(
         self, attempt: Attempt, headers: Headers, body: bytes, buffer: ResponseBuffer
@@ -47,12 +52,22 @@
 
         The outcome is ``not-run`` if the target was never reached, and unknown after
         any other failure.
+
+        A response without an id may belong to an earlier call on its connection. A
+        request that may run only once is therefore sent over a new connection unless
+        the target returns ids.
         """
         request = ChannelRequest(
-            attempt.method, self.address, attempt.path, headers, body
+            attempt.method,
+            self.address,
+            attempt.path,
+            (*headers, (ATTEMPT_ID_HEADER, attempt.id)),
+            body,
+            new_connection=not attempt.idempotent and not self.returns_ids,
         )
         try:
             async with self.channel.stream(request) as response:
+                self._check_attempt_id(attempt, response)
                 self._note_signals(response)
                 buffer.start(response.status, _relayed_headers(response.headers))
                 async for chunk in response.body:
@@ -69,6 +84,15 @@
         except RequestError as error:
             buffer.fail(error)
 
+    def _check_attempt_id(self, attempt: Attempt, response: ChannelResponse) -> None:
+        """Raise ForeignResponseError if the response belongs to another call."""
+        ids = {value for name, value in response.fields if name == ATTEMPT_ID_HEADER}
+        returned_ids, self.returns_ids = self.returns_ids, bool(ids)
+        if ids - {attempt.id}:
+            raise ForeignResponseError("response to another attempt")
+        if returned_ids and not ids:
+            raise ForeignResponseError("response without the id of the attempt")
+
     def _note_signals(self, response: ChannelResponse) -> None:
         signals = read_response_signals(response, LEAVING_HEADER)
         self.backoff.note_response(signals)
--- a/packages/common/src/briarthread_common/core/exceptions.py
+++ b/packages/common/src/briarthread_common/core/exceptions.py
@@ -64,6 +64,10 @@
     """A response was received but isn't a valid response to the call."""
 
 
+class ForeignResponseError(InvalidResponseError):
+    """The response belongs to another call."""
+
+
 class PlatformError(BriarthreadError):
     """The platform did not answer, or its answer violates its interface."""
 
