Let an agent take no older answer of its engine for a newer one

What could happen: ranks on two maps. An engine is part of a target, and a target may answer twice, the second time late. The late acceptance of one order (staging) was taken for that of the next (hold). The planner then had every rank confirmed; the others switched at a step that this rank did not hold. A late state from before a switch let an agent refuse the version that its engine had switched to, so that a held rank whose other agents all refuse went on with the old map.

Cause: an order counted as carried out by the word "accepted", whatever state came with it, and nothing compared the step of a state with those seen before.

Change: a hold counts only if the state in its answer holds for that version. A state whose step is lower than one that was known when its call was sent is foreign. Only one is refused in a row, so that an engine that has really gone back is believed.

The other orders need no such check: staging is checked by the engine itself at the hold, a switch, resume or load is repeated until the state shows it.

--- a/packages/agent/src/briarthread_agent/maps/engine_client.py
+++ b/packages/agent/src/briarthread_agent/maps/engine_client.py
@@ -1,6 +1,6 @@
 """Client for the agent's engine."""
 
-from briarthread_common.core.exceptions import BrokenCallError
+from briarthread_common.core.exceptions import BrokenCallError, ForeignResponseError
 from briarthread_common.http.channel import Channel
 from briarthread_common.http.channel_calls import call_json
 from briarthread_common.messages.engine_order import (
@@ -13,6 +13,8 @@
 )
 from briarthread_common.messages.expert_map import ExpertMap
 from briarthread_common.messages.map_report import ENGINE_REPORT_PATH, MapReport
+from briarthread_common.utils.reported_step import ReportedStep
+from briarthread_common.utils.step_order import StepOrder
 
 ORDER_TIMEOUT_SECONDS = 2.0
 """Timeout of an order, after which it can no longer arrive."""
@@ -32,10 +34,12 @@
         self.address = address
         self.epoch = epoch
         self.highest_fence = 0
+        self.step_order = StepOrder()
 
     async def state(self) -> EngineState:
         """Return the engine's state; raise ChannelError if it does not answer."""
-        return await call_json(
+        before = self.step_order.newest
+        state = await call_json(
             self.channel,
             self.address,
             "GET",
@@ -44,6 +48,8 @@
             EngineState,
             ORDER_TIMEOUT_SECONDS,
         )
+        self.step_order.check(before, ReportedStep(state.step))
+        return state
 
     async def report(self) -> MapReport:
         """Return the engine's map and counts; raise ChannelError without an answer."""
@@ -68,7 +74,8 @@
         """
         Send an order and return the engine's state after it.
 
-        Raise ChannelError if the order was refused or was not answered.
+        Raise ChannelError if the order was refused or was not answered, or if a hold
+        is not part of the state: all other ranks may rely on it from then on.
         """
         order = EngineOrder(
             kind,
@@ -79,6 +86,7 @@
             scheduled,
             expert_map,
         )
+        before = self.step_order.newest
         timeout = (
             STAGE_TIMEOUT_SECONDS if kind is OrderKind.STAGE else ORDER_TIMEOUT_SECONDS
         )
@@ -93,4 +101,7 @@
         )
         if not answer.accepted:
             raise BrokenCallError(f"engine refused the order {kind}: {answer.reason}")
+        self.step_order.check(before, ReportedStep(answer.state.step))
+        if kind is OrderKind.HOLD and answer.state.hold_for != version:
+            raise ForeignResponseError(f"engine does not hold for version {version}")
         return answer.state
