Take the experts of a rank only for the map that they belong to

What could happen: ranks with one version of a map that differs in content. A planner that takes the role reads the ranks' experts. A late second answer from an earlier map, or a switch between the two reads, gave it the experts of another map than the one whose version it noted. It sends differences from that base; agents apply them to the base that they have, and agents without it get the planner's, so the results differ.

Cause: the answer names its map and nothing read that; nor were the versions compared that the ranks reported together with their experts.

Change: experts are asked for a version and refused for another one. The planner takes them only if all ranks still report the version that it found. Else it asks again at its next poll.

--- a/packages/agent/src/briarthread_agent/ranks/rank_controller.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_controller.py
@@ -155,7 +155,9 @@
             return RankAnswer(True)
         try:
             counts = await self._read_counts() if request.with_counts else []
-            experts = await self.engine.experts() if request.with_experts else []
+            experts: list[list[int]] = []
+            if request.with_experts:
+                experts = await self.engine.experts(state.map_version)
         except RankError as error:
             logger.debug("rank: counts or experts not read: {}", error)
             return RankAnswer(True)
--- a/packages/agent/src/briarthread_agent/ranks/rank_peers.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_peers.py
@@ -187,8 +187,11 @@
 
         async def query_engine(engine: RankClient) -> RankAnswer:
             try:
-                experts = await engine.experts() if query.with_experts else []
-                return RankAnswer(True, await engine.state(), experts=experts)
+                state = await engine.state()
+                experts: list[list[int]] = []
+                if query.with_experts:
+                    experts = await engine.experts(state.map_version)
+                return RankAnswer(True, state, experts=experts)
             except RankError as error:
                 logger.info("rank: agent did not respond, engine failed: {}", error)
                 return RankAnswer(True)
--- a/packages/agent/src/briarthread_agent/ranks/rank_planner.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_planner.py
@@ -215,6 +215,8 @@
         current = await self.peers.view(group, RankQuery(fence, with_experts=True))
         if current.fault or current.epoch != view.epoch:
             return False
+        if any(m.state.map_version != known[1] for m in current.members):
+            return False
         layout = service.experts
         if any(len(m.answer.experts) != layout.sets for m in current.members):
             return False
--- a/packages/common/src/briarthread_common/direct/rank_client.py
+++ b/packages/common/src/briarthread_common/direct/rank_client.py
@@ -25,8 +25,12 @@
         """Return how often each expert was chosen, set by set."""
         ...
 
-    async def experts(self) -> list[list[int]]:
-        """Return the experts that the rank holds now, by set."""
+    async def experts(self, version: int) -> list[list[int]]:
+        """
+        Return the experts that the rank holds under a map, by set.
+
+        Raise RankError if another map is active.
+        """
         ...
 
     async def prepare(self, epoch: int, version: int, layers: Layers) -> bool:
--- a/tests/processes/test_late_reports_of_ranks.py
+++ b/tests/processes/test_late_reports_of_ranks.py
@@ -96,3 +96,17 @@
         assert (await engine.state()).group == "h"
 
     run_before_rank(scenario)
+
+
+@pytest.mark.parametrize("version", [2, 4])
+def test_experts_of_another_map_are_no_answer(version: int) -> None:
+    """Guards against ranks with one version of a map that differs in content."""
+
+    async def scenario(target: RepeatingTarget, engine: RankEngine) -> None:
+        lists = {"map": {"version": version, "experts": [[0, 1]]}}
+        target.late.append(build_json_answer(lists))
+        assert await engine.experts(3) == EXPERTS
+        with pytest.raises(RankError):
+            await engine.experts(3)
+
+    run_before_rank(scenario)
