Confirm another group of a rank over a new connection before the agent joins it

What could happen: ranks on two maps. A rank that changes its group without a restart keeps its connections. A late second answer from its time in the group before let its agent join that group again for one poll, and so forget that it had promised to hold a pass. At the next poll the agent took the hold for an unpromised one and released the pass while the ranks were being armed for it.

Cause: the group in a report decides what an agent forgets, and steps of two groups can not be compared, so that the order of reports does not show an older one here.

Change: a report that names another group than before is read again over a connection that carried no call. It costs one connection for each change of a rank's group, none for a poll (a test counts them).

--- a/packages/agent/src/briarthread_agent/ranks/rank_controller.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_controller.py
@@ -303,8 +303,11 @@
         }
 
     async def _read_state(self) -> RankState:
+        """Return the rank's state, confirmed if it names another group than before."""
         try:
             state = await self.engine.state()
+            if self.group not in (ANY_GROUP, state.group):
+                state = await self.engine.state(new_connection=True)
         except RankError:
             self.serving = None
             raise
--- a/packages/common/src/briarthread_common/direct/rank_client.py
+++ b/packages/common/src/briarthread_common/direct/rank_client.py
@@ -17,8 +17,13 @@
     later, so only the state that the rank reports is authoritative.
     """
 
-    async def state(self) -> RankState:
-        """Return the state that the rank reports."""
+    async def state(self, new_connection: bool = False) -> RankState:
+        """
+        Return the state that the rank reports.
+
+        The engine is asked over a connection that carried no call before if
+        ``new_connection`` is true; no answer to an earlier call can arrive there.
+        """
         ...
 
     async def counts(self) -> list[int]:
--- a/tests/processes/test_late_reports_of_ranks.py
+++ b/tests/processes/test_late_reports_of_ranks.py
@@ -6,8 +6,11 @@
 import anyio
 import pytest
 
+from briarthread_agent.ranks.pass_id import PassId
+from briarthread_agent.ranks.rank_controller import RankController
 from briarthread_common.core.exceptions import RankError
 from briarthread_common.http.http_channel import HttpChannel
+from briarthread_common.messages.rank_messages import AcceptRequest
 from briarthread_platform.rank_engine import RankEngine
 from processes.repeating_target import Asked, RepeatingTarget, build_json_answer
 
@@ -110,3 +113,37 @@
             await engine.experts(3)
 
     run_before_rank(scenario)
+
+
+def test_late_report_of_the_group_before_does_not_undo_a_promise() -> None:
+    """Guards against a pass that is released while ranks are armed for it."""
+
+    async def scenario(target: RepeatingTarget, engine: RankEngine) -> None:
+        controller = RankController(engine)
+        target.answer = lambda asked: build_json_answer(build_report(90, "g", held=95))
+        await controller.own_state()
+        promise = AcceptRequest(1, epoch=2, step=95, group="g")
+        assert (await controller.accept(promise)).taken
+        target.late.append(build_json_answer(build_report(500, "before")))
+        state = await controller.own_state()
+        assert state is not None
+        assert state.group == "g"
+        assert controller.promised_pass == PassId(2, 95)
+
+    run_before_rank(scenario)
+
+
+def test_rank_that_joins_a_group_is_asked_twice_and_once_by_a_new_connection() -> None:
+    """Guards against a rank that never joins, and against a handshake a poll."""
+
+    async def scenario(target: RepeatingTarget, engine: RankEngine) -> None:
+        controller = RankController(engine)
+        target.answer = lambda asked: build_json_answer(build_report(90, "g"))
+        await controller.own_state()
+        target.answer = lambda asked: build_json_answer(build_report(2, "h"))
+        for _ in range(10):
+            await controller.own_state()
+        assert controller.group == "h"
+        assert target.connections == 2
+
+    run_before_rank(scenario)
