--- a/packages/common/src/briarthread_common/direct/rank_client.py
+++ b/packages/common/src/briarthread_common/direct/rank_client.py
@@ -17,16 +17,25 @@
     later, so only the state that the rank reports is authoritative.
     """
 
-    async def state(self) -> RankState:
-        """Return the state that the rank reports."""
+    async def state(self, new_connection: bool = False) -> RankState:
+        """
+        Return the state that the rank reports.
+
+        The engine is asked over a connection that carried no call before if
+        ``new_connection`` is true; no answer to an earlier call can arrive there.
+        """
         ...
 
     async def counts(self) -> list[int]:
         """Return how often each expert was chosen, set by set."""
         ...
 
-    async def experts(self) -> list[list[int]]:
-        """Return the experts that the rank holds now, by set."""
+    async def experts(self, version: int) -> list[list[int]]:
+        """
+        Return the experts that the rank holds under a map, by set.
+
+        Raise RankError if another map is active.
+        """
         ...
 
     async def prepare(self, epoch: int, version: int, layers: Layers) -> bool:
