Keep an unexpected error of one background task from ending its process

What callers saw: any error of a background task that none of its callers knew ended its entry or agent, with all requests in progress and all open connections; if what caused it was still listed, the next process ended too.

Cause: all tasks of a process share one task group, and the first error in it cancels everything.

Change: TaskSupervisor runs each background task of the entries and the agents, in both modes. So that a restart finds a sound state, watchers forget streams of a former run, a version of a feed that was left incomplete is applied again, an entry that does not follow the list of instances issues no tokens, and one target row that fails is ignored like an invalid one. A run at an agent that fails has an unknown outcome, its key stays recorded. A SIGHUP whose reload fails keeps the old settings, and a stop that cannot be announced still finishes the requests in progress. Cancellation, SystemExit and KeyboardInterrupt pass.

--- a/packages/agent/src/briarthread_agent/agent.py
+++ b/packages/agent/src/briarthread_agent/agent.py
@@ -26,6 +26,7 @@
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.core.exceptions import ChannelError
 from briarthread_common.core.metrics import Metrics
+from briarthread_common.core.task_supervisor import Run, TaskSupervisor
 from briarthread_common.feeds.feed_set import FeedSet
 from briarthread_common.http.app import App, Route
 from briarthread_common.http.call import Call
@@ -66,6 +67,7 @@
         self.tasks = tasks
         self.incarnation = random_id(rng)
         self.metrics = Metrics()
+        self.supervisor = TaskSupervisor(self.metrics, rng)
         self.events = EventLog(clock, "agent")
         self.instance = Instance(
             settings.name,
@@ -116,7 +118,13 @@
             channel, settings.target, self.backoff, self._on_target_leaving
         )
         runner = AttemptRunner(
-            clock, self.record_store, self.queue, target, self.share_guard, tasks
+            clock,
+            self.record_store,
+            self.queue,
+            target,
+            self.share_guard,
+            tasks,
+            self.supervisor,
         )
         self.handler = AttemptHandler(
             runner, self.reporter, self.text, settings.service, self.metrics
@@ -134,12 +142,20 @@
 
     def start(self) -> None:
         """Start the background tasks in the task group."""
-        self.tasks.start_soon(self.replicator.run)
-        self.tasks.start_soon(self.freeze_detector.run)
-        self.tasks.start_soon(self.share_manager.run)
-        self.tasks.start_soon(self._apply_text_changes)
-        self.tasks.start_soon(self.queue.follow_backoff)
-        self.tasks.start_soon(self.map_participant.run)
+        essential: dict[str, Run] = {
+            "replication": self.replicator.run,
+            "text-changes": self._apply_text_changes,
+            "backoff": self.queue.follow_backoff,
+        }
+        others: dict[str, Run] = {
+            "freeze-detector": self.freeze_detector.run,
+            "shares": self.share_manager.run,
+            "maps": self.map_participant.run,
+        }
+        for name, run in essential.items():
+            self.supervisor.start(self.tasks, name, run, essential=True)
+        for name, run in others.items():
+            self.supervisor.start(self.tasks, name, run)
 
     async def drain(self) -> None:
         """
@@ -168,7 +184,9 @@
             return
         logger.info("agent: the target is leaving, according to its response")
         self._refuse_new_attempts()
-        self.tasks.start_soon(self._hand_over_shares)
+        self.tasks.start_soon(
+            self.supervisor.run_once, "hand-over", self._hand_over_shares
+        )
 
     def _refuse_new_attempts(self) -> None:
         self.reporter.announce_drain()
@@ -184,7 +202,7 @@
             return "draining"
         if self.settings.service not in self.text.current().services:
             return "no text with its service yet"
-        return ""
+        return self.supervisor.fault()
 
     def _routes(self) -> list[Route]:
         pages = StatusPages(self.metrics, self.events, self.ready, self._status)
@@ -231,5 +249,6 @@
             "queued": len(self.queue.waiting),
             "backoff_seconds": self.backoff.seconds_left(),
             "shares": [row.share for row in self.share_guard.held_rows()],
+            "failing_tasks": self.supervisor.failing_tasks(),
             "ready": self.ready() or "yes",
         }
--- a/packages/agent/src/briarthread_agent/attempts/attempt_runner.py
+++ b/packages/agent/src/briarthread_agent/attempts/attempt_runner.py
@@ -12,6 +12,7 @@
 from briarthread_agent.limits.fair_queue import FairQueue
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.exceptions import RequestError
+from briarthread_common.core.task_supervisor import TaskSupervisor
 from briarthread_common.messages.attempt import Attempt
 from briarthread_common.text.service import Service
 from briarthread_common.utils.clock import Clock
@@ -19,6 +20,9 @@
 MIN_TIME_LEFT_FACTOR = 0.7
 """Factor of the mean service time that must be left for a run to start."""
 
+ATTEMPT_TASK = "attempt"
+"""Name under which errors of single runs are reported."""
+
 
 class StartGuard(Protocol):
     """Decide whether an attempt may start on this agent now."""
@@ -44,6 +48,7 @@
         target: TargetClient,
         guard: StartGuard,
         tasks: TaskGroup,
+        supervisor: TaskSupervisor,
     ) -> None:
         self.clock = clock
         self.record_store = record_store
@@ -51,6 +56,7 @@
         self.target = target
         self.guard = guard
         self.tasks = tasks
+        self.supervisor = supervisor
 
     def submit(
         self, attempt: Attempt, service: Service, headers: Headers, body: bytes
@@ -94,6 +100,12 @@
             record.response.fail(error)
             self.record_store.discard(record)
             return
+        except Exception as error:
+            self.supervisor.report(ATTEMPT_TASK, error, "its outcome is unknown")
+            if not record.response.ended:
+                record.response.fail(
+                    RequestError(ErrorKind.OUTCOME_UNKNOWN, "the run failed")
+                )
         if not record.response.ended:
             record.response.fail(self._cancellation_error(record))
         record.state = RecordState.ENDED
--- a/packages/agent/src/briarthread_agent/limits/fair_queue.py
+++ b/packages/agent/src/briarthread_agent/limits/fair_queue.py
@@ -87,20 +87,20 @@
     async def follow_backoff(self) -> None:
         """Refuse queued attempts when a backoff begins; start them when it ends."""
         while True:
-            await self.backoff.extended.wait()
             while self.backoff.seconds_left() > 0:
                 self._refuse_waiting()
                 await anyio.sleep(self.backoff.seconds_left())
             self._grant_next()
+            await self.backoff.extended.wait()
 
     def _refuse_waiting(self) -> None:
         remaining = self.backoff.seconds_left()
         if remaining <= MAX_BACKOFF_WAIT:
             return
-        for waiter in self.waiting:
+        while self.waiting:
+            waiter = self.waiting.pop(0)
             waiter.refusal = _backoff_error(remaining)
             waiter.event.set()
-        self.waiting.clear()
 
     async def _acquire(
         self, account: str, weight: float, priority: int, deadline: float
--- a/packages/agent/src/briarthread_agent/ranks/direct_agent.py
+++ b/packages/agent/src/briarthread_agent/ranks/direct_agent.py
@@ -20,6 +20,7 @@
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.core.logs import set_up_logs
 from briarthread_common.core.metrics import Metrics
+from briarthread_common.core.task_supervisor import TaskSupervisor
 from briarthread_common.direct.load_adapter import load_adapter
 from briarthread_common.direct.platform_adapter import PlatformAdapter
 from briarthread_common.direct.route_view import RouteView
@@ -57,6 +58,8 @@
         rng: random.Random,
     ) -> None:
         self.settings = settings
+        self.metrics = Metrics()
+        self.supervisor = TaskSupervisor(self.metrics, rng)
         self.events = EventLog(clock, "agent")
         self.feeds = FeedSet(DIRECT_FEEDS)
         self.directory = Directory(self.feeds.instances)
@@ -84,7 +87,7 @@
             PlannerRole(settings.name, self.store, self.controller, self.peers),
             self.events,
         )
-        pages = StatusPages(Metrics(), self.events, self._ready, self._status)
+        pages = StatusPages(self.metrics, self.events, self._ready, self._status)
         self.app = App(
             [
                 Route("POST", EXCHANGE_PATH, self.replicator.handle_exchange),
@@ -96,7 +99,7 @@
 
     def start(self, tasks: TaskGroup) -> None:
         """Start the background tasks in a task group."""
-        tasks.start_soon(self.replicator.run)
+        self.supervisor.start(tasks, "replication", self.replicator.run, essential=True)
         tasks.start_soon(self._run_when_started)
 
     def apply(self, settings: DirectAgentSettings) -> None:
@@ -111,10 +114,11 @@
     async def _run_when_started(self) -> None:
         await self.replicator.started.wait()
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._maintain_registration)
-            tasks.start_soon(self.controller.poll_counts)
-            tasks.start_soon(self.recovery.run)
-            tasks.start_soon(self.planner.run)
+            supervisor = self.supervisor
+            supervisor.start(tasks, "registration", self._maintain_registration)
+            supervisor.start(tasks, "counts", self.controller.poll_counts)
+            supervisor.start(tasks, "recovery", self.recovery.run)
+            supervisor.start(tasks, "map-planner", self.planner.run)
 
     async def _maintain_registration(self) -> None:
         """Register the agent, and again whenever its rank's group changes."""
@@ -141,7 +145,9 @@
         )
 
     def _ready(self) -> str:
-        return "" if self.replicator.started.is_set() else "starting"
+        if not self.replicator.started.is_set():
+            return "starting"
+        return self.supervisor.fault()
 
     def _status(self) -> dict[str, object]:
         return {
@@ -151,6 +157,7 @@
             "platform": "up" if self.replicator.platform_up else "down",
             "planner": self.controller.fence,
             "plans": self.planner.role.is_held(),
+            "failing_tasks": self.supervisor.failing_tasks(),
         }
 
 
@@ -169,7 +176,11 @@
     async with anyio.create_task_group() as tasks:
         agent.start(tasks)
         tasks.start_soon(
-            reload_on_signal, path, load_direct_agent_settings, agent.apply
+            reload_on_signal,
+            path,
+            load_direct_agent_settings,
+            agent.apply,
+            agent.supervisor,
         )
         logger.info("agent: {} listens on {}", settings.name, settings.listen)
         await server.run(agent.drain)
--- a/packages/common/src/briarthread_common/conf/reload.py
+++ b/packages/common/src/briarthread_common/conf/reload.py
@@ -10,14 +10,24 @@
 
 from briarthread_common.conf.early_signals import EARLY_SIGNALS
 from briarthread_common.core.exceptions import ChecksFailed
+from briarthread_common.core.task_supervisor import TaskSupervisor
 
 T = TypeVar("T")
+RELOAD_TASK = "settings-reload"
 
 
 async def reload_on_signal(
-    path: Path, load: Callable[[Path], T], apply: Callable[[T], None]
+    path: Path,
+    load: Callable[[Path], T],
+    apply: Callable[[T], None],
+    supervisor: TaskSupervisor,
 ) -> None:
-    """Reload the settings on each SIGHUP; keep the old ones if the file has faults."""
+    """
+    Reload the settings on each SIGHUP; keep the old ones if the file has faults.
+
+    An unexpected error is reported to ``supervisor`` for each signal. The task itself
+    goes on, because without it a signal would end the process.
+    """
 
     def reload() -> None:
         try:
@@ -28,9 +38,13 @@
         apply(settings)
         logger.info("settings: reloaded")
 
+    def reload_reporting_errors() -> None:
+        with supervisor.reporting_errors(RELOAD_TASK):
+            reload()
+
     with anyio.open_signal_receiver(signal.SIGHUP) as signals:
         if EARLY_SIGNALS.received:
             EARLY_SIGNALS.received = False
-            reload()
+            reload_reporting_errors()
         async for _ in signals:
-            reload()
+            reload_reporting_errors()
--- a/packages/common/src/briarthread_common/core/metrics.py
+++ b/packages/common/src/briarthread_common/core/metrics.py
@@ -156,6 +156,12 @@
             ["kind"],
             registry=self.registry,
         )
+        self.task_failures = Counter(
+            "briarthread_task_failures",
+            "Unexpected errors of background tasks, by task.",
+            ["task"],
+            registry=self.registry,
+        )
         self.request_seconds = Histogram(
             "briarthread_request_seconds",
             "Seconds from a request's arrival to the end of its answer.",
--- a/packages/common/src/briarthread_common/direct/route_view.py
+++ b/packages/common/src/briarthread_common/direct/route_view.py
@@ -13,19 +13,23 @@
     Return the typed configuration of a feed, decoded once per version.
 
     The last valid configuration stays in force if a new one cannot be decoded or has
-    a lower version.
+    a lower version. A version is left ``is_incomplete`` by an unexpected error; only
+    ``follow`` decodes it again, so that requests go on with the configuration in force.
     """
 
     def __init__(self, feed: Feed, adapter: PlatformAdapter) -> None:
         self.feed = feed
         self.adapter = adapter
         self.feed_version = 0
+        self.is_incomplete = False
         self.routes: RouteMap | None = None
 
     async def follow(self) -> None:
         """Decode each version on arrival, so that no request has to wait for it."""
         while True:
             number = self.feed.number
+            if self.is_incomplete:
+                self.feed_version = 0
             self.current()
             await self.feed.wait_for_newer(number)
 
@@ -33,7 +37,9 @@
         """Return the configuration in force, ``None`` before the first one."""
         if self.feed_version != self.feed.number:
             self.feed_version = self.feed.number
+            self.is_incomplete = True
             self._decode()
+            self.is_incomplete = False
         return self.routes
 
     def _decode(self) -> None:
--- a/packages/common/src/briarthread_common/http/server.py
+++ b/packages/common/src/briarthread_common/http/server.py
@@ -9,6 +9,7 @@
 
 import anyio
 import uvicorn
+from loguru import logger
 
 from briarthread_common.core.exceptions import ListenError
 from briarthread_common.http.caller_connections import CallerConnections
@@ -93,7 +94,11 @@
     async def _wait_signal(self, on_drain: Callable[[], Awaitable[None]]) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
-                await on_drain()
+                try:
+                    await on_drain()
+                except Exception:
+                    # An error must not cut off the requests in flight.
+                    logger.exception("http: the stop was not announced completely")
                 self.server.should_exit = True
                 return
 
--- a/packages/entry/src/briarthread_entry/commands/direct.py
+++ b/packages/entry/src/briarthread_entry/commands/direct.py
@@ -1,6 +1,7 @@
 """``briarthread direct``."""
 
 import random
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -81,8 +82,16 @@
         )
         async with anyio.create_task_group() as tasks:
             entry.start(tasks)
-            tasks.start_soon(reload_on_signal, path, load_direct_settings, entry.apply)
-            tasks.start_soon(_update_timeouts, entry, server)
+            tasks.start_soon(
+                reload_on_signal,
+                path,
+                load_direct_settings,
+                entry.apply,
+                entry.supervisor,
+            )
+            entry.supervisor.start(
+                tasks, "timeouts", partial(_update_timeouts, entry, server)
+            )
             logger.info(
                 "entry: {} listens for callers on {}",
                 settings.name,
--- a/packages/entry/src/briarthread_entry/direct/blocklist_store.py
+++ b/packages/entry/src/briarthread_entry/direct/blocklist_store.py
@@ -66,6 +66,8 @@
         record = await self._read()
         for entry in _fresh_entries(record):
             self.load(entry)
+        if self.added or self.removed:
+            self.changed.set()
         while True:
             await self.changed.wait()
             self.changed = anyio.Event()
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -13,6 +13,7 @@
 from briarthread_common.core.exceptions import PlatformError
 from briarthread_common.core.logs import set_up_logs
 from briarthread_common.core.metrics import Metrics
+from briarthread_common.core.task_supervisor import Run, TaskSupervisor
 from briarthread_common.direct.direct_service import DirectService
 from briarthread_common.direct.direct_target import DirectTarget
 from briarthread_common.direct.platform_adapter import PlatformAdapter
@@ -66,6 +67,9 @@
 SETTLED_CHECK_SECONDS = 0.5
 """Interval in seconds at which an entry checks whether it has settled in the list."""
 
+TARGET_ROW = "target-row"
+"""Name under which errors with single rows of the list of targets are reported."""
+
 
 class DirectEntry:
     """
@@ -88,6 +92,7 @@
     ) -> None:
         self.settings = settings
         self.metrics = Metrics()
+        self.supervisor = TaskSupervisor(self.metrics, rng)
         self.events = EventLog(clock, "entry")
         self.memory = MemoryBudget(settings.memory_mb, self.metrics, self.events)
         self.draining = False
@@ -118,6 +123,7 @@
             self.evacuations,
             self.runs,
         )
+        self.registry.on_row_error = self._report_row_error
         self.registry.on_removed = self._discard_removed_targets
         self.registry.on_restarted = self._discard_former_runs
         self.registry.on_assumed_cold = self._end_evacuation
@@ -156,7 +162,12 @@
         self.urgency = UrgencyTracker(self.peer_reports, self.metrics, rng)
         self.admission = GroupAdmission(self.capacity, self.urgency, rng)
         self.running_watcher = RunningWatcher(
-            settings.name, self.directory, self.peer_reports, peer_channel, rng
+            settings.name,
+            self.directory,
+            self.peer_reports,
+            peer_channel,
+            rng,
+            self.supervisor,
         )
         self.running_reporter = RunningReporter(
             self._report, self.peer_reports, self.running_watcher
@@ -168,6 +179,7 @@
             self.group_reports,
             peer_channel,
             rng,
+            self.supervisor,
         )
         self.budget = SharedRetryBudget(
             settings.allowance, self._entry_count, anyio.current_time()
@@ -277,18 +289,26 @@
 
     def start(self, tasks: TaskGroup) -> None:
         """Start the background tasks in a task group."""
-        tasks.start_soon(self.replicator.run)
-        tasks.start_soon(self.routes.follow)
-        tasks.start_soon(self.registry.follow)
-        tasks.start_soon(self.checker.run)
-        tasks.start_soon(self.evacuations.follow)
-        tasks.start_soon(self.running_watcher.run)
-        tasks.start_soon(self.group_watcher.run)
-        tasks.start_soon(self.slow_ranks.run)
-        tasks.start_soon(self.issuer_members.follow)
-        tasks.start_soon(self.runner.silent_attempts.run)
-        tasks.start_soon(self._ensure_registered)
-        tasks.start_soon(self.blocklist.run)
+        essential: dict[str, Run] = {
+            "replication": self.replicator.run,
+            "configuration": self.routes.follow,
+            "targets": self.registry.follow,
+            "evacuations": self.evacuations.follow,
+        }
+        others: dict[str, Run] = {
+            "target-checks": self.checker.run,
+            "running-reports": self.running_watcher.run,
+            "group-reports": self.group_watcher.run,
+            "slow-ranks": self.slow_ranks.run,
+            "issuers": self.issuer_members.follow,
+            "silent-attempts": self.runner.silent_attempts.run,
+            "registration": self._ensure_registered,
+            "blocklist": self.blocklist.run,
+        }
+        for name, run in essential.items():
+            self.supervisor.start(tasks, name, run, essential=True)
+        for name, run in others.items():
+            self.supervisor.start(tasks, name, run)
 
     def apply(self, settings: DirectSettings) -> None:
         """Apply reloaded settings; addresses and memory change only on a restart."""
@@ -312,7 +332,10 @@
             return "no targets known yet"
         if self.is_full():
             return "all connections of callers are open"
-        return ""
+        return self.supervisor.fault()
+
+    def _report_row_error(self, name: str, error: Exception) -> None:
+        self.supervisor.report(TARGET_ROW, error, f"row {name[:40]!r} is ignored")
 
     def _discard_removed_targets(self) -> None:
         """Drop what is known of removed targets, such as their limits."""
@@ -446,6 +469,7 @@
                 str(group): {"serving": not health.broken}
                 for group, health in self.capacity.healths.items()
             },
+            "failing_tasks": self.supervisor.failing_tasks(),
             "ready": self.ready() or "yes",
         }
 
--- a/packages/entry/src/briarthread_entry/direct/evacuations.py
+++ b/packages/entry/src/briarthread_entry/direct/evacuations.py
@@ -15,7 +15,8 @@
 
     They are read from the feed of the configuration, whether or not the configuration
     in it is valid. ``on_ended`` is called with the data centres whose evacuation was
-    taken back, before any of their targets is used again.
+    taken back, before any of their targets is used again. A version is left
+    ``is_incomplete`` by an unexpected error; only ``follow`` applies it again.
     """
 
     def __init__(self, feed: Feed, adapter: PlatformAdapter, metrics: Metrics) -> None:
@@ -23,6 +24,7 @@
         self.adapter = adapter
         self.metrics = metrics
         self.applied_number = -1
+        self.is_incomplete = False
         self.data_centres: frozenset[str] = frozenset()
         self.on_ended: Callable[[frozenset[str]], None] = _do_nothing
 
@@ -30,6 +32,8 @@
         """Apply each version of the feed on arrival, not only when it is needed."""
         while True:
             number = self.feed.number
+            if self.is_incomplete:
+                self.applied_number = -1
             self.refresh()
             await self.feed.wait_for_newer(number)
 
@@ -37,7 +41,9 @@
         """Apply the current version of the feed."""
         if self.applied_number != self.feed.number:
             self.applied_number = self.feed.number
+            self.is_incomplete = True
             self._apply(self.adapter.decode_evacuated(self.feed.items))
+            self.is_incomplete = False
 
     def names(self) -> list[str]:
         """Return the sorted names of the evacuated data centres."""
@@ -46,6 +52,8 @@
     def _apply(self, data_centres: frozenset[str]) -> None:
         started = data_centres - self.data_centres
         ended = self.data_centres - data_centres
+        if ended:
+            self.on_ended(ended)
         self.data_centres = data_centres
         self.metrics.evacuated_data_centres.set(len(data_centres))
         for name in sorted(started):
@@ -54,8 +62,6 @@
         for name in sorted(ended):
             self.metrics.evacuation_changes.labels("ended").inc()
             logger.info("evacuations: {} gets requests again", name)
-        if ended:
-            self.on_ended(ended)
 
 
 def _do_nothing(data_centres: frozenset[str]) -> None:
--- a/packages/entry/src/briarthread_entry/direct/group_watcher.py
+++ b/packages/entry/src/briarthread_entry/direct/group_watcher.py
@@ -1,12 +1,14 @@
 """Tasks that read the agents' reports on their groups."""
 
 import random
+from functools import partial
 
 import anyio
 from anyio.abc import TaskGroup
 from loguru import logger
 
 from briarthread_common.core.exceptions import ChannelError
+from briarthread_common.core.task_supervisor import TaskSupervisor
 from briarthread_common.direct.group_id import GroupId
 from briarthread_common.http.channel import Channel
 from briarthread_common.http.report_stream import read_report_stream
@@ -21,6 +23,9 @@
 RETRY_PAUSE_SECONDS = 0.4
 """Mean pause before another agent is asked after a stream of reports has ended."""
 
+GROUP_TASK = "group-report"
+"""Name of the tasks that read the reports on one group."""
+
 
 class GroupWatcher:
     """
@@ -38,6 +43,7 @@
         group_reports: GroupReports,
         channel: Channel,
         rng: random.Random,
+        supervisor: TaskSupervisor,
     ) -> None:
         self.data_centre = data_centre
         self.directory = directory
@@ -45,10 +51,12 @@
         self.group_reports = group_reports
         self.channel = channel
         self.rng = rng
+        self.supervisor = supervisor
         self.watched_groups: set[GroupId] = set()
 
     async def run(self) -> None:
         """Watch the groups of all listed agents until cancelled."""
+        self.watched_groups.clear()
         async with anyio.create_task_group() as tasks:
             while True:
                 self._refresh(tasks)
@@ -57,7 +65,7 @@
     def _refresh(self, tasks: TaskGroup) -> None:
         for group in sorted(self.membership.known_groups() - self.watched_groups):
             self.watched_groups.add(group)
-            tasks.start_soon(self._watch, group)
+            self.supervisor.start(tasks, GROUP_TASK, partial(self._watch, group))
 
     async def _watch(self, group: GroupId) -> None:
         while group in self.membership.known_groups():
--- a/packages/entry/src/briarthread_entry/direct/issuer_members.py
+++ b/packages/entry/src/briarthread_entry/direct/issuer_members.py
@@ -57,12 +57,20 @@
         self.is_first_list = True
 
     async def follow(self) -> None:
-        """Apply each version of the list of instances until cancelled."""
+        """
+        Apply each version of the list of instances until cancelled.
+
+        An entry that does not follow the list issues no tokens. When it follows the
+        list again, it takes its place like a new one.
+        """
         feed = self.directory.feed
-        while True:
-            number = feed.number
-            self.apply(anyio.current_time())
-            await feed.wait_for_newer(number)
+        try:
+            while True:
+                number = feed.number
+                self.apply(anyio.current_time())
+                await feed.wait_for_newer(number)
+        finally:
+            self.listed_since = float("inf")
 
     def apply(self, now: float) -> None:
         """Apply the current version of the list."""
@@ -77,7 +85,7 @@
         }
         if self.name not in listed:
             self.listed_since = float("inf")
-        elif self.name not in self.listed:
+        elif self.name not in self.listed or self.listed_since == float("inf"):
             self.listed_since = float("-inf") if self._was_settled(listed) else now
         self.is_first_list = self.is_first_list and not listed
         self.listed = listed
--- a/packages/entry/src/briarthread_entry/direct/running_watcher.py
+++ b/packages/entry/src/briarthread_entry/direct/running_watcher.py
@@ -1,12 +1,14 @@
 """Tasks that read the running reports of other entries."""
 
 import random
+from functools import partial
 
 import anyio
 from anyio.abc import TaskGroup
 from loguru import logger
 
 from briarthread_common.core.exceptions import ChannelError
+from briarthread_common.core.task_supervisor import TaskSupervisor
 from briarthread_common.http.channel import Channel
 from briarthread_common.http.report_stream import (
     REPORT_TIMEOUT_SECONDS,
@@ -44,6 +46,9 @@
 a loaded group would look empty meanwhile.
 """
 
+SUBSCRIPTION_TASK = "running-report"
+"""Name of the tasks that read the reports of one entry or block."""
+
 
 class RunningWatcher:
     """Keep a stream of reports open for each subscription."""
@@ -55,12 +60,14 @@
         peer_reports: PeerReports,
         channel: Channel,
         rng: random.Random,
+        supervisor: TaskSupervisor,
     ) -> None:
         self.name = name
         self.directory = directory
         self.peer_reports = peer_reports
         self.channel = channel
         self.rng = rng
+        self.supervisor = supervisor
         self.subscriptions: dict[Subscription, anyio.CancelScope] = {}
         self.subscribers = 0
         self.unresponsive = RecentFailures(UNRESPONSIVE_SECONDS)
@@ -68,6 +75,7 @@
 
     async def run(self) -> None:
         """Subscribe to the listed entries until cancelled."""
+        self.subscriptions.clear()
         async with anyio.create_task_group() as tasks:
             while True:
                 self._refresh(tasks)
@@ -117,16 +125,21 @@
         self, subscription: Subscription, scope: anyio.CancelScope
     ) -> None:
         with scope:
-            while True:
-                row = self._choose_entry(subscription)
-                if row is not None:
-                    await self._read_reports(subscription, row)
-                pause = (
-                    FAILOVER_PAUSE_SECONDS
-                    if self._responsive(subscription)
-                    else RETRY_PAUSE_SECONDS
-                )
-                await anyio.sleep(pause * self.rng.uniform(0.5, 1.5))
+            await self.supervisor.keep_running(
+                SUBSCRIPTION_TASK, partial(self._follow, subscription)
+            )
+
+    async def _follow(self, subscription: Subscription) -> None:
+        while True:
+            row = self._choose_entry(subscription)
+            if row is not None:
+                await self._read_reports(subscription, row)
+            pause = (
+                FAILOVER_PAUSE_SECONDS
+                if self._responsive(subscription)
+                else RETRY_PAUSE_SECONDS
+            )
+            await anyio.sleep(pause * self.rng.uniform(0.5, 1.5))
 
     def _choose_entry(self, subscription: Subscription) -> Instance | None:
         """Return the entry to call, of a block the first that did not fail recently."""
--- a/packages/entry/src/briarthread_entry/direct/target_registry.py
+++ b/packages/entry/src/briarthread_entry/direct/target_registry.py
@@ -33,6 +33,12 @@
     after targets have been removed, ``on_listed`` with the target of each new or
     changed row, ``on_applied`` after each version of the list.
 
+    A version is left ``is_incomplete`` by an unexpected error. Only ``follow`` applies
+    it again, so that requests go on with what is known.
+
+    A row that cannot be applied for an unknown reason is reported to ``on_row_error``
+    and ignored like an invalid one, so that it does not keep other rows from use.
+
     Two callbacks receive the names of targets before these are used again:
     ``on_restarted`` of those that were started anew, ``on_assumed_cold`` of those that
     must be assumed cold from now on because an evacuation has ended.
@@ -55,10 +61,12 @@
         evacuations.on_ended = self._assume_cold
         self.runs = runs
         self.applied_number = -1
+        self.is_incomplete = False
         self.raw_rows: dict[str, str] = {}
         self.rejected_rows: dict[str, str] = {}
         self.states: dict[str, DirectTargetState] = {}
         self.holders = AddressHolders()
+        self.on_row_error: Callable[[str, Exception], None] = _raise_error
         self.on_removed: Callable[[], None] = _do_nothing
         self.on_restarted: Callable[[Sequence[str]], None] = _ignore_names
         self.on_assumed_cold: Callable[[Sequence[str]], None] = _ignore_names
@@ -69,6 +77,8 @@
         """Apply each version of the feed on arrival, not only when it is needed."""
         while True:
             number = self.feed.number
+            if self.is_incomplete:
+                self.applied_number = -1
             self.refresh(anyio.current_time())
             await self.feed.wait_for_newer(number)
 
@@ -136,8 +146,10 @@
         self._remove_expired(now)
         if self.applied_number != self.feed.number:
             self.applied_number = self.feed.number
+            self.is_incomplete = True
             self._apply_feed(now)
             self._remove_expired(now)
+            self.is_incomplete = False
         self.evacuations.refresh()
 
     def _remove_expired(self, now: float) -> None:
@@ -169,12 +181,8 @@
         restarted: list[str] = []
         for name, raw in self.feed.items.items():
             if self.raw_rows.get(name) != raw:
-                target = self._decode(name, raw)
-                if target is None:
-                    continue
-                if self._update(target, now):
+                if self._apply_changed_row(name, raw, now):
                     restarted.append(name)
-                self.on_listed(target)
             elif name in self.states:
                 self.states[name].removed_at = None
         self._note_missing(now)
@@ -183,6 +191,21 @@
         if restarted:
             self.on_restarted(restarted)
 
+    def _apply_changed_row(self, name: str, raw: str, now: float) -> bool:
+        """Apply a row; return whether it lists another run than the known one."""
+        try:
+            target = self._decode(name, raw)
+            if target is None:
+                return False
+            restarted = self._update(target, now)
+            self.on_listed(target)
+        except Exception as error:
+            self.raw_rows.pop(name, None)
+            self.rejected_rows[name] = raw
+            self.on_row_error(name, error)
+            return False
+        return restarted
+
     def _note_missing(self, now: float) -> None:
         """Note which targets are no longer in the list."""
         for name, state in self.states.items():
@@ -259,6 +282,11 @@
         return relist_deadline if removed < relist_deadline else removed
 
 
+def _raise_error(name: str, error: Exception) -> None:
+    """Pass on an error with the row of a target."""
+    raise error
+
+
 def _ignore_row(target: DirectTarget) -> None:
     """Ignore the row of a target."""
 
--- a/packages/entry/src/briarthread_entry/entry.py
+++ b/packages/entry/src/briarthread_entry/entry.py
@@ -8,6 +8,7 @@
 
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.core.metrics import Metrics
+from briarthread_common.core.task_supervisor import TaskSupervisor
 from briarthread_common.feeds.feed_set import FeedSet
 from briarthread_common.http.app import App, Route
 from briarthread_common.http.channel import Channel
@@ -43,6 +44,7 @@
     ) -> None:
         self.settings = settings
         self.metrics = Metrics()
+        self.supervisor = TaskSupervisor(self.metrics, rng)
         self.events = EventLog(clock, "entry")
         self.draining = False
         self.feeds = FeedSet()
@@ -61,7 +63,14 @@
         )
         self.table = TargetTable(settings.name, settings.data_centre, self.directory)
         self.watcher = LoadWatcher(
-            self.table, self.text, channel, self.replicator, clock, self.events, rng
+            self.table,
+            self.text,
+            channel,
+            self.replicator,
+            clock,
+            self.events,
+            rng,
+            self.supervisor,
         )
         self.planner = GroupPlanner(
             settings.name,
@@ -101,9 +110,10 @@
 
     def start(self, tasks: TaskGroup) -> None:
         """Start the background tasks in a task group."""
-        tasks.start_soon(self.replicator.run)
-        tasks.start_soon(self.watcher.run)
-        tasks.start_soon(self.planner.run)
+        supervisor = self.supervisor
+        supervisor.start(tasks, "replication", self.replicator.run, essential=True)
+        supervisor.start(tasks, "load-watcher", self.watcher.run, essential=True)
+        supervisor.start(tasks, "map-planner", self.planner.run)
 
     async def drain(self) -> None:
         """Announce the shutdown, and serve requests until it has been noticed."""
@@ -119,7 +129,7 @@
             return "starting"
         if self.text.current().number == 0:
             return "no services text yet"
-        return ""
+        return self.supervisor.fault()
 
     def _routes(self) -> list[Route]:
         pages = StatusPages(self.metrics, self.events, self.ready, self._status)
@@ -142,5 +152,6 @@
             "platform": "up" if self.replicator.platform_up else "down",
             "in_flight": self.handler.in_flight,
             "targets": targets,
+            "failing_tasks": self.supervisor.failing_tasks(),
             "ready": self.ready() or "yes",
         }
--- a/packages/entry/src/briarthread_entry/routing/load_watcher.py
+++ b/packages/entry/src/briarthread_entry/routing/load_watcher.py
@@ -1,6 +1,7 @@
 """Tasks that read the load reports of the watched targets."""
 
 import random
+from functools import partial
 
 import anyio
 from anyio.abc import TaskGroup
@@ -12,6 +13,7 @@
     ChannelError,
     DecodeError,
 )
+from briarthread_common.core.task_supervisor import TaskSupervisor
 from briarthread_common.http.channel import Channel, ChannelRequest
 from briarthread_common.http.lines import read_lines
 from briarthread_common.messages.load_report import LoadReport, heartbeat_interval
@@ -30,6 +32,8 @@
 """Heartbeat intervals without a line after which a target counts as down."""
 RETRY_SECONDS = 1.0
 REFRESH_SECONDS = 1.0
+WATCH_TASK = "load-report"
+"""Name of the tasks that read the reports of one target."""
 
 
 def report_interval(watched: int) -> float:
@@ -56,6 +60,7 @@
         clock: Clock,
         events: EventLog,
         rng: random.Random,
+        supervisor: TaskSupervisor,
     ) -> None:
         self.table = table
         self.text = text
@@ -64,11 +69,13 @@
         self.clock = clock
         self.events = events
         self.rng = rng
+        self.supervisor = supervisor
         self.scopes: dict[str, tuple[TargetState, anyio.CancelScope]] = {}
 
     async def run(self) -> None:
         """Watch the targets of the table until cancelled."""
         await self.replicator.started.wait()
+        self.scopes.clear()
         async with anyio.create_task_group() as tasks:
             while True:
                 self.refresh(tasks)
@@ -94,12 +101,18 @@
 
     async def _watch(self, state: TargetState, scope: anyio.CancelScope) -> None:
         with scope:
-            while True:
-                try:
-                    await self._read_reports(state)
-                except ChannelError as error:
-                    self._mark_down(state, str(error))
-                await anyio.sleep(RETRY_SECONDS * self.rng.uniform(0.5, 1.5))
+            await self.supervisor.keep_running(WATCH_TASK, partial(self._follow, state))
+
+    async def _follow(self, state: TargetState) -> None:
+        while True:
+            try:
+                await self._read_reports(state)
+            except ChannelError as error:
+                self._mark_down(state, str(error))
+            except Exception:
+                self._mark_down(state, "its reports cannot be read")
+                raise
+            await anyio.sleep(RETRY_SECONDS * self.rng.uniform(0.5, 1.5))
 
     async def _read_reports(self, state: TargetState) -> None:
         interval = report_interval(len(self.table.states))
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,10 +1,13 @@
 """Builders of test data."""
 
+import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import TypeVar
 
 import anyio
 
+from briarthread_common.core.metrics import Metrics
+from briarthread_common.core.task_supervisor import TaskSupervisor
 from briarthread_common.http.channel import ChannelResponse
 from briarthread_common.messages.attempt import Attempt
 from briarthread_common.text.service import Service, TargetKind
@@ -18,6 +21,11 @@
 """Virtual time in which a small world starts and claims its shares."""
 
 
+def build_supervisor() -> TaskSupervisor:
+    """Return a supervisor with metrics of its own."""
+    return TaskSupervisor(Metrics(), random.Random(1))
+
+
 def build_head(status: int, *fields: tuple[str, str]) -> ChannelResponse:
     """Return a response with the given header fields and an empty body."""
 
--- a/tests/common/test_server.py
+++ b/tests/common/test_server.py
@@ -1,5 +1,7 @@
 """Tests for the listening socket and the HTTP server over real connections."""
 
+import os
+import signal
 import socket
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -7,6 +9,7 @@
 import anyio
 import pytest
 from anyio.abc import SocketStream
+from failing_tasks import UnknownError, fail
 
 from briarthread_common.core.exceptions import ListenError
 from briarthread_common.core.run_loop import run_loop
@@ -55,6 +58,22 @@
     raise ResponseAborted("on purpose")
 
 
+async def fail_at_once(call: Call) -> None:
+    raise UnknownError
+
+
+async def fail_in_child_task(call: Call) -> None:
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(fail_at_once, call)
+        await anyio.sleep_forever()
+
+
+async def fail_after_start(call: Call) -> None:
+    await call.start(200, [])
+    await call.send_chunk(b"part")
+    raise UnknownError
+
+
 class Work:
     """Handler that notes which requests began to be worked on and which ended."""
 
@@ -78,6 +97,9 @@
         Route("POST", "/early", reply_before_body),
         Route("POST", "/length", reply_with_length),
         Route("POST", "/cut", abort_response),
+        Route("POST", "/fail", fail_at_once),
+        Route("POST", "/fail-in-child", fail_in_child_task),
+        Route("POST", "/fail-late", fail_after_start),
         Route("GET", "/target", reply_with_target),
     ]
 )
@@ -153,6 +175,63 @@
     run_with_server(client)
 
 
+@pytest.mark.parametrize("path", ["/fail", "/fail-in-child"])
+def test_unknown_error_of_a_request_is_answered_as_outcome_unknown(path: str) -> None:
+    """Guards against requests that end silently or take others with them."""
+
+    async def client(address: str, _: HttpServer) -> None:
+        async with await connect(address) as stream:
+            await stream.send(f"POST {path} HTTP/1.1\r\nHost: a\r\n".encode())
+            await stream.send(b"Content-Length: 0\r\n\r\n")
+            received = (await read_until(stream, b"}")).lower()
+            assert received.startswith(b"http/1.1 500")
+            assert b"briarthread-outcome: unknown\r\n" in received
+            await stream.send(b"POST /early HTTP/1.1\r\nHost: a\r\n")
+            await stream.send(b"Content-Length: 0\r\n\r\n")
+            assert (await read_until(stream, b"early")).startswith(b"HTTP/1.1 200")
+
+    run_with_server(client)
+
+
+def test_unknown_error_after_the_head_leaves_the_response_truncated() -> None:
+    async def client(address: str, _: HttpServer) -> None:
+        async with await connect(address) as stream:
+            await stream.send(b"POST /fail-late HTTP/1.1\r\nHost: a\r\n")
+            await stream.send(b"Content-Length: 0\r\n\r\n")
+            received = await read_to_end(stream)
+            assert b"part" in received
+            assert not received.endswith(b"0\r\n\r\n")
+
+    run_with_server(client)
+
+
+def test_request_in_flight_is_answered_although_the_stop_cannot_be_announced() -> None:
+    """Guards against a planned stop that cuts requests off."""
+
+    async def scenario() -> None:
+        listener = open_listener(ANY_PORT)
+        host, port = listener.getsockname()
+        released = anyio.Event()
+
+        async def reply_when_released(call: Call) -> None:
+            await released.wait()
+            await call.reply(200, b"done")
+
+        app = App([Route("POST", "/slow", reply_when_released)])
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(HttpServer(app, [listener], 2).run, fail)
+            async with await connect(f"{host}:{port}") as stream:
+                await stream.send(b"POST /slow HTTP/1.1\r\nHost: a\r\n")
+                await stream.send(b"Content-Length: 0\r\n\r\n")
+                await anyio.sleep(0.3)
+                os.kill(os.getpid(), signal.SIGTERM)
+                await anyio.sleep(0.3)
+                released.set()
+                assert (await read_until(stream, b"done")).startswith(b"HTTP/1.1 200")
+
+    run_loop(scenario)
+
+
 @pytest.mark.parametrize("size", [0, 3, 100_000])
 @pytest.mark.parametrize("reset", [False, True])
 def test_request_whose_caller_left_before_it_was_read_is_not_begun(
