Log each row that agents and planners cannot decode once per value

What operators saw: an agent that skipped a target's row, and so never called that engine, wrote no line about it.

Cause: three readers of foreign rows each had rules of their own. Entries remembered the rejected value, RankPeers ignored the error, and a Lease, which is made anew for each map change, had nowhere to remember it.

Change: RejectedRows decodes a row and logs each value that cannot be decoded once. The registry of targets, RankPeers and GroupPlanner use it. Agents no longer decode rejected rows again at each version of the list.

--- a/packages/agent/src/briarthread_agent/ranks/rank_peers.py
+++ b/packages/agent/src/briarthread_agent/ranks/rank_peers.py
@@ -9,10 +9,11 @@
 
 from briarthread_agent.ranks.group_caller import GroupCaller
 from briarthread_agent.ranks.group_view import GroupView, Member, build_view
-from briarthread_common.core.exceptions import DecodeError, RankError
+from briarthread_common.core.exceptions import RankError
 from briarthread_common.direct.platform_adapter import PlatformAdapter
 from briarthread_common.direct.rank_client import RankClient
 from briarthread_common.feeds.feed import Feed
+from briarthread_common.feeds.rejected_rows import RejectedRows
 from briarthread_common.http.channel import Channel
 from briarthread_common.messages.instance import Instance, InstanceRole
 from briarthread_common.messages.rank_messages import (
@@ -79,6 +80,9 @@
         self.skipped_agents = RecentFailures(SKIP_AGENT_SECONDS)
         self.targets_number = -1
         self.engines: dict[str, str] = {}
+        self.rejected_rows = RejectedRows(
+            "rank: invalid row of a target ignored, its engine is not called: {}"
+        )
 
     def agents(self, group: str = ANY_GROUP) -> dict[str, Instance]:
         """Return the listed agents by name, all or those that may be in a group."""
@@ -239,9 +243,8 @@
             return
         self.targets_number = self.targets.number
         self.engines = {}
+        self.rejected_rows.retain(self.targets.items)
         for name, raw in self.targets.items.items():
-            try:
-                address = self.adapter.decode_target(name, raw).address
-            except DecodeError:
-                continue
-            self.engines.setdefault(host_of(address), address)
+            target = self.rejected_rows.decode(name, raw, self.adapter.decode_target)
+            if target is not None:
+                self.engines.setdefault(host_of(target.address), target.address)
--- a/packages/common/src/briarthread_common/platform/lease.py
+++ b/packages/common/src/briarthread_common/platform/lease.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 
 import msgspec
-from loguru import logger
 
 from briarthread_common.core.decoding import decode_row
 from briarthread_common.core.exceptions import ConflictError, DecodeError
+from briarthread_common.feeds.rejected_rows import RejectedRows
 from briarthread_common.platform.platform_client import PlatformClient
 from briarthread_common.platform.table_messages import ABSENT, RowCheck, RowWrite
 from briarthread_common.utils.clock import Clock
@@ -40,16 +40,23 @@
 
     A holder that was paused doesn't know that its lease has expired. The lease
     alone therefore gives no mutual exclusion; a process that takes orders from the
-    holder must check the fencing token.
+    holder must check the fencing token. An invalid row is held by nobody;
+    ``rejected_rows`` outlives the leases, so that each value is logged once.
     """
 
     def __init__(
-        self, platform: PlatformClient, clock: Clock, role: str, seconds: float
+        self,
+        platform: PlatformClient,
+        clock: Clock,
+        role: str,
+        seconds: float,
+        rejected_rows: RejectedRows,
     ) -> None:
         self.platform = platform
         self.clock = clock
         self.key = f"leases/{role}"
         self.seconds = seconds
+        self.rejected_rows = rejected_rows
 
     async def acquire(self, holder: str) -> LeaseAcquired | LeaseHeldByOther:
         """
@@ -60,7 +67,7 @@
         """
         row = (await self.platform.read([self.key])).get(self.key)
         if row is not None:
-            current = self._decode(row.value)
+            current = self.rejected_rows.decode(self.key, row.value, _decode)
             is_other = current is not None and current.holder != holder
             if is_other and current.expires > self.clock.now():
                 return LeaseHeldByOther(current.holder)
@@ -75,10 +82,10 @@
             return LeaseHeldByOther("a concurrent process")
         return LeaseAcquired(version + 1)
 
-    def _decode(self, raw: str) -> LeaseRow | None:
-        """Return a lease, ``None`` for an invalid row, which nobody holds."""
-        try:
-            return decode_row(raw, LeaseRow)
-        except DecodeError as error:
-            logger.warning("platform: {} is ignored: {}", self.key, error)
-            return None
+
+def _decode(key: str, raw: str) -> LeaseRow:
+    """Return the lease in a row, or raise DecodeError."""
+    try:
+        return decode_row(raw, LeaseRow)
+    except DecodeError as error:
+        raise DecodeError(f"{key}: {error}") from error
--- a/packages/entry/src/briarthread_entry/direct/target_registry.py
+++ b/packages/entry/src/briarthread_entry/direct/target_registry.py
@@ -6,10 +6,10 @@
 import anyio
 from loguru import logger
 
-from briarthread_common.core.exceptions import DecodeError
 from briarthread_common.direct.direct_target import DirectTarget
 from briarthread_common.direct.platform_adapter import PlatformAdapter
 from briarthread_common.feeds.feed import Feed
+from briarthread_common.feeds.rejected_rows import RejectedRows
 from briarthread_entry.direct.address_holders import AddressHolders
 from briarthread_entry.direct.evacuations import Evacuations
 from briarthread_entry.direct.leaving_targets import LeavingTargets
@@ -63,7 +63,9 @@
         self.applied_number = -1
         self.is_incomplete = False
         self.raw_rows: dict[str, str] = {}
-        self.rejected_rows: dict[str, str] = {}
+        self.rejected_rows = RejectedRows(
+            "targets: invalid row ignored, keeping the known state: {}"
+        )
         self.states: dict[str, DirectTargetState] = {}
         self.holders = AddressHolders()
         self.on_row_error: Callable[[str, Exception], None] = _raise_error
@@ -201,7 +203,7 @@
             self.on_listed(target)
         except Exception as error:
             self.raw_rows.pop(name, None)
-            self.rejected_rows[name] = raw
+            self.rejected_rows.add(name, raw)
             self.on_row_error(name, error)
             return False
         return restarted
@@ -211,23 +213,13 @@
         for name, state in self.states.items():
             if name not in self.feed.items and state.removed_at is None:
                 state.removed_at = now
-        for name in [n for n in self.rejected_rows if n not in self.feed.items]:
-            del self.rejected_rows[name]
+        self.rejected_rows.retain(self.feed.items)
 
     def _decode(self, name: str, raw: str) -> DirectTarget | None:
         """Return the target of a changed row, ``None`` for an invalid one."""
-        if self.rejected_rows.get(name) == raw:
-            return None
-        try:
-            target = self.adapter.decode_target(name, raw)
-        except DecodeError as error:
-            logger.error(
-                "targets: invalid row ignored, keeping the known state: {}", error
-            )
-            self.rejected_rows[name] = raw
-            return None
-        self.raw_rows[name] = raw
-        self.rejected_rows.pop(name, None)
+        target = self.rejected_rows.decode(name, raw, self.adapter.decode_target)
+        if target is not None:
+            self.raw_rows[name] = raw
         return target
 
     def _update(self, target: DirectTarget, now: float) -> bool:
--- a/packages/entry/src/briarthread_entry/maps/group_planner.py
+++ b/packages/entry/src/briarthread_entry/maps/group_planner.py
@@ -8,6 +8,7 @@
 
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.core.exceptions import ChannelError, PlatformError
+from briarthread_common.feeds.rejected_rows import RejectedRows
 from briarthread_common.http.channel import Channel
 from briarthread_common.http.channel_calls import call_json
 from briarthread_common.messages.expert_map import ExpertMap
@@ -73,6 +74,7 @@
         self.coordinator = Coordinator(channel, directory, events)
         self.observations: dict[str, GroupObservation] = {}
         self.proposals = 0
+        self.rejected_leases = RejectedRows("platform: invalid row ignored: {}")
 
     async def run(self) -> None:
         """Plan the maps periodically until cancelled."""
@@ -102,7 +104,13 @@
                 await self._activate(group, decision)
 
     async def _activate(self, group: Group, move: MapMove) -> None:
-        lease = Lease(self.platform, self.clock, f"groups/{group.name}", LEASE_SECONDS)
+        lease = Lease(
+            self.platform,
+            self.clock,
+            f"groups/{group.name}",
+            LEASE_SECONDS,
+            self.rejected_leases,
+        )
         match await lease.acquire(self.name):
             case LeaseHeldByOther(holder=holder):
                 self.events.add("map-stays", group.name, f"{holder} holds the lease")
