Do not cancel what follows a complete response

What operators saw: on the path with agents each delivered answer was logged as `caller-left ... before the answer was complete` and `attempt-abandoned ... answered in part`. What callers saw: three failures of a target ejected it, also if successes lay between them, so that the only target of a service was refused as not usable.

Cause: uvicorn reports the end of a complete response to the application as a disconnect. cancel_on_disconnect cancelled the handler then, and what stood after the response did not run; a success was never recorded. The entry before direct targets was not affected, since it reads a response before it sends it. The fake network reports no such disconnect, so no test in virtual time showed it.

Change: the scope is cancelled only if the response is not finished.

--- a/packages/common/src/briarthread_common/http/call.py
+++ b/packages/common/src/briarthread_common/http/call.py
@@ -181,9 +181,15 @@
             pass
 
     async def cancel_on_disconnect(self, scope: anyio.CancelScope) -> None:
-        """Cancel a scope once the client has disconnected."""
+        """
+        Cancel a scope once the client has disconnected before the response's end.
+
+        The server reports the end of a complete response as a disconnect, too. What
+        follows the response, such as recording it, must not be cancelled.
+        """
         await self.wait_for_disconnect()
-        scope.cancel()
+        if not self.finished:
+            scope.cancel()
 
     async def run_until_disconnect(self, run: Callable[[], Awaitable[None]]) -> bool:
         """
--- a/tests/common/test_server.py
+++ b/tests/common/test_server.py
@@ -253,6 +253,39 @@
     assert path not in WORK.begun
 
 
+@pytest.mark.parametrize("in_chunks", [False, True])
+def test_work_after_a_complete_response_is_not_cancelled(in_chunks: bool) -> None:
+    """Guards against responses that are delivered and counted as abandoned."""
+
+    async def scenario() -> None:
+        listener = open_listener(ANY_PORT)
+        host, port = listener.getsockname()
+        completed: list[bool] = []
+
+        async def reply_and_record(call: Call) -> None:
+            reply = call.reply_in_chunks if in_chunks else call.reply
+
+            async def respond() -> None:
+                await reply(200, b"done")
+                await anyio.sleep(0.05)
+
+            completed.append(await call.run_until_disconnect(respond))
+
+        app = App([Route("POST", "/x", reply_and_record)])
+        server = HttpServer(app, [listener], 1)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.server.serve, [listener])
+            async with await connect(f"{host}:{port}") as stream:
+                await stream.send(b"POST /x HTTP/1.1\r\nHost: a\r\n")
+                await stream.send(b"Content-Length: 0\r\n\r\n")
+                await read_until(stream, b"done")
+                await anyio.sleep(0.2)
+            server.server.should_exit = True
+        assert completed == [True]
+
+    run_loop(scenario)
+
+
 def test_request_of_a_caller_that_stays_is_completed() -> None:
     async def client(address: str, _: HttpServer) -> None:
         channel = HttpChannel()
