--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -142,6 +142,9 @@
             groups = await self.admission.admit(request)
         while True:
             state = await self._choose(request, tried, groups, failures)
+            if state is None and failures:
+                await self._finish_failed(request, call, failures)
+                return
             if state is None:
                 raise self._final_error(request, failures)
             self._check_still_allowed(request, failures, is_trial)
--- a/tests/processes/raw_target.py
+++ b/tests/processes/raw_target.py
@@ -1,6 +1,7 @@
 """A target over a real socket whose responses end with their connection."""
 
 from collections import deque
+from collections.abc import Awaitable, Callable
 from enum import StrEnum
 
 import anyio
@@ -40,15 +41,12 @@
 
     async def start(self, tasks: TaskGroup) -> str:
         """Listen on a free port of the loopback interface and return the address."""
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        tasks.start_soon(listener.serve, self._serve)
-        port = listener.extra(SocketAttribute.local_port)
-        return f"127.0.0.1:{port}"
+        return await listen(tasks, self._serve)
 
     async def _serve(self, stream: SocketStream) -> None:
         self.connections += 1
         async with stream:
-            headers = await _read_request(stream)
+            headers = await read_request(stream)
             if headers is None:
                 return
             end = self.ends.popleft() if self.ends else ResponseEnd.WHOLE
@@ -87,7 +85,17 @@
             await stream.send(event)
 
 
-async def _read_request(stream: SocketStream) -> dict[str, str] | None:
+async def listen(
+    tasks: TaskGroup, serve: Callable[[SocketStream], Awaitable[None]]
+) -> str:
+    """Serve connections on a free port of the loopback interface; return it."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    tasks.start_soon(listener.serve, serve)
+    port = listener.extra(SocketAttribute.local_port)
+    return f"127.0.0.1:{port}"
+
+
+async def read_request(stream: SocketStream) -> dict[str, str] | None:
     """Read one request and return its headers, ``None`` if none came."""
     connection = h11.Connection(h11.SERVER)
     headers: dict[str, str] | None = None
--- a/tests/processes/test_responses_that_end_with_their_connection.py
+++ b/tests/processes/test_responses_that_end_with_their_connection.py
@@ -5,20 +5,14 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-import anyio
 import httpcore
 import pytest
-from soak.soak_deployment import SoakDeployment
 
-from briarthread_entry.direct.shared_retry_budget import RetryAllowance
 from briarthread_standins.direct_config import DIARY, MODEL
+from processes.raw_deployment import run_before_targets, send
 from processes.raw_target import EVENT_COUNT, PLAIN_BODY, RawTarget, ResponseEnd
 
 TARGETS = {MODEL: 2, DIARY: 2}
-ALLOWANCE = RetryAllowance(0.5, 200.0, 10.0)
-"""Retries that are enough for all attempts of a test."""
-LIST_SECONDS = 1.5
-"""Time until an entry knows new rows of the list of targets."""
 
 
 @dataclass(slots=True)
@@ -44,17 +38,9 @@
         }
         content = b"x" if method == "POST" else None
         url = f"http://{self.address}{path}"
-        async with (
-            httpcore.AsyncConnectionPool() as pool,
-            pool.stream(method, url, headers=fields, content=content) as response,
-        ):
-            parts: list[bytes] = []
-            try:
-                async for part in response.aiter_stream():
-                    parts.append(part)
-            except httpcore.RemoteProtocolError:
-                return response.status, b"".join(parts), False
-            return response.status, b"".join(parts), True
+        async with httpcore.AsyncConnectionPool() as pool:
+            reply = await send(pool, url, method, fields, content)
+        return reply.status, reply.body, reply.whole
 
     async def ask(self) -> tuple[int, list[int], bool]:
         """Send a request for a stream; return status, event ids and if it was whole."""
@@ -64,33 +50,17 @@
 
 
 def run(folder: Path, scenario: Callable[[Caller], Awaitable[None]]) -> None:
-    async def play() -> None:
-        async with anyio.create_task_group() as tasks:
-            deployment = SoakDeployment(folder, tasks, {}, 1, ALLOWANCE)
-            ends: deque[ResponseEnd] = deque()
-            targets: dict[str, RawTarget] = {}
-            for service, count in TARGETS.items():
-                for number in range(count):
-                    name = f"{service}-{number}"
-                    targets[name] = RawTarget(name, ends)
-                    row = {
-                        "service": service,
-                        "address": await targets[name].start(tasks),
-                        "zone": "palermo",
-                        "slots": 12,
-                        "state": "ready",
-                    }
-                    deployment.store.put("servers", name, row)
-            try:
-                await deployment.start()
-                await anyio.sleep(LIST_SECONDS)
-                address = deployment.callers_addresses["entry-0"]
-                await scenario(Caller(address, targets, ends))
-            finally:
-                deployment.stop()
-                tasks.cancel_scope.cancel()
-
-    anyio.run(play)
+    ends: deque[ResponseEnd] = deque()
+    targets = {
+        f"{service}-{number}": RawTarget(f"{service}-{number}", ends)
+        for service, count in TARGETS.items()
+        for number in range(count)
+    }
+
+    async def play(address: str) -> None:
+        await scenario(Caller(address, targets, ends))
+
+    run_before_targets(folder, targets, play)
 
 
 ALL_EVENTS = list(range(1, EVENT_COUNT + 1))
