Bound the doublings of pauses before they have no value as a float

What callers saw: nothing yet; found while the pauses of failing tasks were read. After 1,024 doublings without a success `2 ** n` cannot be turned into a float. The supervisor of tasks would have ended the process after about an hour of a lasting cause.

Change: doubled_pause() computes all such pauses and bounds the exponent. No pause below its bound changes.

--- a/packages/common/src/briarthread_common/core/task_failures.py
+++ b/packages/common/src/briarthread_common/core/task_failures.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from briarthread_common.utils.doubled_pause import doubled_pause
+
 FIRST_PAUSE_SECONDS = 0.1
 """Pause in seconds after the first failure in a row."""
 MAX_PAUSE_SECONDS = 4.0
@@ -46,7 +48,7 @@
             self.in_a_row = 0
         self.in_a_row += 1
         self.started_at = None
-        return min(FIRST_PAUSE_SECONDS * 2 ** (self.in_a_row - 1), MAX_PAUSE_SECONDS)
+        return doubled_pause(FIRST_PAUSE_SECONDS, self.in_a_row - 1, MAX_PAUSE_SECONDS)
 
     def is_failing(self, now: float) -> bool:
         """Return whether the task fails repeatedly and has not recovered yet."""
--- a/packages/entry/src/briarthread_entry/direct/probe_schedule.py
+++ b/packages/entry/src/briarthread_entry/direct/probe_schedule.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from briarthread_common.utils.doubled_pause import doubled_pause
+
 FIRST_INTERVAL_SECONDS = 1.0
 """Time in seconds to the first probe. A target that was just started speeds up within
 seconds."""
@@ -38,8 +40,8 @@
         """Record a probe and schedule the next one."""
         self.probes += 1
         self.sent_at = now
-        self.next_at = now + min(
-            FIRST_INTERVAL_SECONDS * 2**self.probes, MAX_INTERVAL_SECONDS
+        self.next_at = now + doubled_pause(
+            FIRST_INTERVAL_SECONDS, self.probes, MAX_INTERVAL_SECONDS
         )
 
     def takes_result(self, began: float) -> bool:
--- a/packages/entry/src/briarthread_entry/direct/target_state.py
+++ b/packages/entry/src/briarthread_entry/direct/target_state.py
@@ -4,6 +4,7 @@
 
 from briarthread_common.direct.direct_target import DirectTarget
 from briarthread_common.utils.decaying_mean import DecayingMean
+from briarthread_common.utils.doubled_pause import doubled_pause
 from briarthread_entry.direct.load_durations import LoadDurations
 from briarthread_entry.direct.probe_schedule import ProbeSchedule
 from briarthread_entry.direct.target_condition import TargetCondition
@@ -74,8 +75,8 @@
             return False
         self.failures = 0
         self.ejections += 1
-        duration = min(
-            BASE_EJECTION_SECONDS * 2 ** (self.ejections - 1), MAX_EJECTION_SECONDS
+        duration = doubled_pause(
+            BASE_EJECTION_SECONDS, self.ejections - 1, MAX_EJECTION_SECONDS
         )
         self.ejected_until = now + duration
         return True
--- a/packages/entry/src/briarthread_entry/retries/retry_policy.py
+++ b/packages/entry/src/briarthread_entry/retries/retry_policy.py
@@ -3,6 +3,7 @@
 import random
 
 from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.utils.doubled_pause import doubled_pause
 
 MEMBERSHIP_KINDS = frozenset(
     {
@@ -72,5 +73,5 @@
 
 def retry_delay(attempt: int, rng: random.Random) -> float:
     """Return the delay before a retry in seconds: exponential, with jitter."""
-    bound = min(MAX_DELAY_SECONDS, BASE_DELAY_SECONDS * 2**attempt)
+    bound = doubled_pause(BASE_DELAY_SECONDS, attempt, MAX_DELAY_SECONDS)
     return bound * rng.uniform(0.5, 1.0)
--- a/packages/entry/src/briarthread_entry/routing/target_state.py
+++ b/packages/entry/src/briarthread_entry/routing/target_state.py
@@ -4,6 +4,7 @@
 
 from briarthread_common.messages.instance import Instance
 from briarthread_common.messages.load_report import LoadReport
+from briarthread_common.utils.doubled_pause import doubled_pause
 
 EJECTION_FAILURES = 3
 """Consecutive failures after which a target is ejected for some time."""
@@ -61,8 +62,8 @@
             return False
         self.failures = 0
         self.ejections += 1
-        pause = min(
-            BASE_EJECTION_SECONDS * 2 ** (self.ejections - 1), MAX_EJECTION_SECONDS
+        pause = doubled_pause(
+            BASE_EJECTION_SECONDS, self.ejections - 1, MAX_EJECTION_SECONDS
         )
         self.ejected_until = now + pause
         return True
--- a/tests/common/test_task_supervisor.py
+++ b/tests/common/test_task_supervisor.py
@@ -39,6 +39,13 @@
     assert min(pauses[6:]) >= MIN_PAUSE_FACTOR * MAX_PAUSE_SECONDS
 
 
+def test_task_is_restarted_however_long_its_cause_lasts() -> None:
+    """Guards against pauses that have no value after a thousand doublings."""
+    run = FailingRun()
+    supervise(run, 2000 * MAX_PAUSE_SECONDS)
+    assert len(run.starts) > 2000
+
+
 def test_each_failure_is_counted_and_logged_and_its_traceback_once() -> None:
     run = FailingRun()
     with collecting_logs() as lines:
