--- a/tests/processes/stuttering_target.py
+++ b/tests/processes/stuttering_target.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from anyio.abc import SocketStream, TaskGroup
 
-from processes.raw_target import read_request
+from processes.raw_target import listen, read_request
 
 STAMP_BYTES = 24
 
@@ -55,10 +55,7 @@
 
     async def start(self, tasks: TaskGroup) -> str:
         """Listen on a free port of the loopback interface and return the address."""
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        tasks.start_soon(listener.serve, self._serve)
-        port = listener.extra(SocketAttribute.local_port)
-        return f"127.0.0.1:{port}"
+        return await listen(tasks, self._serve)
 
     async def send_unasked(self, data: bytes) -> None:
         """Send bytes on the newest connection, although no request waits there."""
