Suspect only what a rank may have executed when it fell silent

Where ranks fell silent once a second for other causes, sound segments were blocked as well. With ranks that end their connections the same load blocked nothing.

Cause: a run was suspected because it hung at a silent rank; whether the group could have executed it was not asked. A lost rank stops its group, so that all that is sent to a silent rank meanwhile hangs, and no answer can clear it. By reading: the progress of a run was that of its request's latest attempt.

Ruled out: the time of the crashes alone.

Change: SilentRanks alone decides what a silent rank or a connection lost to a rank shows, without a network; it replaces RankRuns and the rule in the recorder. Nothing sent during a stop, or ended before it, is suspected; all ranks lost in one stop are dated to its begin; a silent rank that nobody names is also found by the first pass that it misses, and when the caller leaves or the connection ends.

--- a/packages/common/src/briarthread_common/messages/crash_words.py
+++ b/packages/common/src/briarthread_common/messages/crash_words.py
@@ -6,6 +6,8 @@
 import msgspec
 from msgspec import structs
 
+from briarthread_common.messages.group_stop_report import GroupStopReport, join_stops
+
 
 @dataclass(frozen=True, slots=True)
 class CrashStrike:
@@ -58,7 +60,8 @@
     seconds ago a request with strikes got a complete response, ``shut_out`` how many
     seconds ago a blocked request was last received. ``prompts`` are crashes that the
     entry observed while targets ran prompts, ``answered`` is how many seconds ago a
-    prompt with a suspect segment was answered, ``blocked`` what is refused.
+    prompt with a suspect segment was answered, ``blocked`` what is refused. ``stopped``
+    is when the groups that the entry knows made no passes, by group.
     """
 
     strikes: dict[str, tuple[CrashStrike, ...]] = {}
@@ -67,6 +70,7 @@
     prompts: tuple[CrashStrike, ...] = ()
     answered: dict[str, float] = {}
     blocked: tuple[BlockedSegments, ...] = ()
+    stopped: dict[str, tuple[GroupStopReport, ...]] = {}
 
     def __bool__(self) -> bool:
         """Return whether the report has any content."""
@@ -77,6 +81,7 @@
             or self.prompts
             or self.answered
             or self.blocked
+            or self.stopped
         )
 
     def same_as(self, other: "CrashWords") -> bool:
@@ -91,6 +96,8 @@
             == {(one.segments, one.tried) for one in other.blocked}
             and {digest: len(seen) for digest, seen in self.strikes.items()}
             == {digest: len(seen) for digest, seen in other.strikes.items()}
+            and {group: len(stops) for group, stops in self.stopped.items()}
+            == {group: len(stops) for group, stops in other.stopped.items()}
         )
 
     def aged(self, seconds: float) -> "CrashWords":
@@ -110,6 +117,10 @@
             tuple(one.aged(seconds) for one in self.prompts),
             {segment: age + seconds for segment, age in self.answered.items()},
             tuple(one.aged(seconds) for one in self.blocked),
+            {
+                group: tuple(stop.aged(seconds) for stop in stops)
+                for group, stops in self.stopped.items()
+            },
         )
 
 
@@ -122,7 +133,7 @@
     >>> both.cleared, len(both.strikes["d"])
     ({'e': 1.0}, 1)
     """
-    merged = CrashWords({}, {}, {}, answered={})
+    merged = CrashWords({}, {}, {}, answered={}, stopped={})
     prompts: list[CrashStrike] = []
     blocked: dict[tuple[str, ...], BlockedSegments] = {}
     for report in reports:
@@ -135,6 +146,8 @@
         ):
             for key, age in ages.items():
                 merged_ages[key] = min(age, merged_ages.get(key, age))
+        for group, stops in report.stopped.items():
+            merged.stopped[group] = join_stops((*merged.stopped.get(group, ()), *stops))
         prompts += report.prompts
         for one in report.blocked:
             blocked[one.segments] = _merge_blocked(one, blocked.get(one.segments, one))
--- a/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
@@ -1,5 +1,7 @@
 """Recording of attempts that have ended."""
 
+from collections.abc import Iterable
+
 import anyio
 
 from briarthread_common.core.event_log import EventLog
@@ -21,8 +23,9 @@
 from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.plain_targets import PlainTargets
-from briarthread_entry.direct.rank_runs import GROUP_STALL_SECONDS, RankRuns
+from briarthread_entry.direct.rank_run import RankRun
 from briarthread_entry.direct.response_relay import ResponseRelay
+from briarthread_entry.direct.silent_ranks import RankCrash, SilentRanks
 from briarthread_entry.direct.silent_runs import SilentRuns
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.target_state import DirectTargetState
@@ -56,7 +59,7 @@
         self.plain_targets = plain_targets
         self.metrics = metrics
         self.events = events
-        self.rank_runs = RankRuns()
+        self.silent_ranks = SilentRanks(crashes.stops)
         self.silent_runs = SilentRuns()
 
     def record(
@@ -67,16 +70,17 @@
         began: float,
         progress: AttemptProgress,
         running: int = 0,
+        rank_run: RankRun | None = None,
     ) -> None:
         """
         Record an attempt that started at ``began`` on the event loop's clock.
 
         ``running`` is the number of attempts of all entries that ran at the target when
-        this one started.
+        this one started. ``rank_run`` is its run if the target is a rank of a group.
         """
         seconds = anyio.current_time() - began
         self._record_run(request, state, outcome, began, running)
-        self._note_crash(request, state, outcome, began, progress)
+        self._note_crash(request, state, outcome, began, progress, rank_run)
         match outcome:
             case StreamRelayed():
                 result = _describe_stream(request, outcome)
@@ -103,7 +107,7 @@
                 reason = f"nothing answered for {silent:.3f} s, repeated elsewhere"
                 self.events.add("attempt-moved", state.target.name, reason, request.id)
             case NotRun():
-                self._note_refused(request, state, outcome)
+                self._note_refused(request, state, outcome, rank_run)
 
     def record_abandoned(
         self,
@@ -111,6 +115,7 @@
         state: DirectTargetState,
         began: float,
         relay: ResponseRelay,
+        rank_run: RankRun | None = None,
     ) -> None:
         """
         Record an attempt that ended with its caller's departure or deadline.
@@ -124,6 +129,9 @@
         reason = f"{progress} after {seconds:.3f} s"
         self.events.add("attempt-abandoned", state.target.name, reason, request.id)
         self._note_silent(request, state, began, relay.progress)
+        if rank_run is not None:
+            now = anyio.current_time()
+            self._note_rank_crashes(self.silent_ranks.note_abandoned(rank_run, now))
         if anyio.current_time() < request.deadline:
             return
         is_plain = request.service.engine is None
@@ -187,6 +195,7 @@
         outcome: DirectOutcome,
         began: float,
         progress: AttemptProgress,
+        rank_run: RankRun | None,
     ) -> None:
         """Pass on what an attempt shows about a crash of its target."""
         now = anyio.current_time()
@@ -202,17 +211,12 @@
                 not self.capacity.registry.is_leaving(state)
                 and not self.silent_runs.has_run(request)
             ):
-                in_group = request.service.engine is not None
-                silent_seconds = now - progress.last_received_at(began)
-                stalled = in_group and silent_seconds > GROUP_STALL_SECONDS
-                if progress.events < PROVEN_EVENTS and not stalled:
+                if rank_run is not None:
+                    lost = self.silent_ranks.note_connection_lost(rank_run, now)
+                    self._note_rank_crashes(lost)
+                elif progress.events < PROVEN_EVENTS:
                     self.crashes.note_crash(
-                        request.digest,
-                        name,
-                        began,
-                        now,
-                        started_ms,
-                        request.segments if in_group else None,
+                        request.digest, name, began, now, started_ms
                     )
 
     def _note_served(
@@ -247,34 +251,46 @@
             self.events.add("target-ejected", name, reason)
 
     def _note_refused(
-        self, request: DirectRequest, state: DirectTargetState, refusal: NotRun
+        self,
+        request: DirectRequest,
+        state: DirectTargetState,
+        refusal: NotRun,
+        rank_run: RankRun | None,
     ) -> None:
         reason = refusal.error.detail
         if refusal.has_ended:
             self._note_attempt_failed(request, state, reason)
         else:
             self._note_failed(request, state, f"{reason}, without an end")
-        if refusal.faulty_rank:
-            group = self.capacity.membership.group_of(state.target)
-            self.capacity.note_refused(group, refusal.faulty_rank)
-            self._note_silent_crash(group, refusal.faulty_rank)
+        if not refusal.faulty_rank:
+            return
+        group = self.capacity.membership.group_of(state.target)
+        self.capacity.note_refused(group, refusal.faulty_rank)
+        if rank_run is not None:
+            now = anyio.current_time()
+            crashes = self.silent_ranks.note_refusal(rank_run, refusal.faulty_rank, now)
+            self._note_rank_crashes(crashes)
+
+    def note_pass(self, group: GroupId) -> None:
+        """Record that a group has made a pass."""
+        crashes = self.silent_ranks.note_event(group, anyio.current_time())
+        self._note_rank_crashes(crashes)
 
-    def _note_silent_crash(self, group: GroupId, rank: str) -> None:
-        """Record what ran at ranks that fell silent; ``rank`` is the one at fault."""
+    def _note_rank_crashes(self, crashes: Iterable[RankCrash]) -> None:
         now = anyio.current_time()
-        for run, crashed_at in self.rank_runs.take_silent(group, rank, now):
-            reason = (
-                f"silent since {now - run.last_received_at():.1f} s, its group waits"
-            )
-            self.events.add("rank-silent", run.target.name, reason, run.request.id)
+        for crash in crashes:
+            run = crash.run
+            if crash.silent:
+                reason = f"silent since {now - run.last_received_at():.1f} s"
+                self.events.add("rank-silent", run.target.name, reason, run.request.id)
             self.crashes.note_crash(
                 run.request.digest,
                 run.target.name,
                 run.began,
-                crashed_at,
+                crash.at,
                 run.target.started_ms,
                 run.request.segments,
-                silent=True,
+                silent=crash.silent,
             )
 
 
--- a/packages/entry/src/briarthread_entry/direct/crash_tracker.py
+++ b/packages/entry/src/briarthread_entry/direct/crash_tracker.py
@@ -13,6 +13,7 @@
     Strike,
     count_sequential_crashes,
 )
+from briarthread_entry.direct.known_stops import KnownStops
 from briarthread_entry.direct.segment_tracker import SegmentTracker
 
 HARMLESS_SECONDS = 60.0
@@ -51,7 +52,8 @@
     Track crashes by request digest and block requests that crash their targets.
 
     ``strikes`` holds what all entries have seen and ``own`` what this entry has seen
-    itself. ``segments`` tracks the same crashes by the segments of the prompts.
+    itself. ``segments`` tracks the same crashes by the segments of the prompts,
+    ``stops`` when the groups of the targets made no passes.
     ``on_blocked`` is called with the digest of a request that is blocked because of a
     crash that this entry saw, ``on_cleared`` with one that it answered. Times are in
     seconds on the event loop's clock.
@@ -68,6 +70,7 @@
         self.on_blocked: Callable[[str], None] = _ignore
         self.on_cleared: Callable[[str], None] = _ignore
         self.segments = SegmentTracker(self.on_decision)
+        self.stops = KnownStops()
         self.strikes: OrderedDict[str, list[Strike]] = OrderedDict()
         self.own: dict[str, list[Strike]] = {}
         self.harmless: OrderedDict[str, float] = OrderedDict()
@@ -207,6 +210,7 @@
             _ages(self.cleared, now),
             _ages(self._blocked_by_crashes(), now),
             *self.segments.report(now),
+            self.stops.report(now),
         )
 
     def _blocked_by_crashes(self) -> dict[str, float]:
@@ -232,6 +236,7 @@
         for digest, age in report.shut_out.items():
             if age < RETENTION_SECONDS and not self._is_harmless(digest, now):
                 self._block(digest, now - age, source)
+        self.stops.merge(report.stopped, now)
         self.segments.merge(source, report, now)
 
     def _note_harmless(self, digest: str, at: float) -> None:
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -35,7 +35,7 @@
 from briarthread_entry.direct.final_error import final_error, retry_reason
 from briarthread_entry.direct.group_admission import GroupAdmission
 from briarthread_entry.direct.group_capacity import GroupCapacityTracker
-from briarthread_entry.direct.rank_runs import RankRun
+from briarthread_entry.direct.rank_run import RankRun
 from briarthread_entry.direct.response_relay import ResponseRelay
 from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
 from briarthread_entry.direct.silent_attempts import SilentAttempts
@@ -87,7 +87,7 @@
         self.attempt_recorder = AttemptRecorder(
             capacity, crashes, sender.backoffs, chooser.plain_targets, metrics, events
         )
-        self.rank_runs = self.attempt_recorder.rank_runs
+        self.silent_ranks = self.attempt_recorder.silent_ranks
         self.rng = rng
 
     async def run(self, request: DirectRequest, call: Call) -> None:
@@ -232,14 +232,16 @@
             else:
                 outcome = await self.sender.send(request, state, relay)
         except anyio.get_cancelled_exc_class():
-            self.attempt_recorder.record_abandoned(request, state, started, relay)
+            self.attempt_recorder.record_abandoned(
+                request, state, started, relay, rank_run
+            )
             raise
         finally:
             state.running -= 1
             state.prompt_tokens -= request.prompt_tokens
             self.crashes.note_end(run)
             if rank_run is not None:
-                self.rank_runs.end(rank_run, anyio.current_time())
+                self.silent_ranks.end(rank_run, anyio.current_time())
         self.attempt_recorder.record(
             request,
             state,
@@ -247,6 +249,7 @@
             started,
             relay.progress,
             running,
+            rank_run,
         )
         return outcome
 
@@ -261,7 +264,7 @@
         if request.service.engine is None:
             return None
         group = self.capacity.membership.group_of(state.target)
-        return self.rank_runs.start(request, state.target, group, began, relay)
+        return self.silent_ranks.start(request, state.target, group, began, relay)
 
     def _note_event(
         self,
@@ -271,6 +274,7 @@
         previous: float | None,
     ) -> None:
         self.capacity.note_event(request.service, group, previous)
+        self.attempt_recorder.note_pass(group)
         if relay.progress.events == PROVEN_EVENTS:
             now = anyio.current_time()
             self.crashes.segments.note_answered(request.segments, now)
--- a/tests/direct_builders.py
+++ b/tests/direct_builders.py
@@ -1,6 +1,7 @@
 """Builders of test data for direct targets."""
 
 from collections.abc import Awaitable, Callable
+from unittest.mock import Mock
 
 import anyio
 
@@ -9,7 +10,10 @@
 from briarthread_common.direct.direct_target import DirectTarget
 from briarthread_common.direct.engine_profile import EngineProfile
 from briarthread_common.direct.host_route import HostRoute, RouteShare
+from briarthread_common.http.call import Call
+from briarthread_entry.direct.attempt_progress import AttemptProgress
 from briarthread_entry.direct.direct_request import DirectRequest
+from briarthread_entry.direct.response_relay import ResponseRelay
 from briarthread_entry.direct.target_state import DirectTargetState
 from briarthread_standins.direct_agents import GroupWorld
 from briarthread_standins.direct_config import (
@@ -49,6 +53,13 @@
     return DirectTargetState(build_target(name, **changes))
 
 
+def build_relay(progress: AttemptProgress) -> ResponseRelay:
+    """Return the relay of an attempt that has come so far."""
+    relay = ResponseRelay(Mock(spec=Call), None)
+    relay.progress = progress
+    return relay
+
+
 def build_direct_request(**changes: object) -> DirectRequest:
     """Return a request for a streaming route."""
     route = HostRoute(
