Move 4 modules of entry/direct to direct/requests

Change: to direct/requests: direct_request, prompt_segments, read_request, request_digest.

Ruled out: to export the names from the package's __init__.py, since each type would then have two paths; to rename or split modules on the way, since a diff with a change of code in it hides it.

Not run for this commit alone: the tests.

--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_sender.py
@@ -27,10 +27,10 @@
     TargetResponse,
 )
 from briarthread_entry.direct.cold_targets import ColdTargets
-from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.event_reader import EventReader
 from briarthread_entry.direct.leaving_targets import LeavingTargets
 from briarthread_entry.direct.read_response import read_response
+from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.response_relay import HeaderFields, ResponseRelay
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.target_checker import TargetChecker
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -48,9 +48,9 @@
 from briarthread_entry.direct.memory_budget import MemoryBudget
 from briarthread_entry.direct.peer_reports import PeerReports
 from briarthread_entry.direct.plain_targets import PlainTargets
-from briarthread_entry.direct.read_request import RequestReader
 from briarthread_entry.direct.request_handler import RequestHandler
 from briarthread_entry.direct.request_runner import RequestRunner
+from briarthread_entry.direct.requests.read_request import RequestReader
 from briarthread_entry.direct.running_reporter import RunningReporter
 from briarthread_entry.direct.running_watcher import RunningWatcher
 from briarthread_entry.direct.settings import DirectSettings
--- a/packages/entry/src/briarthread_entry/direct/group_admission.py
+++ b/packages/entry/src/briarthread_entry/direct/group_admission.py
@@ -18,13 +18,13 @@
     retry_after_refusal,
 )
 from briarthread_entry.direct.client_retry_detector import ClientRetryDetector
-from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.group_capacity import (
     GroupCapacities,
     GroupCapacityTracker,
     combined_capacity,
     groups_with_capacity,
 )
+from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.urgency_rule import UrgencyClaim, decide_by_urgency
 from briarthread_entry.direct.urgency_tracker import UrgencyTracker
 from briarthread_entry.direct.waiting_place import WaitingPlace, request_rank
--- a/packages/entry/src/briarthread_entry/direct/plain_targets.py
+++ b/packages/entry/src/briarthread_entry/direct/plain_targets.py
@@ -14,9 +14,9 @@
     choose_plain,
     without_ejected,
 )
-from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.plain_option import PlainOption
 from briarthread_entry.direct.probe_schedule import FIRST_INTERVAL_SECONDS
+from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.service_record import ServiceRecord
 from briarthread_entry.direct.target_condition import TargetCondition
 from briarthread_entry.direct.target_state import (
--- a/packages/entry/src/briarthread_entry/direct/read_response.py
+++ b/packages/entry/src/briarthread_entry/direct/read_response.py
@@ -5,7 +5,7 @@
 from briarthread_common.core.decoding import read_whole_number
 from briarthread_common.http.channel import ChannelResponse
 from briarthread_common.http.channel_calls import read_bounded
-from briarthread_entry.direct.direct_request import DirectRequest
+from briarthread_entry.direct.requests.direct_request import DirectRequest
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 """Largest response of a plain service that is buffered until it is complete."""
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -32,11 +32,11 @@
     PROVEN_EVENTS,
 )
 from briarthread_entry.direct.crash_tracker import CrashTracker, RunningRequest
-from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.final_error import final_error, retry_reason
 from briarthread_entry.direct.group_admission import GroupAdmission
 from briarthread_entry.direct.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.rank_run import RankRun
+from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.response_relay import ResponseRelay
 from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
 from briarthread_entry.direct.silent_attempts import SilentAttempts
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers to direct targets, and how they are read."""
--- a/packages/entry/src/briarthread_entry/direct/read_request.py
+++ b/packages/entry/src/briarthread_entry/direct/requests/read_request.py
@@ -21,11 +21,11 @@
     retry_after_backoff,
     retry_after_outage,
 )
-from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.held_bytes import HeldBytes
 from briarthread_entry.direct.memory_rule import Granted, MemoryFull, TooLarge
-from briarthread_entry.direct.prompt_segments import shared_segments
-from briarthread_entry.direct.request_digest import request_digest
+from briarthread_entry.direct.requests.direct_request import DirectRequest
+from briarthread_entry.direct.requests.prompt_segments import shared_segments
+from briarthread_entry.direct.requests.request_digest import request_digest
 
 CONNECTION_HEADERS = frozenset(
     {
--- a/packages/entry/src/briarthread_entry/direct/silent_runs.py
+++ b/packages/entry/src/briarthread_entry/direct/silent_runs.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from briarthread_entry.direct.direct_request import DirectRequest
+from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.target_state import DirectTargetState
 
 RETENTION_SECONDS = 20.0
--- a/packages/entry/src/briarthread_entry/direct/target_chooser.py
+++ b/packages/entry/src/briarthread_entry/direct/target_chooser.py
@@ -10,12 +10,12 @@
 from briarthread_entry.direct.assigned_slots import AssignedSlots
 from briarthread_entry.direct.choose_target import choose_rank
 from briarthread_entry.direct.crash_tracker import CrashTracker
-from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.group_admission import MAX_WAIT_SECONDS
 from briarthread_entry.direct.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.limit_tokens import LimitTokens
 from briarthread_entry.direct.peer_reports import PeerReports
 from briarthread_entry.direct.plain_targets import PlainTargets
+from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.slow_ranks import SlowRanks
 from briarthread_entry.direct.standing import Standing
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
--- a/packages/entry/src/briarthread_entry/direct/urgency_tracker.py
+++ b/packages/entry/src/briarthread_entry/direct/urgency_tracker.py
@@ -9,8 +9,8 @@
 from briarthread_common.utils.decaying_mean import DecayingMean
 from briarthread_entry.direct.admission_rule import Decision, Refuse, Start
 from briarthread_entry.direct.arrival_meter import ArrivalMeter
-from briarthread_entry.direct.direct_request import DirectRequest
 from briarthread_entry.direct.peer_reports import PeerReports
+from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.unreserved_shares import UnreservedShares
 from briarthread_entry.direct.urgency_rule import (
     UrgencyClaim,
--- a/packages/measure/src/briarthread_measure/plain_policies.py
+++ b/packages/measure/src/briarthread_measure/plain_policies.py
@@ -11,7 +11,7 @@
     without_ejected,
 )
 from briarthread_entry.direct.direct_entry import DirectEntry
-from briarthread_entry.direct.direct_request import DirectRequest
+from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.target_state import (
     DEFAULT_RESPONSE_SECONDS,
     DirectTargetState,
--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -8,7 +8,7 @@
 
 from briarthread_common.messages.crash_words import CrashWords
 from briarthread_entry.direct.crash_tracker import CrashTracker
-from briarthread_entry.direct.request_digest import request_digest
+from briarthread_entry.direct.requests.request_digest import request_digest
 from briarthread_standins.crash_scenario import (
     CRASH_SCENARIOS,
     PLAIN_SERVICE,
