Move 7 modules of entry/direct to direct/admission

Change: to direct/admission: admission_rule, arrival_meter, group_admission, unreserved_shares, urgency_rule, urgency_tracker, waiting_place.

Ruled out: to export the names from the package's __init__.py, since each type would then have two paths; to rename or split modules on the way, since a diff with a change of code in it hides it.

Not run for this commit alone: the tests.

--- a/packages/entry/src/briarthread_entry/direct/group_admission.py
+++ b/packages/entry/src/briarthread_entry/direct/admission/group_admission.py
@@ -9,7 +9,7 @@
 from briarthread_common.core.exceptions import RequestError
 from briarthread_common.direct.group_id import GroupId
 from briarthread_common.messages.running_report import RunningReport
-from briarthread_entry.direct.admission_rule import (
+from briarthread_entry.direct.admission.admission_rule import (
     Decision,
     GroupCapacity,
     Refuse,
@@ -17,6 +17,12 @@
     decide_admission,
     retry_after_refusal,
 )
+from briarthread_entry.direct.admission.urgency_rule import (
+    UrgencyClaim,
+    decide_by_urgency,
+)
+from briarthread_entry.direct.admission.urgency_tracker import UrgencyTracker
+from briarthread_entry.direct.admission.waiting_place import WaitingPlace, request_rank
 from briarthread_entry.direct.client_retry_detector import ClientRetryDetector
 from briarthread_entry.direct.group_capacity import (
     GroupCapacities,
@@ -25,9 +31,6 @@
     groups_with_capacity,
 )
 from briarthread_entry.direct.requests.direct_request import DirectRequest
-from briarthread_entry.direct.urgency_rule import UrgencyClaim, decide_by_urgency
-from briarthread_entry.direct.urgency_tracker import UrgencyTracker
-from briarthread_entry.direct.waiting_place import WaitingPlace, request_rank
 
 POLL_INTERVAL_SECONDS = 0.02
 """Interval at which a waiting request checks for capacity, a fraction of a pass."""
--- a/packages/entry/src/briarthread_entry/direct/urgency_rule.py
+++ b/packages/entry/src/briarthread_entry/direct/admission/urgency_rule.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 from briarthread_common.core.error_kind import ErrorKind
-from briarthread_entry.direct.admission_rule import (
+from briarthread_entry.direct.admission.admission_rule import (
     HONOURED_FRACTION,
     MIN_RETRY_AFTER_SECONDS,
     NEW_CALLER_RESERVE,
@@ -24,7 +24,7 @@
     WaitForCapacity,
     decide_unavailable,
 )
-from briarthread_entry.direct.unreserved_shares import UNRESERVED_SHARE
+from briarthread_entry.direct.admission.unreserved_shares import UNRESERVED_SHARE
 
 UNKNOWN_STARTS_SECONDS = 0.25
 """Time in which an entry does not know what the others started: the interval of the
--- a/packages/entry/src/briarthread_entry/direct/urgency_tracker.py
+++ b/packages/entry/src/briarthread_entry/direct/admission/urgency_tracker.py
@@ -7,17 +7,17 @@
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.metrics import Metrics
 from briarthread_common.utils.decaying_mean import DecayingMean
-from briarthread_entry.direct.admission_rule import Decision, Refuse, Start
-from briarthread_entry.direct.arrival_meter import ArrivalMeter
-from briarthread_entry.direct.peer_reports import PeerReports
-from briarthread_entry.direct.requests.direct_request import DirectRequest
-from briarthread_entry.direct.unreserved_shares import UnreservedShares
-from briarthread_entry.direct.urgency_rule import (
+from briarthread_entry.direct.admission.admission_rule import Decision, Refuse, Start
+from briarthread_entry.direct.admission.arrival_meter import ArrivalMeter
+from briarthread_entry.direct.admission.unreserved_shares import UnreservedShares
+from briarthread_entry.direct.admission.urgency_rule import (
     UrgencyClaim,
     UrgencyLoad,
     build_urgency_load,
 )
-from briarthread_entry.direct.waiting_place import WaitingPlace
+from briarthread_entry.direct.admission.waiting_place import WaitingPlace
+from briarthread_entry.direct.peer_reports import PeerReports
+from briarthread_entry.direct.requests.direct_request import DirectRequest
 
 DURATION_WEIGHT = 0.2
 """Weight of one duration in the mean, which then covers about five requests."""
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -31,13 +31,14 @@
 from briarthread_common.spread.long_poll_replicator import LongPollReplicator
 from briarthread_common.utils.clock import Clock
 from briarthread_common.utils.hashing import rendezvous_order
+from briarthread_entry.direct.admission.group_admission import GroupAdmission
+from briarthread_entry.direct.admission.urgency_tracker import UrgencyTracker
 from briarthread_entry.direct.assigned_slots import AssignedSlots
 from briarthread_entry.direct.attempt_sender import AttemptSender
 from briarthread_entry.direct.blocklist_store import BlocklistStore
 from briarthread_entry.direct.cold_targets import ColdTargets
 from briarthread_entry.direct.crash_tracker import CrashTracker
 from briarthread_entry.direct.evacuations import Evacuations
-from briarthread_entry.direct.group_admission import GroupAdmission
 from briarthread_entry.direct.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.group_membership import GroupMembership
 from briarthread_entry.direct.group_reports import GroupReports
@@ -62,7 +63,6 @@
 from briarthread_entry.direct.target_limits import TargetLimits
 from briarthread_entry.direct.target_registry import TargetRegistry
 from briarthread_entry.direct.target_runs import TargetRuns
-from briarthread_entry.direct.urgency_tracker import UrgencyTracker
 
 SETTLED_CHECK_SECONDS = 0.5
 """Interval in seconds at which an entry checks whether it has settled in the list."""
--- a/packages/entry/src/briarthread_entry/direct/final_error.py
+++ b/packages/entry/src/briarthread_entry/direct/final_error.py
@@ -5,7 +5,7 @@
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.exceptions import RequestError
 from briarthread_common.core.outcome import Outcome
-from briarthread_entry.direct.admission_rule import (
+from briarthread_entry.direct.admission.admission_rule import (
     retry_after_backoff,
     retry_after_refusal,
 )
--- a/packages/entry/src/briarthread_entry/direct/group_capacity.py
+++ b/packages/entry/src/briarthread_entry/direct/group_capacity.py
@@ -15,7 +15,7 @@
 
 from briarthread_common.direct.direct_service import DirectService
 from briarthread_common.direct.group_id import GroupId
-from briarthread_entry.direct.admission_rule import GroupCapacity
+from briarthread_entry.direct.admission.admission_rule import GroupCapacity
 from briarthread_entry.direct.cold_targets import ColdTargets
 from briarthread_entry.direct.group_concurrency import (
     MAX_PASS_FRACTION,
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -15,6 +15,7 @@
 from briarthread_common.direct.group_id import GroupId
 from briarthread_common.http.app import ResponseAborted
 from briarthread_common.http.call import Call
+from briarthread_entry.direct.admission.group_admission import GroupAdmission
 from briarthread_entry.direct.attempt_outcome import (
     DirectOutcome,
     NotRun,
@@ -33,7 +34,6 @@
 )
 from briarthread_entry.direct.crash_tracker import CrashTracker, RunningRequest
 from briarthread_entry.direct.final_error import final_error, retry_reason
-from briarthread_entry.direct.group_admission import GroupAdmission
 from briarthread_entry.direct.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.rank_run import RankRun
 from briarthread_entry.direct.requests.direct_request import DirectRequest
--- a/packages/entry/src/briarthread_entry/direct/requests/read_request.py
+++ b/packages/entry/src/briarthread_entry/direct/requests/read_request.py
@@ -16,7 +16,7 @@
 from briarthread_common.direct.host_route import HostRoute
 from briarthread_common.direct.route_map import RouteMap
 from briarthread_common.http.call import Call
-from briarthread_entry.direct.admission_rule import (
+from briarthread_entry.direct.admission.admission_rule import (
     MIN_RETRY_AFTER_SECONDS,
     retry_after_backoff,
     retry_after_outage,
--- a/packages/entry/src/briarthread_entry/direct/target_chooser.py
+++ b/packages/entry/src/briarthread_entry/direct/target_chooser.py
@@ -7,10 +7,10 @@
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.direct.group_id import GroupId
+from briarthread_entry.direct.admission.group_admission import MAX_WAIT_SECONDS
 from briarthread_entry.direct.assigned_slots import AssignedSlots
 from briarthread_entry.direct.choose_target import choose_rank
 from briarthread_entry.direct.crash_tracker import CrashTracker
-from briarthread_entry.direct.group_admission import MAX_WAIT_SECONDS
 from briarthread_entry.direct.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.limit_tokens import LimitTokens
 from briarthread_entry.direct.peer_reports import PeerReports
--- a/packages/measure/src/briarthread_measure/group_choice_run.py
+++ b/packages/measure/src/briarthread_measure/group_choice_run.py
@@ -20,7 +20,7 @@
 from loguru import logger
 
 from briarthread_common.direct.group_id import GroupId
-from briarthread_entry.direct.admission_rule import GroupCapacity
+from briarthread_entry.direct.admission.admission_rule import GroupCapacity
 from briarthread_entry.direct.direct_entry import DirectEntry
 from briarthread_entry.direct.group_capacity import (
     GroupCapacities,
--- a/tests/direct/test_urgency.py
+++ b/tests/direct/test_urgency.py
@@ -22,24 +22,24 @@
 from briarthread_common.core.metrics import Metrics
 from briarthread_common.direct.direct_service import DirectService
 from briarthread_common.messages.running_report import RunningReport, merge_reports
-from briarthread_entry.direct.admission_rule import (
+from briarthread_entry.direct.admission.admission_rule import (
     GroupCapacity,
     Refuse,
     Start,
     WaitForCapacity,
 )
-from briarthread_entry.direct.peer_reports import PeerReports
-from briarthread_entry.direct.unreserved_shares import (
+from briarthread_entry.direct.admission.unreserved_shares import (
     UNRESERVED_SHARE,
     UnreservedShares,
 )
-from briarthread_entry.direct.urgency_rule import (
+from briarthread_entry.direct.admission.urgency_rule import (
     UrgencyClaim,
     UrgencyLoad,
     decide_by_urgency,
 )
-from briarthread_entry.direct.urgency_tracker import UrgencyTracker
-from briarthread_entry.direct.waiting_place import WaitingPlace, request_rank
+from briarthread_entry.direct.admission.urgency_tracker import UrgencyTracker
+from briarthread_entry.direct.admission.waiting_place import WaitingPlace, request_rank
+from briarthread_entry.direct.peer_reports import PeerReports
 from briarthread_standins.caller_results import CallerResults
 from briarthread_standins.direct_world import DirectWorld
 from briarthread_standins.load_scenario import LoadScenario
