Move 13 modules of entry/direct to direct/targets

Change: to direct/targets: address_holders, evacuations, leaving_targets, load_durations, probe_schedule, standing, target_checker, target_condition, target_presence, target_registry, target_runs, target_state, unanswered_attempts.

Ruled out: to export the names from the package's __init__.py, since each type would then have two paths; to rename or split modules on the way, since a diff with a change of code in it hides it.

Not run for this commit alone: the tests.

--- a/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
@@ -28,7 +28,7 @@
 from briarthread_entry.direct.silent_ranks import RankCrash, SilentRanks
 from briarthread_entry.direct.silent_runs import SilentRuns
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
-from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.targets.target_state import DirectTargetState
 
 USELESS_READS = 3
 """Reads without an event, the last ones before the deadline, that make an attempt a
--- a/packages/entry/src/briarthread_entry/direct/choose_target.py
+++ b/packages/entry/src/briarthread_entry/direct/choose_target.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Mapping, Sequence
 
 from briarthread_entry.direct.plain_option import PlainOption
-from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.targets.target_state import DirectTargetState
 
 RunningElsewhere = Callable[[str], int]
 """Return the number of attempts that other entries run at the named target."""
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -38,13 +38,11 @@
 from briarthread_entry.direct.blocklist_store import BlocklistStore
 from briarthread_entry.direct.cold_targets import ColdTargets
 from briarthread_entry.direct.crash_tracker import CrashTracker
-from briarthread_entry.direct.evacuations import Evacuations
 from briarthread_entry.direct.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.group_membership import GroupMembership
 from briarthread_entry.direct.group_reports import GroupReports
 from briarthread_entry.direct.group_watcher import GroupWatcher
 from briarthread_entry.direct.issuer_members import IssuerMembers
-from briarthread_entry.direct.leaving_targets import LeavingTargets
 from briarthread_entry.direct.limit_tokens import LimitTokens
 from briarthread_entry.direct.memory_budget import MemoryBudget
 from briarthread_entry.direct.peer_reports import PeerReports
@@ -58,11 +56,13 @@
 from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
 from briarthread_entry.direct.slow_ranks import SlowRanks
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
-from briarthread_entry.direct.target_checker import TargetChecker
 from briarthread_entry.direct.target_chooser import TargetChooser
 from briarthread_entry.direct.target_limits import TargetLimits
-from briarthread_entry.direct.target_registry import TargetRegistry
-from briarthread_entry.direct.target_runs import TargetRuns
+from briarthread_entry.direct.targets.evacuations import Evacuations
+from briarthread_entry.direct.targets.leaving_targets import LeavingTargets
+from briarthread_entry.direct.targets.target_checker import TargetChecker
+from briarthread_entry.direct.targets.target_registry import TargetRegistry
+from briarthread_entry.direct.targets.target_runs import TargetRuns
 
 SETTLED_CHECK_SECONDS = 0.5
 """Interval in seconds at which an entry checks whether it has settled in the list."""
--- a/packages/entry/src/briarthread_entry/direct/group_capacity.py
+++ b/packages/entry/src/briarthread_entry/direct/group_capacity.py
@@ -31,8 +31,8 @@
 from briarthread_entry.direct.slow_ranks import SlowRanks
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.target_limits import TargetLimits
-from briarthread_entry.direct.target_registry import TargetRegistry
-from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.targets.target_registry import TargetRegistry
+from briarthread_entry.direct.targets.target_state import DirectTargetState
 
 RECENT_EVENT_SECONDS = 0.4
 """Age of the last stream event up to which a group counts as serving whatever an agent
--- a/packages/entry/src/briarthread_entry/direct/group_membership.py
+++ b/packages/entry/src/briarthread_entry/direct/group_membership.py
@@ -7,7 +7,7 @@
 from briarthread_common.messages.instance import InstanceRole
 from briarthread_common.spread.directory import Directory
 from briarthread_common.utils.host_of import host_of
-from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.targets.target_state import DirectTargetState
 
 
 class GroupMembership:
--- a/packages/entry/src/briarthread_entry/direct/limit_tokens.py
+++ b/packages/entry/src/briarthread_entry/direct/limit_tokens.py
@@ -29,7 +29,7 @@
     issuers_of,
 )
 from briarthread_entry.direct.target_limits import TargetLimits
-from briarthread_entry.direct.target_runs import TargetRuns
+from briarthread_entry.direct.targets.target_runs import TargetRuns
 from briarthread_entry.direct.token_issuer import TokenIssuer
 
 TOKEN_TIMEOUT_SECONDS = 0.15
--- a/packages/entry/src/briarthread_entry/direct/peer_reports.py
+++ b/packages/entry/src/briarthread_entry/direct/peer_reports.py
@@ -20,9 +20,9 @@
 )
 from briarthread_entry.direct.cold_targets import ColdTargets
 from briarthread_entry.direct.crash_tracker import CrashTracker
-from briarthread_entry.direct.leaving_targets import LeavingTargets
 from briarthread_entry.direct.target_limits import TargetLimits
-from briarthread_entry.direct.target_runs import TargetRuns
+from briarthread_entry.direct.targets.leaving_targets import LeavingTargets
+from briarthread_entry.direct.targets.target_runs import TargetRuns
 
 STALE_CHECK_INTERVAL_SECONDS = 0.25
 """Interval at which expired reports are dropped.
--- a/packages/entry/src/briarthread_entry/direct/plain_option.py
+++ b/packages/entry/src/briarthread_entry/direct/plain_option.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.targets.target_state import DirectTargetState
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/briarthread_entry/direct/plain_targets.py
+++ b/packages/entry/src/briarthread_entry/direct/plain_targets.py
@@ -15,11 +15,11 @@
     without_ejected,
 )
 from briarthread_entry.direct.plain_option import PlainOption
-from briarthread_entry.direct.probe_schedule import FIRST_INTERVAL_SECONDS
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.service_record import ServiceRecord
-from briarthread_entry.direct.target_condition import TargetCondition
-from briarthread_entry.direct.target_state import (
+from briarthread_entry.direct.targets.probe_schedule import FIRST_INTERVAL_SECONDS
+from briarthread_entry.direct.targets.target_condition import TargetCondition
+from briarthread_entry.direct.targets.target_state import (
     DEFAULT_RESPONSE_SECONDS,
     DirectTargetState,
 )
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -42,7 +42,7 @@
 from briarthread_entry.direct.silent_attempts import SilentAttempts
 from briarthread_entry.direct.slow_ranks import SlowRanks
 from briarthread_entry.direct.target_chooser import TargetChooser
-from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.targets.target_state import DirectTargetState
 from briarthread_entry.direct.targets_closed import TargetsClosed
 
 MAX_FAILED_ATTEMPTS = 3
--- a/packages/entry/src/briarthread_entry/direct/silent_attempts.py
+++ b/packages/entry/src/briarthread_entry/direct/silent_attempts.py
@@ -7,8 +7,8 @@
 import anyio
 
 from briarthread_entry.direct.plain_targets import PlainTargets
-from briarthread_entry.direct.target_condition import TargetCondition
-from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.targets.target_condition import TargetCondition
+from briarthread_entry.direct.targets.target_state import DirectTargetState
 
 CHECK_INTERVAL_SECONDS = 0.1
 """Interval in seconds at which watched attempts are checked, a fraction of the shortest
--- a/packages/entry/src/briarthread_entry/direct/silent_runs.py
+++ b/packages/entry/src/briarthread_entry/direct/silent_runs.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from briarthread_entry.direct.requests.direct_request import DirectRequest
-from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.targets.target_state import DirectTargetState
 
 RETENTION_SECONDS = 20.0
 """Time in seconds for which a run is kept. A target that has crashed is started again,
--- a/packages/entry/src/briarthread_entry/direct/slow_ranks.py
+++ b/packages/entry/src/briarthread_entry/direct/slow_ranks.py
@@ -16,8 +16,8 @@
 from briarthread_entry.direct.choose_target import without_slow
 from briarthread_entry.direct.group_membership import GroupMembership
 from briarthread_entry.direct.group_reports import GroupReports
-from briarthread_entry.direct.target_registry import TargetRegistry
-from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.targets.target_registry import TargetRegistry
+from briarthread_entry.direct.targets.target_state import DirectTargetState
 
 MIN_MOVE_FACTOR = 2.0
 """Slowdown of a rank from which its streams are moved to other ranks. Moving a stream
--- a/packages/entry/src/briarthread_entry/direct/target_chooser.py
+++ b/packages/entry/src/briarthread_entry/direct/target_chooser.py
@@ -17,12 +17,12 @@
 from briarthread_entry.direct.plain_targets import PlainTargets
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.slow_ranks import SlowRanks
-from briarthread_entry.direct.standing import Standing
 from briarthread_entry.direct.target_backoffs import TargetBackoffs
-from briarthread_entry.direct.target_checker import TargetChecker
-from briarthread_entry.direct.target_condition import TargetCondition
-from briarthread_entry.direct.target_registry import TargetRegistry
-from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.targets.standing import Standing
+from briarthread_entry.direct.targets.target_checker import TargetChecker
+from briarthread_entry.direct.targets.target_condition import TargetCondition
+from briarthread_entry.direct.targets.target_registry import TargetRegistry
+from briarthread_entry.direct.targets.target_state import DirectTargetState
 from briarthread_entry.direct.targets_closed import TargetsClosed
 
 MAX_WAIT_SHARE = 0.5
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Targets that an entry knows: their state, and whether they answer."""
--- a/packages/entry/src/briarthread_entry/direct/address_holders.py
+++ b/packages/entry/src/briarthread_entry/direct/targets/address_holders.py
@@ -10,9 +10,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from briarthread_entry.direct.standing import Standing
-from briarthread_entry.direct.target_presence import NEVER
-from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.targets.standing import Standing
+from briarthread_entry.direct.targets.target_presence import NEVER
+from briarthread_entry.direct.targets.target_state import DirectTargetState
 
 ADDRESS_REUSE_SECONDS = 1.0
 """Lower bound in seconds of the time after which the address of a target that has ended
--- a/packages/entry/src/briarthread_entry/direct/target_registry.py
+++ b/packages/entry/src/briarthread_entry/direct/targets/target_registry.py
@@ -10,13 +10,13 @@
 from briarthread_common.direct.platform_adapter import PlatformAdapter
 from briarthread_common.feeds.feed import Feed
 from briarthread_common.feeds.rejected_rows import RejectedRows
-from briarthread_entry.direct.address_holders import AddressHolders
-from briarthread_entry.direct.evacuations import Evacuations
-from briarthread_entry.direct.leaving_targets import LeavingTargets
-from briarthread_entry.direct.standing import Standing
-from briarthread_entry.direct.target_presence import TargetPresence
-from briarthread_entry.direct.target_runs import TargetRuns
-from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.targets.address_holders import AddressHolders
+from briarthread_entry.direct.targets.evacuations import Evacuations
+from briarthread_entry.direct.targets.leaving_targets import LeavingTargets
+from briarthread_entry.direct.targets.standing import Standing
+from briarthread_entry.direct.targets.target_presence import TargetPresence
+from briarthread_entry.direct.targets.target_runs import TargetRuns
+from briarthread_entry.direct.targets.target_state import DirectTargetState
 
 RELIST_SECONDS = 2.0
 """Time in seconds after an outage of the platform within which a target whose row
--- a/packages/entry/src/briarthread_entry/direct/target_state.py
+++ b/packages/entry/src/briarthread_entry/direct/targets/target_state.py
@@ -5,11 +5,11 @@
 from briarthread_common.direct.direct_target import DirectTarget
 from briarthread_common.utils.decaying_mean import DecayingMean
 from briarthread_common.utils.doubled_pause import doubled_pause
-from briarthread_entry.direct.load_durations import LoadDurations
-from briarthread_entry.direct.probe_schedule import ProbeSchedule
-from briarthread_entry.direct.target_condition import TargetCondition
-from briarthread_entry.direct.target_presence import TargetPresence
-from briarthread_entry.direct.unanswered_attempts import UnansweredAttempts
+from briarthread_entry.direct.targets.load_durations import LoadDurations
+from briarthread_entry.direct.targets.probe_schedule import ProbeSchedule
+from briarthread_entry.direct.targets.target_condition import TargetCondition
+from briarthread_entry.direct.targets.target_presence import TargetPresence
+from briarthread_entry.direct.targets.unanswered_attempts import UnansweredAttempts
 
 EJECTION_FAILURES = 2
 """Consecutive failures after which a target is ejected. Healthy targets occasionally
--- a/packages/measure/src/briarthread_measure/arrival_simulation.py
+++ b/packages/measure/src/briarthread_measure/arrival_simulation.py
@@ -10,7 +10,7 @@
 from briarthread_common.messages.instance import Instance, InstanceRole
 from briarthread_entry.direct.assigned_slots import assign_slots
 from briarthread_entry.direct.choose_target import RunningElsewhere
-from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.targets.target_state import DirectTargetState
 
 STREAM_SECONDS = 1.6
 WARMUP_SECONDS, END_SECONDS = 5.0, 15.0
--- a/packages/measure/src/briarthread_measure/plain_policies.py
+++ b/packages/measure/src/briarthread_measure/plain_policies.py
@@ -12,7 +12,7 @@
 )
 from briarthread_entry.direct.direct_entry import DirectEntry
 from briarthread_entry.direct.requests.direct_request import DirectRequest
-from briarthread_entry.direct.target_state import (
+from briarthread_entry.direct.targets.target_state import (
     DEFAULT_RESPONSE_SECONDS,
     DirectTargetState,
 )
--- a/tests/direct/test_address_holders.py
+++ b/tests/direct/test_address_holders.py
@@ -12,7 +12,7 @@
     run_in_direct_world,
 )
 
-from briarthread_entry.direct.standing import Standing
+from briarthread_entry.direct.targets.standing import Standing
 from briarthread_standins.direct_config import build_engine_row, build_service_row
 from briarthread_standins.direct_worker import DirectWorker
 from briarthread_standins.direct_world import DirectWorld
--- a/tests/direct/test_long_troubles.py
+++ b/tests/direct/test_long_troubles.py
@@ -4,8 +4,11 @@
 from direct_builders import build_state
 
 from briarthread_common.messages.instance import Instance, InstanceRole
-from briarthread_entry.direct.probe_schedule import MAX_INTERVAL_SECONDS, ProbeSchedule
-from briarthread_entry.direct.target_state import (
+from briarthread_entry.direct.targets.probe_schedule import (
+    MAX_INTERVAL_SECONDS,
+    ProbeSchedule,
+)
+from briarthread_entry.direct.targets.target_state import (
     MAX_EJECTION_SECONDS as MAX_DIRECT_EJECTION_SECONDS,
 )
 from briarthread_entry.routing.target_state import (
--- a/tests/direct/test_restarted_targets.py
+++ b/tests/direct/test_restarted_targets.py
@@ -23,9 +23,9 @@
 from briarthread_entry.direct.crash_tracker import CrashTracker, RunningRequest
 from briarthread_entry.direct.direct_entry import DirectEntry
 from briarthread_entry.direct.peer_reports import PeerReports
-from briarthread_entry.direct.standing import Standing
-from briarthread_entry.direct.target_runs import MAX_KNOWN_RUNS, TargetRuns
-from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.targets.standing import Standing
+from briarthread_entry.direct.targets.target_runs import MAX_KNOWN_RUNS, TargetRuns
+from briarthread_entry.direct.targets.target_state import DirectTargetState
 from briarthread_standins.direct_config import HEALTH_PATH, build_service_row
 from briarthread_standins.direct_worker import DirectWorker, WorkerFault
 from briarthread_standins.direct_world import DirectResponse, DirectWorld
--- a/tests/direct/test_uneven_targets.py
+++ b/tests/direct/test_uneven_targets.py
@@ -30,8 +30,8 @@
 )
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.service_record import REQUESTS_PER_PROBE
-from briarthread_entry.direct.target_condition import TargetCondition
-from briarthread_entry.direct.target_state import DirectTargetState
+from briarthread_entry.direct.targets.target_condition import TargetCondition
+from briarthread_entry.direct.targets.target_state import DirectTargetState
 from briarthread_measure.uneven_run import (
     LOADS,
     OBJECTIVE_SECONDS,
