Move 9 modules of entry/direct to direct/groups

Change: to direct/groups: assigned_slots, group_capacity, group_concurrency, group_health, group_membership, group_reports, group_watcher, pass_meter, slow_ranks.

Ruled out: to export the names from the package's __init__.py, since each type would then have two paths; to rename or split modules on the way, since a diff with a change of code in it hides it.

Not run for this commit alone: the tests.

--- a/packages/entry/src/briarthread_entry/direct/admission/group_admission.py
+++ b/packages/entry/src/briarthread_entry/direct/admission/group_admission.py
@@ -24,7 +24,7 @@
 from briarthread_entry.direct.admission.urgency_tracker import UrgencyTracker
 from briarthread_entry.direct.admission.waiting_place import WaitingPlace, request_rank
 from briarthread_entry.direct.client_retry_detector import ClientRetryDetector
-from briarthread_entry.direct.group_capacity import (
+from briarthread_entry.direct.groups.group_capacity import (
     GroupCapacities,
     GroupCapacityTracker,
     combined_capacity,
--- a/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
@@ -20,7 +20,7 @@
 from briarthread_entry.direct.attempt_progress import AttemptProgress
 from briarthread_entry.direct.crash_rule import PROVEN_EVENTS
 from briarthread_entry.direct.crash_tracker import CrashTracker
-from briarthread_entry.direct.group_capacity import GroupCapacityTracker
+from briarthread_entry.direct.groups.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.plain_targets import PlainTargets
 from briarthread_entry.direct.rank_run import RankRun
 from briarthread_entry.direct.requests.direct_request import DirectRequest
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Lock-step groups: their ranks, capacity, health and passes."""
--- a/packages/entry/src/briarthread_entry/direct/group_watcher.py
+++ b/packages/entry/src/briarthread_entry/direct/groups/group_watcher.py
@@ -15,8 +15,8 @@
 from briarthread_common.messages.group_report import GROUP_PATH, GroupReport
 from briarthread_common.messages.instance import Instance, InstanceRole
 from briarthread_common.spread.directory import Directory
-from briarthread_entry.direct.group_membership import GroupMembership
-from briarthread_entry.direct.group_reports import GroupReports
+from briarthread_entry.direct.groups.group_membership import GroupMembership
+from briarthread_entry.direct.groups.group_reports import GroupReports
 
 REFRESH_INTERVAL_SECONDS = 1.0
 """Interval at which the list of agents is checked for new groups."""
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -34,13 +34,13 @@
 )
 from briarthread_entry.direct.crash_tracker import CrashTracker, RunningRequest
 from briarthread_entry.direct.final_error import final_error, retry_reason
-from briarthread_entry.direct.group_capacity import GroupCapacityTracker
+from briarthread_entry.direct.groups.group_capacity import GroupCapacityTracker
+from briarthread_entry.direct.groups.slow_ranks import SlowRanks
 from briarthread_entry.direct.rank_run import RankRun
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.response_relay import ResponseRelay
 from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
 from briarthread_entry.direct.silent_attempts import SilentAttempts
-from briarthread_entry.direct.slow_ranks import SlowRanks
 from briarthread_entry.direct.target_chooser import TargetChooser
 from briarthread_entry.direct.targets.target_state import DirectTargetState
 from briarthread_entry.direct.targets_closed import TargetsClosed
--- a/packages/measure/src/briarthread_measure/admission_variants.py
+++ b/packages/measure/src/briarthread_measure/admission_variants.py
@@ -7,10 +7,10 @@
 
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.exceptions import RequestError
-from briarthread_entry.direct import group_health
 from briarthread_entry.direct.admission import admission_rule, group_admission
 from briarthread_entry.direct.direct_entry import DirectEntry
-from briarthread_entry.direct.group_capacity import GroupCapacities
+from briarthread_entry.direct.groups import group_health
+from briarthread_entry.direct.groups.group_capacity import GroupCapacities
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_standins.load_simulation import ENTRIES
 
--- a/packages/measure/src/briarthread_measure/group_choice_run.py
+++ b/packages/measure/src/briarthread_measure/group_choice_run.py
@@ -22,7 +22,7 @@
 from briarthread_common.direct.group_id import GroupId
 from briarthread_entry.direct.admission.admission_rule import GroupCapacity
 from briarthread_entry.direct.direct_entry import DirectEntry
-from briarthread_entry.direct.group_capacity import (
+from briarthread_entry.direct.groups.group_capacity import (
     GroupCapacities,
     groups_with_capacity,
 )
--- a/tests/direct/test_admission_variants.py
+++ b/tests/direct/test_admission_variants.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from briarthread_entry.direct import group_health
 from briarthread_entry.direct.admission import admission_rule, group_admission
+from briarthread_entry.direct.groups import group_health
 from briarthread_measure.admission_variants import VARIANTS, Variant
 from briarthread_standins.load_scenario import LoadScenario
 from briarthread_standins.load_simulation import simulate_load
--- a/tests/direct/test_evacuations.py
+++ b/tests/direct/test_evacuations.py
@@ -19,7 +19,7 @@
 from briarthread_common.messages.limit_report import LimitReport
 from briarthread_common.messages.token_messages import TokenRequest
 from briarthread_entry.direct.direct_entry import DirectEntry
-from briarthread_entry.direct.group_concurrency import max_concurrency
+from briarthread_entry.direct.groups.group_concurrency import max_concurrency
 from briarthread_entry.direct.targets.evacuations import Evacuations
 from briarthread_entry.direct.targets.target_state import DirectTargetState
 from briarthread_platform.adapter import ADAPTER
--- a/tests/direct/test_pass_meter.py
+++ b/tests/direct/test_pass_meter.py
@@ -3,11 +3,11 @@
 import pytest
 from direct_builders import build_engine_profile
 
-from briarthread_entry.direct.group_concurrency import (
+from briarthread_entry.direct.groups.group_concurrency import (
     initial_request_cost,
     max_concurrency,
 )
-from briarthread_entry.direct.pass_meter import PassMeter
+from briarthread_entry.direct.groups.pass_meter import PassMeter
 
 RANKS, PAUSE_AIM = 12, 0.12
 
--- a/tests/direct/test_several_groups.py
+++ b/tests/direct/test_several_groups.py
@@ -9,7 +9,7 @@
 from briarthread_common.direct.group_id import GroupId
 from briarthread_common.messages.group_report import GroupReport
 from briarthread_entry.direct.direct_entry import DirectEntry
-from briarthread_entry.direct.group_capacity import combined_capacity
+from briarthread_entry.direct.groups.group_capacity import combined_capacity
 from briarthread_standins.direct_worker import WorkerFault
 from briarthread_standins.direct_world import DirectWorld
 from briarthread_standins.load_scenario import LoadScenario
