Move 6 modules of entry/direct to direct/routing

Change: to direct/routing: choose_target, plain_option, plain_targets, service_record, target_chooser, targets_closed.

Ruled out: to export the names from the package's __init__.py, since each type would then have two paths; to rename or split modules on the way, since a diff with a change of code in it hides it.

Checked before the commit: but for imports, the code of each changed file is the same node by node, docstrings included; each file imports the same names as before; every module of briarthread_entry can be imported; ruff check passes on the changed files. Not run for this commit alone: the tests.

--- a/packages/entry/src/briarthread_entry/direct/final_error.py
+++ b/packages/entry/src/briarthread_entry/direct/final_error.py
@@ -16,7 +16,7 @@
     RankTooSlow,
     TargetSilent,
 )
-from briarthread_entry.direct.targets_closed import TargetsClosed
+from briarthread_entry.direct.routing.targets_closed import TargetsClosed
 
 SLOW_RANK = "slow-rank"
 SILENT_TARGET = "silent-target"
--- a/packages/entry/src/briarthread_entry/direct/groups/slow_ranks.py
+++ b/packages/entry/src/briarthread_entry/direct/groups/slow_ranks.py
@@ -13,9 +13,9 @@
 import anyio
 
 from briarthread_common.direct.group_id import GroupId
-from briarthread_entry.direct.choose_target import without_slow
 from briarthread_entry.direct.groups.group_membership import GroupMembership
 from briarthread_entry.direct.groups.group_reports import GroupReports
+from briarthread_entry.direct.routing.choose_target import without_slow
 from briarthread_entry.direct.targets.target_registry import TargetRegistry
 from briarthread_entry.direct.targets.target_state import DirectTargetState
 
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -39,11 +39,11 @@
 from briarthread_entry.direct.rank_run import RankRun
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.response_relay import ResponseRelay
+from briarthread_entry.direct.routing.target_chooser import TargetChooser
+from briarthread_entry.direct.routing.targets_closed import TargetsClosed
 from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
 from briarthread_entry.direct.silent_attempts import SilentAttempts
-from briarthread_entry.direct.target_chooser import TargetChooser
 from briarthread_entry.direct.targets.target_state import DirectTargetState
-from briarthread_entry.direct.targets_closed import TargetsClosed
 
 MAX_FAILED_ATTEMPTS = 3
 """Failures after which a request is not retried.
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the target of each attempt."""
--- a/packages/entry/src/briarthread_entry/direct/choose_target.py
+++ b/packages/entry/src/briarthread_entry/direct/routing/choose_target.py
@@ -10,7 +10,7 @@
 import random
 from collections.abc import Callable, Mapping, Sequence
 
-from briarthread_entry.direct.plain_option import PlainOption
+from briarthread_entry.direct.routing.plain_option import PlainOption
 from briarthread_entry.direct.targets.target_state import DirectTargetState
 
 RunningElsewhere = Callable[[str], int]
--- a/packages/entry/src/briarthread_entry/direct/plain_targets.py
+++ b/packages/entry/src/briarthread_entry/direct/routing/plain_targets.py
@@ -9,14 +9,14 @@
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.core.metrics import Metrics
 from briarthread_common.direct.call_kind import CallKind
-from briarthread_entry.direct.choose_target import (
+from briarthread_entry.direct.requests.direct_request import DirectRequest
+from briarthread_entry.direct.routing.choose_target import (
     RunningElsewhere,
     choose_plain,
     without_ejected,
 )
-from briarthread_entry.direct.plain_option import PlainOption
-from briarthread_entry.direct.requests.direct_request import DirectRequest
-from briarthread_entry.direct.service_record import ServiceRecord
+from briarthread_entry.direct.routing.plain_option import PlainOption
+from briarthread_entry.direct.routing.service_record import ServiceRecord
 from briarthread_entry.direct.targets.probe_schedule import FIRST_INTERVAL_SECONDS
 from briarthread_entry.direct.targets.target_condition import TargetCondition
 from briarthread_entry.direct.targets.target_state import (
--- a/packages/entry/src/briarthread_entry/direct/silent_attempts.py
+++ b/packages/entry/src/briarthread_entry/direct/silent_attempts.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from briarthread_entry.direct.plain_targets import PlainTargets
+from briarthread_entry.direct.routing.plain_targets import PlainTargets
 from briarthread_entry.direct.targets.target_condition import TargetCondition
 from briarthread_entry.direct.targets.target_state import DirectTargetState
 
--- a/packages/measure/src/briarthread_measure/arrival_simulation.py
+++ b/packages/measure/src/briarthread_measure/arrival_simulation.py
@@ -8,8 +8,8 @@
 
 from briarthread_common.direct.direct_target import DirectTarget
 from briarthread_common.messages.instance import Instance, InstanceRole
-from briarthread_entry.direct.choose_target import RunningElsewhere
 from briarthread_entry.direct.groups.assigned_slots import assign_slots
+from briarthread_entry.direct.routing.choose_target import RunningElsewhere
 from briarthread_entry.direct.targets.target_state import DirectTargetState
 
 STREAM_SECONDS = 1.6
--- a/packages/measure/src/briarthread_measure/choice_run.py
+++ b/packages/measure/src/briarthread_measure/choice_run.py
@@ -17,7 +17,7 @@
 
 from docopt import docopt
 
-from briarthread_entry.direct.choose_target import RunningElsewhere, choose_rank
+from briarthread_entry.direct.routing.choose_target import RunningElsewhere, choose_rank
 from briarthread_entry.direct.targets.target_state import DirectTargetState
 from briarthread_measure.arrival_simulation import ArrivalLoad, ArrivalSimulation
 from briarthread_measure.comparison_table import SimulationRun, print_comparison
--- a/packages/measure/src/briarthread_measure/plain_policies.py
+++ b/packages/measure/src/briarthread_measure/plain_policies.py
@@ -4,14 +4,14 @@
 from collections.abc import Sequence
 from contextlib import nullcontext
 
-from briarthread_entry.direct.choose_target import (
+from briarthread_entry.direct.direct_entry import DirectEntry
+from briarthread_entry.direct.requests.direct_request import DirectRequest
+from briarthread_entry.direct.routing.choose_target import (
     COST_TOLERANCE_SECONDS,
     REMOTE_PENALTY,
     RunningElsewhere,
     without_ejected,
 )
-from briarthread_entry.direct.direct_entry import DirectEntry
-from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.targets.target_state import (
     DEFAULT_RESPONSE_SECONDS,
     DirectTargetState,
--- a/tests/direct/test_assigned_slots.py
+++ b/tests/direct/test_assigned_slots.py
@@ -11,8 +11,8 @@
 from direct_builders import build_target
 
 from briarthread_common.messages.instance import Instance, InstanceRole
-from briarthread_entry.direct.choose_target import choose_rank
 from briarthread_entry.direct.groups.assigned_slots import assign_slots
+from briarthread_entry.direct.routing.choose_target import choose_rank
 from briarthread_entry.direct.targets.target_state import DirectTargetState
 from briarthread_measure.arrival_simulation import (
     DATA_CENTRES,
--- a/tests/direct/test_uneven_targets.py
+++ b/tests/direct/test_uneven_targets.py
@@ -24,12 +24,12 @@
 from briarthread_common.direct.call_kind import CallKind
 from briarthread_common.direct.direct_service import DirectService
 from briarthread_entry.direct.direct_entry import DirectEntry
-from briarthread_entry.direct.plain_targets import (
+from briarthread_entry.direct.requests.direct_request import DirectRequest
+from briarthread_entry.direct.routing.plain_targets import (
     UNSAFE_SILENT_PROBE_DELAY_SECONDS,
     PlainTargets,
 )
-from briarthread_entry.direct.requests.direct_request import DirectRequest
-from briarthread_entry.direct.service_record import REQUESTS_PER_PROBE
+from briarthread_entry.direct.routing.service_record import REQUESTS_PER_PROBE
 from briarthread_entry.direct.targets.target_condition import TargetCondition
 from briarthread_entry.direct.targets.target_state import DirectTargetState
 from briarthread_measure.uneven_run import (
