Move 7 modules of entry/direct to direct/limits

Change: to direct/limits: cold_targets, issuer_members, issuer_order, limit_tokens, target_backoffs, target_limits, token_issuer.

Ruled out: to export the names from the package's __init__.py, since each type would then have two paths; to rename or split modules on the way, since a diff with a change of code in it hides it.

Not run for this commit alone: the tests.

--- a/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
@@ -21,13 +21,13 @@
 from briarthread_entry.direct.crash_rule import PROVEN_EVENTS
 from briarthread_entry.direct.crash_tracker import CrashTracker
 from briarthread_entry.direct.groups.group_capacity import GroupCapacityTracker
+from briarthread_entry.direct.limits.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.rank_run import RankRun
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.response_relay import ResponseRelay
 from briarthread_entry.direct.routing.plain_targets import PlainTargets
 from briarthread_entry.direct.silent_ranks import RankCrash, SilentRanks
 from briarthread_entry.direct.silent_runs import SilentRuns
-from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.targets.target_state import DirectTargetState
 
 USELESS_READS = 3
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -35,7 +35,6 @@
 from briarthread_entry.direct.admission.urgency_tracker import UrgencyTracker
 from briarthread_entry.direct.attempt_sender import AttemptSender
 from briarthread_entry.direct.blocklist_store import BlocklistStore
-from briarthread_entry.direct.cold_targets import ColdTargets
 from briarthread_entry.direct.crash_tracker import CrashTracker
 from briarthread_entry.direct.groups.assigned_slots import AssignedSlots
 from briarthread_entry.direct.groups.group_capacity import GroupCapacityTracker
@@ -43,8 +42,11 @@
 from briarthread_entry.direct.groups.group_reports import GroupReports
 from briarthread_entry.direct.groups.group_watcher import GroupWatcher
 from briarthread_entry.direct.groups.slow_ranks import SlowRanks
-from briarthread_entry.direct.issuer_members import IssuerMembers
-from briarthread_entry.direct.limit_tokens import LimitTokens
+from briarthread_entry.direct.limits.cold_targets import ColdTargets
+from briarthread_entry.direct.limits.issuer_members import IssuerMembers
+from briarthread_entry.direct.limits.limit_tokens import LimitTokens
+from briarthread_entry.direct.limits.target_backoffs import TargetBackoffs
+from briarthread_entry.direct.limits.target_limits import TargetLimits
 from briarthread_entry.direct.memory_budget import MemoryBudget
 from briarthread_entry.direct.peer_reports import PeerReports
 from briarthread_entry.direct.request_handler import RequestHandler
@@ -56,8 +58,6 @@
 from briarthread_entry.direct.running_watcher import RunningWatcher
 from briarthread_entry.direct.settings import DirectSettings
 from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
-from briarthread_entry.direct.target_backoffs import TargetBackoffs
-from briarthread_entry.direct.target_limits import TargetLimits
 from briarthread_entry.direct.targets.evacuations import Evacuations
 from briarthread_entry.direct.targets.leaving_targets import LeavingTargets
 from briarthread_entry.direct.targets.target_checker import TargetChecker
--- a/packages/entry/src/briarthread_entry/direct/groups/group_capacity.py
+++ b/packages/entry/src/briarthread_entry/direct/groups/group_capacity.py
@@ -16,7 +16,6 @@
 from briarthread_common.direct.direct_service import DirectService
 from briarthread_common.direct.group_id import GroupId
 from briarthread_entry.direct.admission.admission_rule import GroupCapacity
-from briarthread_entry.direct.cold_targets import ColdTargets
 from briarthread_entry.direct.groups.group_concurrency import (
     MAX_PASS_FRACTION,
     MAX_PEAK_PASS_FRACTION,
@@ -27,10 +26,11 @@
 from briarthread_entry.direct.groups.group_membership import GroupMembership
 from briarthread_entry.direct.groups.pass_meter import PassMeter
 from briarthread_entry.direct.groups.slow_ranks import SlowRanks
+from briarthread_entry.direct.limits.cold_targets import ColdTargets
+from briarthread_entry.direct.limits.target_backoffs import TargetBackoffs
+from briarthread_entry.direct.limits.target_limits import TargetLimits
 from briarthread_entry.direct.peer_reports import PeerReports
 from briarthread_entry.direct.requests.direct_request import DirectRequest
-from briarthread_entry.direct.target_backoffs import TargetBackoffs
-from briarthread_entry.direct.target_limits import TargetLimits
 from briarthread_entry.direct.targets.target_registry import TargetRegistry
 from briarthread_entry.direct.targets.target_state import DirectTargetState
 
--- a/packages/entry/src/briarthread_entry/direct/issuer_members.py
+++ b/packages/entry/src/briarthread_entry/direct/limits/issuer_members.py
@@ -21,7 +21,7 @@
 from briarthread_common.direct.direct_target import DirectTarget
 from briarthread_common.messages.instance import Instance, InstanceRole
 from briarthread_common.spread.directory import Directory
-from briarthread_entry.direct.issuer_order import COLD_ISSUERS, issuers_of
+from briarthread_entry.direct.limits.issuer_order import COLD_ISSUERS, issuers_of
 
 MAX_CONTACT_AGE_SECONDS = 10.0
 """Age of the last contact with the platform, in seconds, up to which an entry issues
--- a/packages/entry/src/briarthread_entry/direct/limit_tokens.py
+++ b/packages/entry/src/briarthread_entry/direct/limits/limit_tokens.py
@@ -21,16 +21,16 @@
 )
 from briarthread_common.spread.directory import Directory
 from briarthread_common.utils.recent_failures import RecentFailures
-from briarthread_entry.direct.cold_targets import ColdTargets
-from briarthread_entry.direct.issuer_members import IssuerMembers
-from briarthread_entry.direct.issuer_order import (
+from briarthread_entry.direct.limits.cold_targets import ColdTargets
+from briarthread_entry.direct.limits.issuer_members import IssuerMembers
+from briarthread_entry.direct.limits.issuer_order import (
     cold_share,
     issued_share,
     issuers_of,
 )
-from briarthread_entry.direct.target_limits import TargetLimits
+from briarthread_entry.direct.limits.target_limits import TargetLimits
+from briarthread_entry.direct.limits.token_issuer import TokenIssuer
 from briarthread_entry.direct.targets.target_runs import TargetRuns
-from briarthread_entry.direct.token_issuer import TokenIssuer
 
 TOKEN_TIMEOUT_SECONDS = 0.15
 """Timeout in seconds of a call to an issuer. It is many times the duration of a call
--- a/packages/entry/src/briarthread_entry/direct/routing/target_chooser.py
+++ b/packages/entry/src/briarthread_entry/direct/routing/target_chooser.py
@@ -12,13 +12,13 @@
 from briarthread_entry.direct.groups.assigned_slots import AssignedSlots
 from briarthread_entry.direct.groups.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.groups.slow_ranks import SlowRanks
-from briarthread_entry.direct.limit_tokens import LimitTokens
+from briarthread_entry.direct.limits.limit_tokens import LimitTokens
+from briarthread_entry.direct.limits.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.peer_reports import PeerReports
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.routing.choose_target import choose_rank
 from briarthread_entry.direct.routing.plain_targets import PlainTargets
 from briarthread_entry.direct.routing.targets_closed import TargetsClosed
-from briarthread_entry.direct.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.targets.standing import Standing
 from briarthread_entry.direct.targets.target_checker import TargetChecker
 from briarthread_entry.direct.targets.target_condition import TargetCondition
--- a/tests/direct/test_cold_targets.py
+++ b/tests/direct/test_cold_targets.py
@@ -27,15 +27,15 @@
     TokenRequest,
 )
 from briarthread_common.spread.directory import Directory
-from briarthread_entry.direct.cold_targets import ColdTargets
 from briarthread_entry.direct.direct_entry import DirectEntry
-from briarthread_entry.direct.issuer_members import (
+from briarthread_entry.direct.limits.cold_targets import ColdTargets
+from briarthread_entry.direct.limits.issuer_members import (
     MAX_CONTACT_AGE_SECONDS,
     PLACE_SECONDS,
     IssuerMembers,
 )
-from briarthread_entry.direct.limit_tokens import UNSTATED_LIMIT
-from briarthread_entry.direct.target_limits import TargetLimits
+from briarthread_entry.direct.limits.limit_tokens import UNSTATED_LIMIT
+from briarthread_entry.direct.limits.target_limits import TargetLimits
 from briarthread_standins.direct_world import DirectWorld
 
 COLD_SECONDS = 3.0
--- a/tests/direct/test_target_limits.py
+++ b/tests/direct/test_target_limits.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from briarthread_entry.direct.target_limits import TargetLimits
+from briarthread_entry.direct.limits.target_limits import TargetLimits
 from briarthread_standins.direct_config import DIARY
 from briarthread_standins.limit_results import LimitResults, max_allowed_arrivals
 from briarthread_standins.limit_scenario import LimitScenario, LimitStep
