Move 5 modules of entry/direct to direct/attempts

Change: to direct/attempts: attempt_outcome, attempt_progress, attempt_recorder, attempt_sender, silent_attempts.

Ruled out: to export the names from the package's __init__.py, since each type would then have two paths; to rename or split modules on the way, since a diff with a change of code in it hides it.

Not run for this commit alone: the tests.

--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/attempts/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts at targets: sending them, and recording how they ended."""
--- a/packages/entry/src/briarthread_entry/direct/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempts/attempt_recorder.py
@@ -8,7 +8,7 @@
 from briarthread_common.core.metrics import Metrics
 from briarthread_common.direct.group_id import GroupId
 from briarthread_common.direct.response_signals import SERVICE_UNAVAILABLE
-from briarthread_entry.direct.attempt_outcome import (
+from briarthread_entry.direct.attempts.attempt_outcome import (
     DirectOutcome,
     NotRun,
     OutcomeUnknown,
@@ -17,7 +17,7 @@
     TargetResponse,
     TargetSilent,
 )
-from briarthread_entry.direct.attempt_progress import AttemptProgress
+from briarthread_entry.direct.attempts.attempt_progress import AttemptProgress
 from briarthread_entry.direct.crash_rule import PROVEN_EVENTS
 from briarthread_entry.direct.crash_tracker import CrashTracker
 from briarthread_entry.direct.groups.group_capacity import GroupCapacityTracker
--- a/packages/entry/src/briarthread_entry/direct/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempts/attempt_sender.py
@@ -18,7 +18,7 @@
 from briarthread_common.direct.response_signals import read_response_signals
 from briarthread_common.http.channel import Channel, ChannelRequest, ChannelResponse
 from briarthread_common.http.channel_calls import discard_bounded
-from briarthread_entry.direct.attempt_outcome import (
+from briarthread_entry.direct.attempts.attempt_outcome import (
     MISDIRECTED_REQUEST,
     DirectOutcome,
     NotRun,
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -33,7 +33,7 @@
 from briarthread_common.utils.hashing import rendezvous_order
 from briarthread_entry.direct.admission.group_admission import GroupAdmission
 from briarthread_entry.direct.admission.urgency_tracker import UrgencyTracker
-from briarthread_entry.direct.attempt_sender import AttemptSender
+from briarthread_entry.direct.attempts.attempt_sender import AttemptSender
 from briarthread_entry.direct.blocklist_store import BlocklistStore
 from briarthread_entry.direct.crash_tracker import CrashTracker
 from briarthread_entry.direct.groups.assigned_slots import AssignedSlots
--- a/packages/entry/src/briarthread_entry/direct/final_error.py
+++ b/packages/entry/src/briarthread_entry/direct/final_error.py
@@ -9,7 +9,7 @@
     retry_after_backoff,
     retry_after_refusal,
 )
-from briarthread_entry.direct.attempt_outcome import (
+from briarthread_entry.direct.attempts.attempt_outcome import (
     DirectOutcome,
     NotRun,
     OutcomeUnknown,
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -16,7 +16,7 @@
 from briarthread_common.http.app import ResponseAborted
 from briarthread_common.http.call import Call
 from briarthread_entry.direct.admission.group_admission import GroupAdmission
-from briarthread_entry.direct.attempt_outcome import (
+from briarthread_entry.direct.attempts.attempt_outcome import (
     DirectOutcome,
     NotRun,
     OutcomeUnknown,
@@ -25,8 +25,12 @@
     TargetResponse,
     TargetSilent,
 )
-from briarthread_entry.direct.attempt_recorder import SERVER_ERROR, AttemptRecorder
-from briarthread_entry.direct.attempt_sender import AttemptSender
+from briarthread_entry.direct.attempts.attempt_recorder import (
+    SERVER_ERROR,
+    AttemptRecorder,
+)
+from briarthread_entry.direct.attempts.attempt_sender import AttemptSender
+from briarthread_entry.direct.attempts.silent_attempts import SilentAttempts
 from briarthread_entry.direct.crash_rule import (
     MAX_CRASHES,
     MAX_RETRIED_CRASHES,
@@ -42,7 +46,6 @@
 from briarthread_entry.direct.routing.target_chooser import TargetChooser
 from briarthread_entry.direct.routing.targets_closed import TargetsClosed
 from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
-from briarthread_entry.direct.silent_attempts import SilentAttempts
 from briarthread_entry.direct.targets.target_state import DirectTargetState
 
 MAX_FAILED_ATTEMPTS = 3
--- a/packages/entry/src/briarthread_entry/direct/targets/target_checker.py
+++ b/packages/entry/src/briarthread_entry/direct/targets/target_checker.py
@@ -13,7 +13,7 @@
 from briarthread_common.direct.header_names import HeaderNames
 from briarthread_common.http.channel import Channel, ChannelRequest
 from briarthread_common.http.channel_calls import discard_bounded
-from briarthread_entry.direct.attempt_outcome import MISDIRECTED_REQUEST
+from briarthread_entry.direct.attempts.attempt_outcome import MISDIRECTED_REQUEST
 from briarthread_entry.direct.targets.address_holders import AddressHolders
 from briarthread_entry.direct.targets.probe_schedule import ProbeSchedule
 from briarthread_entry.direct.targets.target_state import DirectTargetState
--- a/tests/direct/test_silent_ranks.py
+++ b/tests/direct/test_silent_ranks.py
@@ -5,7 +5,7 @@
 from briarthread_common.direct.group_id import GroupId
 from briarthread_common.messages.crash_words import CrashWords, merge_crash_words
 from briarthread_common.messages.group_stop_report import GroupStopReport
-from briarthread_entry.direct.attempt_progress import AttemptProgress
+from briarthread_entry.direct.attempts.attempt_progress import AttemptProgress
 from briarthread_entry.direct.crash_tracker import CrashTracker
 from briarthread_entry.direct.group_stops import GroupStops
 from briarthread_entry.direct.known_stops import KnownStops
--- a/tests/direct_builders.py
+++ b/tests/direct_builders.py
@@ -11,7 +11,7 @@
 from briarthread_common.direct.engine_profile import EngineProfile
 from briarthread_common.direct.host_route import HostRoute, RouteShare
 from briarthread_common.http.call import Call
-from briarthread_entry.direct.attempt_progress import AttemptProgress
+from briarthread_entry.direct.attempts.attempt_progress import AttemptProgress
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.response_relay import ResponseRelay
 from briarthread_entry.direct.targets.target_state import DirectTargetState
