Move 3 modules of entry/direct to direct/responses

Change: to direct/responses: event_reader, read_response, response_relay.

Ruled out: to export the names from the package's __init__.py, since each type would then have two paths; to rename or split modules on the way, since a diff with a change of code in it hides it.

Not run for this commit alone: the tests.

--- a/packages/entry/src/briarthread_entry/direct/attempts/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempts/attempt_recorder.py
@@ -24,7 +24,7 @@
 from briarthread_entry.direct.limits.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.rank_run import RankRun
 from briarthread_entry.direct.requests.direct_request import DirectRequest
-from briarthread_entry.direct.response_relay import ResponseRelay
+from briarthread_entry.direct.responses.response_relay import ResponseRelay
 from briarthread_entry.direct.routing.plain_targets import PlainTargets
 from briarthread_entry.direct.silent_ranks import RankCrash, SilentRanks
 from briarthread_entry.direct.silent_runs import SilentRuns
--- a/packages/entry/src/briarthread_entry/direct/attempts/attempt_sender.py
+++ b/packages/entry/src/briarthread_entry/direct/attempts/attempt_sender.py
@@ -26,13 +26,16 @@
     StreamRelayed,
     TargetResponse,
 )
-from briarthread_entry.direct.event_reader import EventReader
 from briarthread_entry.direct.limits.cold_targets import ColdTargets
 from briarthread_entry.direct.limits.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.limits.target_limits import TargetLimits
-from briarthread_entry.direct.read_response import read_response
 from briarthread_entry.direct.requests.direct_request import DirectRequest
-from briarthread_entry.direct.response_relay import HeaderFields, ResponseRelay
+from briarthread_entry.direct.responses.event_reader import EventReader
+from briarthread_entry.direct.responses.read_response import read_response
+from briarthread_entry.direct.responses.response_relay import (
+    HeaderFields,
+    ResponseRelay,
+)
 from briarthread_entry.direct.targets.leaving_targets import LeavingTargets
 from briarthread_entry.direct.targets.target_checker import TargetChecker
 from briarthread_entry.direct.targets.target_state import DirectTargetState
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -42,7 +42,7 @@
 from briarthread_entry.direct.groups.slow_ranks import SlowRanks
 from briarthread_entry.direct.rank_run import RankRun
 from briarthread_entry.direct.requests.direct_request import DirectRequest
-from briarthread_entry.direct.response_relay import ResponseRelay
+from briarthread_entry.direct.responses.response_relay import ResponseRelay
 from briarthread_entry.direct.routing.target_chooser import TargetChooser
 from briarthread_entry.direct.routing.targets_closed import TargetsClosed
 from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/responses/__init__.py
@@ -0,0 +1,1 @@
+"""Responses of targets: reading them within bounds and relaying them."""
--- a/packages/entry/src/briarthread_entry/direct/response_relay.py
+++ b/packages/entry/src/briarthread_entry/direct/responses/response_relay.py
@@ -9,7 +9,7 @@
 from briarthread_common.core.exceptions import RequestError
 from briarthread_common.http.call import Call
 from briarthread_entry.direct.attempts.attempt_progress import AttemptProgress
-from briarthread_entry.direct.event_reader import StreamEvent
+from briarthread_entry.direct.responses.event_reader import StreamEvent
 
 HeaderFields = tuple[tuple[str, str], ...]
 
--- a/packages/entry/src/briarthread_entry/direct/silent_ranks.py
+++ b/packages/entry/src/briarthread_entry/direct/silent_ranks.py
@@ -21,7 +21,7 @@
 from briarthread_entry.direct.known_stops import KnownStops
 from briarthread_entry.direct.rank_run import RankRun
 from briarthread_entry.direct.requests.direct_request import DirectRequest
-from briarthread_entry.direct.response_relay import ResponseRelay
+from briarthread_entry.direct.responses.response_relay import ResponseRelay
 
 MIN_SILENT_SECONDS = 0.5
 """Time in seconds without a byte from which a run that ends may be one at a rank that
--- a/tests/direct/test_event_reader.py
+++ b/tests/direct/test_event_reader.py
@@ -4,7 +4,7 @@
 
 from briarthread_common.core.exceptions import InvalidResponseError
 from briarthread_common.http.response_bounds import MAX_PARTIAL_SECONDS
-from briarthread_entry.direct.event_reader import (
+from briarthread_entry.direct.responses.event_reader import (
     EVENT_BURST,
     MAX_EVENT_BYTES,
     EventReader,
--- a/tests/direct_builders.py
+++ b/tests/direct_builders.py
@@ -13,7 +13,7 @@
 from briarthread_common.http.call import Call
 from briarthread_entry.direct.attempts.attempt_progress import AttemptProgress
 from briarthread_entry.direct.requests.direct_request import DirectRequest
-from briarthread_entry.direct.response_relay import ResponseRelay
+from briarthread_entry.direct.responses.response_relay import ResponseRelay
 from briarthread_entry.direct.targets.target_state import DirectTargetState
 from briarthread_standins.direct_agents import GroupWorld
 from briarthread_standins.direct_config import (
--- a/tests/processes/test_endless_bytes.py
+++ b/tests/processes/test_endless_bytes.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from briarthread_entry.direct.read_response import MAX_RESPONSE_BYTES
+from briarthread_entry.direct.responses.read_response import MAX_RESPONSE_BYTES
 from processes.endless_bytes import MEMORY_MB, PATHS, measure
 from processes.endless_target import EndlessKind
 
