Move 3 modules of entry/direct to direct/retries

Change: to direct/retries: client_retry_detector, final_error, shared_retry_budget.

Ruled out: to export the names from the package's __init__.py, since each type would then have two paths; to rename or split modules on the way, since a diff with a change of code in it hides it.

Not run for this commit alone: the tests.

--- a/packages/entry/src/briarthread_entry/direct/admission/group_admission.py
+++ b/packages/entry/src/briarthread_entry/direct/admission/group_admission.py
@@ -23,7 +23,6 @@
 )
 from briarthread_entry.direct.admission.urgency_tracker import UrgencyTracker
 from briarthread_entry.direct.admission.waiting_place import WaitingPlace, request_rank
-from briarthread_entry.direct.client_retry_detector import ClientRetryDetector
 from briarthread_entry.direct.groups.group_capacity import (
     GroupCapacities,
     GroupCapacityTracker,
@@ -31,6 +30,7 @@
     groups_with_capacity,
 )
 from briarthread_entry.direct.requests.direct_request import DirectRequest
+from briarthread_entry.direct.retries.client_retry_detector import ClientRetryDetector
 
 POLL_INTERVAL_SECONDS = 0.02
 """Interval at which a waiting request checks for capacity, a fraction of a pass."""
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -52,12 +52,12 @@
 from briarthread_entry.direct.request_handler import RequestHandler
 from briarthread_entry.direct.request_runner import RequestRunner
 from briarthread_entry.direct.requests.read_request import RequestReader
+from briarthread_entry.direct.retries.shared_retry_budget import SharedRetryBudget
 from briarthread_entry.direct.routing.plain_targets import PlainTargets
 from briarthread_entry.direct.routing.target_chooser import TargetChooser
 from briarthread_entry.direct.running_reporter import RunningReporter
 from briarthread_entry.direct.running_watcher import RunningWatcher
 from briarthread_entry.direct.settings import DirectSettings
-from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
 from briarthread_entry.direct.targets.evacuations import Evacuations
 from briarthread_entry.direct.targets.leaving_targets import LeavingTargets
 from briarthread_entry.direct.targets.target_checker import TargetChecker
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -37,15 +37,15 @@
     PROVEN_EVENTS,
 )
 from briarthread_entry.direct.crash_tracker import CrashTracker, RunningRequest
-from briarthread_entry.direct.final_error import final_error, retry_reason
 from briarthread_entry.direct.groups.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.groups.slow_ranks import SlowRanks
 from briarthread_entry.direct.rank_run import RankRun
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.responses.response_relay import ResponseRelay
+from briarthread_entry.direct.retries.final_error import final_error, retry_reason
+from briarthread_entry.direct.retries.shared_retry_budget import SharedRetryBudget
 from briarthread_entry.direct.routing.target_chooser import TargetChooser
 from briarthread_entry.direct.routing.targets_closed import TargetsClosed
-from briarthread_entry.direct.shared_retry_budget import SharedRetryBudget
 from briarthread_entry.direct.targets.target_state import DirectTargetState
 
 MAX_FAILED_ATTEMPTS = 3
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retries: the shared budget, callers that retry, and the final error."""
--- a/packages/entry/src/briarthread_entry/direct/settings.py
+++ b/packages/entry/src/briarthread_entry/direct/settings.py
@@ -15,7 +15,7 @@
 )
 from briarthread_common.http.caller_connections import ConnectionBounds
 from briarthread_common.spread.replication_options import ReplicationOptions
-from briarthread_entry.direct.shared_retry_budget import RetryAllowance
+from briarthread_entry.direct.retries.shared_retry_budget import RetryAllowance
 
 CALLERS = SectionSpec(
     "callers",
--- a/packages/standins/src/briarthread_standins/direct_world.py
+++ b/packages/standins/src/briarthread_standins/direct_world.py
@@ -11,8 +11,8 @@
 from briarthread_common.spread.replication_options import ReplicationOptions
 from briarthread_common.utils.clock import Clock
 from briarthread_entry.direct.direct_entry import DirectEntry
+from briarthread_entry.direct.retries.shared_retry_budget import RetryAllowance
 from briarthread_entry.direct.settings import DirectSettings
-from briarthread_entry.direct.shared_retry_budget import RetryAllowance
 from briarthread_platform.adapter import ADAPTER
 from briarthread_standins.direct_config import DIARY
 from briarthread_standins.direct_worker import DirectWorker
--- a/tests/direct/test_charged_retries.py
+++ b/tests/direct/test_charged_retries.py
@@ -9,7 +9,7 @@
 
 from briarthread_common.direct.group_id import GroupId
 from briarthread_common.messages.group_report import GroupReport
-from briarthread_entry.direct.shared_retry_budget import RetryAllowance
+from briarthread_entry.direct.retries.shared_retry_budget import RetryAllowance
 from briarthread_standins.direct_worker import WorkerFault
 from briarthread_standins.direct_world import RETRY_ALLOWANCE, DirectWorld
 
--- a/tests/direct/test_retry_budget.py
+++ b/tests/direct/test_retry_budget.py
@@ -11,7 +11,7 @@
 from retry_oracle import ServiceTraffic, arrivals_beyond_the_first
 
 from briarthread_common.core.exceptions import ChannelError
-from briarthread_entry.direct.shared_retry_budget import (
+from briarthread_entry.direct.retries.shared_retry_budget import (
     RetryAllowance,
     SharedRetryBudget,
 )
--- a/tests/direct/test_slow_ranks.py
+++ b/tests/direct/test_slow_ranks.py
@@ -7,7 +7,7 @@
 from briarthread_common.messages.group_report import GroupReport
 from briarthread_common.messages.running_report import RunningReport
 from briarthread_entry.direct.groups.group_capacity import combined_capacity
-from briarthread_entry.direct.shared_retry_budget import RetryAllowance
+from briarthread_entry.direct.retries.shared_retry_budget import RetryAllowance
 from briarthread_standins.direct_world import DirectResponse, DirectWorld
 
 SIZE = {"x-token-count": "100,200"}
--- a/tests/processes/endless_bytes.py
+++ b/tests/processes/endless_bytes.py
@@ -10,7 +10,7 @@
 import httpcore
 from soak.soak_deployment import SoakDeployment
 
-from briarthread_entry.direct.shared_retry_budget import RetryAllowance
+from briarthread_entry.direct.retries.shared_retry_budget import RetryAllowance
 from briarthread_measure.process_usage import read_usage
 from briarthread_standins.direct_config import DIARY, MODEL
 from processes.endless_target import EndlessKind
--- a/tests/processes/one_target.py
+++ b/tests/processes/one_target.py
@@ -8,7 +8,7 @@
 import httpcore
 from soak.soak_deployment import SoakDeployment
 
-from briarthread_entry.direct.shared_retry_budget import RetryAllowance
+from briarthread_entry.direct.retries.shared_retry_budget import RetryAllowance
 from briarthread_standins.direct_config import DIARY
 from processes.stuttering_target import Answer, Arrival, StutteringTarget
 
--- a/tests/processes/raw_deployment.py
+++ b/tests/processes/raw_deployment.py
@@ -10,7 +10,7 @@
 from anyio.abc import TaskGroup
 from soak.soak_deployment import SoakDeployment, free_address
 
-from briarthread_entry.direct.shared_retry_budget import RetryAllowance
+from briarthread_entry.direct.retries.shared_retry_budget import RetryAllowance
 from briarthread_standins.deployment import Deployment
 
 ALLOWANCE = RetryAllowance(0.5, 200.0, 10.0)
--- a/tests/retry_oracle.py
+++ b/tests/retry_oracle.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from itertools import pairwise
 
-from briarthread_entry.direct.shared_retry_budget import RetryAllowance
+from briarthread_entry.direct.retries.shared_retry_budget import RetryAllowance
 from briarthread_standins.direct_worker import DirectWorker
 
 AFTER_SECONDS = 1e-6
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -7,7 +7,7 @@
 
 from retry_oracle import ServiceTraffic
 
-from briarthread_entry.direct.shared_retry_budget import RetryAllowance
+from briarthread_entry.direct.retries.shared_retry_budget import RetryAllowance
 from briarthread_standins.direct_config import DIARY, MODEL
 from soak.soak_callers import CallerRecord
 from soak.soak_faults import ENTRY_FAULTS, Disturbance, FaultKind
--- a/tests/soak/soak_deployment.py
+++ b/tests/soak/soak_deployment.py
@@ -13,7 +13,7 @@
 from processes.endless_target import EndlessKind
 
 from briarthread_common.http.server import HttpServer, open_listener
-from briarthread_entry.direct.shared_retry_budget import RetryAllowance
+from briarthread_entry.direct.retries.shared_retry_budget import RetryAllowance
 from briarthread_standins.deployment import installed_command
 from briarthread_standins.direct_config import DIARY, MODEL, build_config
 from briarthread_standins.fake_platform_store import FakePlatformStore
