Move 11 modules of entry/direct to direct/crashes

Change: to direct/crashes: blocklist_store, crash_rule, crash_tracker, group_stops, known_stops, proven_segments, rank_run, segment_rule, segment_tracker, silent_ranks, silent_runs.

Ruled out: to export the names from the package's __init__.py, since each type would then have two paths; to rename or split modules on the way, since a diff with a change of code in it hides it.

Checked before the commit: but for imports, the code of each changed file is the same node by node, docstrings included; each file imports the same names as before; every module of briarthread_entry can be imported; ruff check passes on the changed files. Not run for this commit alone: the tests.

--- a/packages/entry/src/briarthread_entry/direct/attempts/attempt_recorder.py
+++ b/packages/entry/src/briarthread_entry/direct/attempts/attempt_recorder.py
@@ -18,16 +18,16 @@
     TargetSilent,
 )
 from briarthread_entry.direct.attempts.attempt_progress import AttemptProgress
-from briarthread_entry.direct.crash_rule import PROVEN_EVENTS
-from briarthread_entry.direct.crash_tracker import CrashTracker
+from briarthread_entry.direct.crashes.crash_rule import PROVEN_EVENTS
+from briarthread_entry.direct.crashes.crash_tracker import CrashTracker
+from briarthread_entry.direct.crashes.rank_run import RankRun
+from briarthread_entry.direct.crashes.silent_ranks import RankCrash, SilentRanks
+from briarthread_entry.direct.crashes.silent_runs import SilentRuns
 from briarthread_entry.direct.groups.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.limits.target_backoffs import TargetBackoffs
-from briarthread_entry.direct.rank_run import RankRun
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.responses.response_relay import ResponseRelay
 from briarthread_entry.direct.routing.plain_targets import PlainTargets
-from briarthread_entry.direct.silent_ranks import RankCrash, SilentRanks
-from briarthread_entry.direct.silent_runs import SilentRuns
 from briarthread_entry.direct.targets.target_state import DirectTargetState
 
 USELESS_READS = 3
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests and prompt segments that crash targets, and the blocklist."""
--- a/packages/entry/src/briarthread_entry/direct/crash_tracker.py
+++ b/packages/entry/src/briarthread_entry/direct/crashes/crash_tracker.py
@@ -7,14 +7,14 @@
 from loguru import logger
 
 from briarthread_common.messages.crash_words import CrashStrike, CrashWords
-from briarthread_entry.direct.crash_rule import (
+from briarthread_entry.direct.crashes.crash_rule import (
     MAX_CRASHES,
     MIN_DOWNTIME_SECONDS,
     Strike,
     count_sequential_crashes,
 )
-from briarthread_entry.direct.known_stops import KnownStops
-from briarthread_entry.direct.segment_tracker import SegmentTracker
+from briarthread_entry.direct.crashes.known_stops import KnownStops
+from briarthread_entry.direct.crashes.segment_tracker import SegmentTracker
 
 HARMLESS_SECONDS = 60.0
 """Time in seconds for which a complete response proves a request harmless."""
--- a/packages/entry/src/briarthread_entry/direct/known_stops.py
+++ b/packages/entry/src/briarthread_entry/direct/crashes/known_stops.py
@@ -5,7 +5,7 @@
 
 from briarthread_common.direct.group_id import GroupId
 from briarthread_common.messages.group_stop_report import GroupStopReport
-from briarthread_entry.direct.group_stops import GroupStops
+from briarthread_entry.direct.crashes.group_stops import GroupStops
 
 
 class KnownStops:
--- a/packages/entry/src/briarthread_entry/direct/rank_run.py
+++ b/packages/entry/src/briarthread_entry/direct/crashes/rank_run.py
@@ -5,7 +5,7 @@
 from briarthread_common.direct.direct_target import DirectTarget
 from briarthread_common.direct.group_id import GroupId
 from briarthread_entry.direct.attempts.attempt_progress import AttemptProgress
-from briarthread_entry.direct.crash_rule import PROVEN_EVENTS
+from briarthread_entry.direct.crashes.crash_rule import PROVEN_EVENTS
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.responses.response_relay import ResponseRelay
 
--- a/packages/entry/src/briarthread_entry/direct/segment_rule.py
+++ b/packages/entry/src/briarthread_entry/direct/crashes/segment_rule.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 
-from briarthread_entry.direct.crash_rule import Strike, count_sequential_crashes
+from briarthread_entry.direct.crashes.crash_rule import Strike, count_sequential_crashes
 
 Combination = tuple[str, ...]
 """Segments of a prompt, in order, that together identify the cause of crashes."""
--- a/packages/entry/src/briarthread_entry/direct/segment_tracker.py
+++ b/packages/entry/src/briarthread_entry/direct/crashes/segment_tracker.py
@@ -9,13 +9,13 @@
     CrashStrike,
     CrashWords,
 )
-from briarthread_entry.direct.crash_rule import (
+from briarthread_entry.direct.crashes.crash_rule import (
     MIN_DOWNTIME_SECONDS,
     Strike,
     count_sequential_crashes,
 )
-from briarthread_entry.direct.proven_segments import NEVER, ProvenSegments
-from briarthread_entry.direct.segment_rule import (
+from briarthread_entry.direct.crashes.proven_segments import NEVER, ProvenSegments
+from briarthread_entry.direct.crashes.segment_rule import (
     Combination,
     blamed_segments,
     find_combination,
--- a/packages/entry/src/briarthread_entry/direct/silent_ranks.py
+++ b/packages/entry/src/briarthread_entry/direct/crashes/silent_ranks.py
@@ -17,9 +17,9 @@
 
 from briarthread_common.direct.direct_target import DirectTarget
 from briarthread_common.direct.group_id import GroupId
-from briarthread_entry.direct.group_stops import GROUP_STALL_SECONDS, GroupStop
-from briarthread_entry.direct.known_stops import KnownStops
-from briarthread_entry.direct.rank_run import RankRun
+from briarthread_entry.direct.crashes.group_stops import GROUP_STALL_SECONDS, GroupStop
+from briarthread_entry.direct.crashes.known_stops import KnownStops
+from briarthread_entry.direct.crashes.rank_run import RankRun
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.responses.response_relay import ResponseRelay
 
--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -34,8 +34,8 @@
 from briarthread_entry.direct.admission.group_admission import GroupAdmission
 from briarthread_entry.direct.admission.urgency_tracker import UrgencyTracker
 from briarthread_entry.direct.attempts.attempt_sender import AttemptSender
-from briarthread_entry.direct.blocklist_store import BlocklistStore
-from briarthread_entry.direct.crash_tracker import CrashTracker
+from briarthread_entry.direct.crashes.blocklist_store import BlocklistStore
+from briarthread_entry.direct.crashes.crash_tracker import CrashTracker
 from briarthread_entry.direct.groups.assigned_slots import AssignedSlots
 from briarthread_entry.direct.groups.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.groups.group_membership import GroupMembership
--- a/packages/entry/src/briarthread_entry/direct/peer_reports.py
+++ b/packages/entry/src/briarthread_entry/direct/peer_reports.py
@@ -18,7 +18,7 @@
     merge_starts,
     sum_demands,
 )
-from briarthread_entry.direct.crash_tracker import CrashTracker
+from briarthread_entry.direct.crashes.crash_tracker import CrashTracker
 from briarthread_entry.direct.limits.cold_targets import ColdTargets
 from briarthread_entry.direct.limits.target_limits import TargetLimits
 from briarthread_entry.direct.targets.leaving_targets import LeavingTargets
--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -31,15 +31,15 @@
 )
 from briarthread_entry.direct.attempts.attempt_sender import AttemptSender
 from briarthread_entry.direct.attempts.silent_attempts import SilentAttempts
-from briarthread_entry.direct.crash_rule import (
+from briarthread_entry.direct.crashes.crash_rule import (
     MAX_CRASHES,
     MAX_RETRIED_CRASHES,
     PROVEN_EVENTS,
 )
-from briarthread_entry.direct.crash_tracker import CrashTracker, RunningRequest
+from briarthread_entry.direct.crashes.crash_tracker import CrashTracker, RunningRequest
+from briarthread_entry.direct.crashes.rank_run import RankRun
 from briarthread_entry.direct.groups.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.groups.slow_ranks import SlowRanks
-from briarthread_entry.direct.rank_run import RankRun
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.responses.response_relay import ResponseRelay
 from briarthread_entry.direct.retries.final_error import final_error, retry_reason
--- a/packages/entry/src/briarthread_entry/direct/routing/target_chooser.py
+++ b/packages/entry/src/briarthread_entry/direct/routing/target_chooser.py
@@ -8,7 +8,7 @@
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.direct.group_id import GroupId
 from briarthread_entry.direct.admission.group_admission import MAX_WAIT_SECONDS
-from briarthread_entry.direct.crash_tracker import CrashTracker
+from briarthread_entry.direct.crashes.crash_tracker import CrashTracker
 from briarthread_entry.direct.groups.assigned_slots import AssignedSlots
 from briarthread_entry.direct.groups.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.groups.slow_ranks import SlowRanks
--- a/packages/measure/src/briarthread_measure/crash_ways_run.py
+++ b/packages/measure/src/briarthread_measure/crash_ways_run.py
@@ -21,8 +21,8 @@
 from docopt import docopt
 from loguru import logger
 
-from briarthread_entry.direct import crash_tracker
-from briarthread_entry.direct.crash_rule import Strike
+from briarthread_entry.direct.crashes import crash_tracker
+from briarthread_entry.direct.crashes.crash_rule import Strike
 from briarthread_measure.comparison_table import SimulationRun, print_comparison
 from briarthread_standins.crash_scenario import PLAIN_SERVICE, CrashScenario
 from briarthread_standins.crash_simulation import simulate_crashes
--- a/tests/direct/test_blocklist_store.py
+++ b/tests/direct/test_blocklist_store.py
@@ -10,7 +10,7 @@
     decode_blocklist,
     encode_blocklist,
 )
-from briarthread_entry.direct.blocklist_store import (
+from briarthread_entry.direct.crashes.blocklist_store import (
     MAX_STORED_BYTES,
     RECORD,
     STORED_SECONDS,
--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -7,7 +7,7 @@
 from direct_builders import run_in_direct_world
 
 from briarthread_common.messages.crash_words import CrashWords
-from briarthread_entry.direct.crash_tracker import CrashTracker
+from briarthread_entry.direct.crashes.crash_tracker import CrashTracker
 from briarthread_entry.direct.requests.request_digest import request_digest
 from briarthread_standins.crash_scenario import (
     CRASH_SCENARIOS,
--- a/tests/direct/test_crashing_segments.py
+++ b/tests/direct/test_crashing_segments.py
@@ -8,12 +8,13 @@
 from hypothesis import strategies as st
 
 from briarthread_common.messages.crash_words import CrashWords
-from briarthread_entry.direct.crash_tracker import CrashTracker
-from briarthread_entry.direct.proven_segments import (
+from briarthread_entry.direct.crashes.crash_tracker import CrashTracker
+from briarthread_entry.direct.crashes.proven_segments import (
     MAX_PER_ACCOUNT,
     MAX_SEGMENTS,
     ProvenSegments,
 )
+from briarthread_entry.direct.crashes.segment_tracker import MAX_REVIEWED, TRIAL_SECONDS
 from briarthread_entry.direct.requests.prompt_segments import (
     MAX_ID_LENGTH,
     shared_segments,
@@ -21,7 +22,6 @@
 from briarthread_entry.direct.requests.prompt_segments import (
     MAX_SEGMENTS as MAX_PROMPT_SEGMENTS,
 )
-from briarthread_entry.direct.segment_tracker import MAX_REVIEWED, TRIAL_SECONDS
 from briarthread_standins.direct_world import DirectWorld
 from briarthread_standins.segment_crash_scenario import (
     CULPRIT,
--- a/tests/direct/test_restarted_targets.py
+++ b/tests/direct/test_restarted_targets.py
@@ -20,7 +20,7 @@
 from briarthread_common.messages.limit_report import LimitReport
 from briarthread_common.messages.running_report import RunningReport, merge_reports
 from briarthread_common.messages.token_messages import TokenRequest
-from briarthread_entry.direct.crash_tracker import CrashTracker, RunningRequest
+from briarthread_entry.direct.crashes.crash_tracker import CrashTracker, RunningRequest
 from briarthread_entry.direct.direct_entry import DirectEntry
 from briarthread_entry.direct.peer_reports import PeerReports
 from briarthread_entry.direct.targets.standing import Standing
--- a/tests/direct/test_silent_ranks.py
+++ b/tests/direct/test_silent_ranks.py
@@ -6,11 +6,11 @@
 from briarthread_common.messages.crash_words import CrashWords, merge_crash_words
 from briarthread_common.messages.group_stop_report import GroupStopReport
 from briarthread_entry.direct.attempts.attempt_progress import AttemptProgress
-from briarthread_entry.direct.crash_tracker import CrashTracker
-from briarthread_entry.direct.group_stops import GroupStops
-from briarthread_entry.direct.known_stops import KnownStops
-from briarthread_entry.direct.rank_run import RankRun
-from briarthread_entry.direct.silent_ranks import (
+from briarthread_entry.direct.crashes.crash_tracker import CrashTracker
+from briarthread_entry.direct.crashes.group_stops import GroupStops
+from briarthread_entry.direct.crashes.known_stops import KnownStops
+from briarthread_entry.direct.crashes.rank_run import RankRun
+from briarthread_entry.direct.crashes.silent_ranks import (
     LOST_SECONDS,
     RETENTION_SECONDS,
     RankCrash,
--- a/tests/direct/test_silent_runs.py
+++ b/tests/direct/test_silent_runs.py
@@ -2,7 +2,7 @@
 
 from direct_builders import build_direct_request, build_state
 
-from briarthread_entry.direct.silent_runs import (
+from briarthread_entry.direct.crashes.silent_runs import (
     MAX_RUNS,
     RETENTION_SECONDS,
     SilentRuns,
