Move 5 modules of entry/direct to direct/memory

Change: to direct/memory: held_bytes, memory_budget, memory_limits, memory_rule, release_meter.

Ruled out: to export the names from the package's __init__.py, since each type would then have two paths; to rename or split modules on the way, since a diff with a change of code in it hides it.

Not run for this commit alone: the tests.

--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -47,7 +47,7 @@
 from briarthread_entry.direct.limits.limit_tokens import LimitTokens
 from briarthread_entry.direct.limits.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.limits.target_limits import TargetLimits
-from briarthread_entry.direct.memory_budget import MemoryBudget
+from briarthread_entry.direct.memory.memory_budget import MemoryBudget
 from briarthread_entry.direct.peer_reports import PeerReports
 from briarthread_entry.direct.request_handler import RequestHandler
 from briarthread_entry.direct.request_runner import RequestRunner
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Memory that requests and responses hold in an entry."""
--- a/packages/entry/src/briarthread_entry/direct/held_bytes.py
+++ b/packages/entry/src/briarthread_entry/direct/memory/held_bytes.py
@@ -6,7 +6,7 @@
 
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.exceptions import RequestError
-from briarthread_entry.direct.memory_rule import (
+from briarthread_entry.direct.memory.memory_rule import (
     Granted,
     MemoryDecision,
     MemoryFull,
@@ -14,7 +14,7 @@
 )
 
 if TYPE_CHECKING:
-    from briarthread_entry.direct.memory_budget import MemoryBudget
+    from briarthread_entry.direct.memory.memory_budget import MemoryBudget
 
 MAX_WAIT_SECONDS = 2.0
 """Longest time for which the reading of one request's responses waits for memory.
--- a/packages/entry/src/briarthread_entry/direct/memory_budget.py
+++ b/packages/entry/src/briarthread_entry/direct/memory/memory_budget.py
@@ -9,15 +9,15 @@
 
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.core.metrics import Metrics
-from briarthread_entry.direct.held_bytes import HeldBytes
-from briarthread_entry.direct.memory_limits import MEBIBYTE, MemoryLimits
-from briarthread_entry.direct.memory_rule import (
+from briarthread_entry.direct.memory.held_bytes import HeldBytes
+from briarthread_entry.direct.memory.memory_limits import MEBIBYTE, MemoryLimits
+from briarthread_entry.direct.memory.memory_rule import (
     Granted,
     MemoryDecision,
     MemoryFull,
     decide_memory,
 )
-from briarthread_entry.direct.release_meter import ReleaseMeter
+from briarthread_entry.direct.memory.release_meter import ReleaseMeter
 
 FULL_SECONDS = 1.0
 """Minimum time for which the budget is reported as full, so that the log is bounded."""
--- a/packages/entry/src/briarthread_entry/direct/memory_rule.py
+++ b/packages/entry/src/briarthread_entry/direct/memory/memory_rule.py
@@ -8,7 +8,10 @@
 
 from dataclasses import dataclass
 
-from briarthread_entry.direct.memory_limits import SMALL_REQUEST_BYTES, MemoryLimits
+from briarthread_entry.direct.memory.memory_limits import (
+    SMALL_REQUEST_BYTES,
+    MemoryLimits,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/briarthread_entry/direct/request_handler.py
+++ b/packages/entry/src/briarthread_entry/direct/request_handler.py
@@ -14,8 +14,8 @@
 from briarthread_common.http.app import ResponseAborted
 from briarthread_common.http.call import Call
 from briarthread_common.http.problem import problem_body, problem_headers
-from briarthread_entry.direct.held_bytes import HeldBytes
-from briarthread_entry.direct.memory_budget import MemoryBudget
+from briarthread_entry.direct.memory.held_bytes import HeldBytes
+from briarthread_entry.direct.memory.memory_budget import MemoryBudget
 from briarthread_entry.direct.request_runner import RequestRunner
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.requests.read_request import RequestReader
--- a/packages/entry/src/briarthread_entry/direct/requests/direct_request.py
+++ b/packages/entry/src/briarthread_entry/direct/requests/direct_request.py
@@ -4,7 +4,7 @@
 
 from briarthread_common.direct.direct_service import DirectService
 from briarthread_common.direct.host_route import HostRoute
-from briarthread_entry.direct.held_bytes import HeldBytes
+from briarthread_entry.direct.memory.held_bytes import HeldBytes
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/briarthread_entry/direct/requests/read_request.py
+++ b/packages/entry/src/briarthread_entry/direct/requests/read_request.py
@@ -21,8 +21,8 @@
     retry_after_backoff,
     retry_after_outage,
 )
-from briarthread_entry.direct.held_bytes import HeldBytes
-from briarthread_entry.direct.memory_rule import Granted, MemoryFull, TooLarge
+from briarthread_entry.direct.memory.held_bytes import HeldBytes
+from briarthread_entry.direct.memory.memory_rule import Granted, MemoryFull, TooLarge
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.requests.prompt_segments import shared_segments
 from briarthread_entry.direct.requests.request_digest import request_digest
--- a/tests/direct/test_read_request.py
+++ b/tests/direct/test_read_request.py
@@ -10,7 +10,7 @@
 from briarthread_common.core.metrics import Metrics
 from briarthread_common.http.call import Call
 from briarthread_common.utils.clock import Clock
-from briarthread_entry.direct.memory_budget import MemoryBudget
+from briarthread_entry.direct.memory.memory_budget import MemoryBudget
 from briarthread_entry.direct.requests.read_request import RequestReader
 from briarthread_platform.adapter import ADAPTER
 from briarthread_platform.operator_config import decode_config
--- a/tests/direct/test_slow_readers.py
+++ b/tests/direct/test_slow_readers.py
@@ -17,12 +17,12 @@
 from briarthread_common.http.call import REPLY_TIMEOUT_SECONDS, Call
 from briarthread_common.http.channel import ChannelRequest
 from briarthread_entry.direct.direct_entry import DirectEntry
-from briarthread_entry.direct.held_bytes import MAX_WAIT_SECONDS
-from briarthread_entry.direct.memory_limits import (
+from briarthread_entry.direct.memory.held_bytes import MAX_WAIT_SECONDS
+from briarthread_entry.direct.memory.memory_limits import (
     SMALL_REQUEST_BYTES,
     MemoryLimits,
 )
-from briarthread_entry.direct.memory_rule import Granted, decide_memory
+from briarthread_entry.direct.memory.memory_rule import Granted, decide_memory
 from briarthread_entry.direct.settings import load_direct_settings
 from briarthread_standins.direct_worker import STAMP_HEADER, WorkerFault
 from briarthread_standins.direct_world import DirectResponse, DirectWorld
