Move 5 modules of entry/direct to direct/reports

Change: to direct/reports: peer_reports, report_blocks, running_reporter, running_watcher, subscriptions.

Ruled out: to export the names from the package's __init__.py, since each type would then have two paths; to rename or split modules on the way, since a diff with a change of code in it hides it.

Not run for this commit alone: the tests.

--- a/packages/entry/src/briarthread_entry/direct/admission/urgency_tracker.py
+++ b/packages/entry/src/briarthread_entry/direct/admission/urgency_tracker.py
@@ -16,7 +16,7 @@
     build_urgency_load,
 )
 from briarthread_entry.direct.admission.waiting_place import WaitingPlace
-from briarthread_entry.direct.peer_reports import PeerReports
+from briarthread_entry.direct.reports.peer_reports import PeerReports
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 
 DURATION_WEIGHT = 0.2
--- a/packages/entry/src/briarthread_entry/direct/groups/group_capacity.py
+++ b/packages/entry/src/briarthread_entry/direct/groups/group_capacity.py
@@ -29,7 +29,7 @@
 from briarthread_entry.direct.limits.cold_targets import ColdTargets
 from briarthread_entry.direct.limits.target_backoffs import TargetBackoffs
 from briarthread_entry.direct.limits.target_limits import TargetLimits
-from briarthread_entry.direct.peer_reports import PeerReports
+from briarthread_entry.direct.reports.peer_reports import PeerReports
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.targets.target_registry import TargetRegistry
 from briarthread_entry.direct.targets.target_state import DirectTargetState
--- /dev/null
+++ b/packages/entry/src/briarthread_entry/direct/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Running reports that entries exchange."""
--- a/packages/entry/src/briarthread_entry/direct/running_reporter.py
+++ b/packages/entry/src/briarthread_entry/direct/reports/running_reporter.py
@@ -14,8 +14,8 @@
     RunningReport,
     merge_reports,
 )
-from briarthread_entry.direct.peer_reports import PeerReports
-from briarthread_entry.direct.running_watcher import RunningWatcher
+from briarthread_entry.direct.reports.peer_reports import PeerReports
+from briarthread_entry.direct.reports.running_watcher import RunningWatcher
 
 REPORT_INTERVAL_SECONDS = 0.1
 """Minimum interval between two running reports. With a longer interval the counts held
--- a/packages/entry/src/briarthread_entry/direct/running_watcher.py
+++ b/packages/entry/src/briarthread_entry/direct/reports/running_watcher.py
@@ -18,9 +18,9 @@
 from briarthread_common.messages.running_report import RunningReport
 from briarthread_common.spread.directory import Directory
 from briarthread_common.utils.recent_failures import RecentFailures
-from briarthread_entry.direct.peer_reports import PeerReports
-from briarthread_entry.direct.report_blocks import build_blocks
-from briarthread_entry.direct.subscriptions import (
+from briarthread_entry.direct.reports.peer_reports import PeerReports
+from briarthread_entry.direct.reports.report_blocks import build_blocks
+from briarthread_entry.direct.reports.subscriptions import (
     BlockSubscription,
     EntrySubscription,
     OthersSubscription,
--- a/packages/entry/src/briarthread_entry/direct/subscriptions.py
+++ b/packages/entry/src/briarthread_entry/direct/reports/subscriptions.py
@@ -9,7 +9,7 @@
     RUNNING_PATH,
 )
 from briarthread_common.utils.hashing import stable_hash
-from briarthread_entry.direct.report_blocks import MAX_MESH_ENTRIES, find_block
+from briarthread_entry.direct.reports.report_blocks import MAX_MESH_ENTRIES, find_block
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/briarthread_entry/direct/routing/target_chooser.py
+++ b/packages/entry/src/briarthread_entry/direct/routing/target_chooser.py
@@ -14,7 +14,7 @@
 from briarthread_entry.direct.groups.slow_ranks import SlowRanks
 from briarthread_entry.direct.limits.limit_tokens import LimitTokens
 from briarthread_entry.direct.limits.target_backoffs import TargetBackoffs
-from briarthread_entry.direct.peer_reports import PeerReports
+from briarthread_entry.direct.reports.peer_reports import PeerReports
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.routing.choose_target import choose_rank
 from briarthread_entry.direct.routing.plain_targets import PlainTargets
--- a/tests/direct/test_restarted_targets.py
+++ b/tests/direct/test_restarted_targets.py
@@ -22,7 +22,7 @@
 from briarthread_common.messages.token_messages import TokenRequest
 from briarthread_entry.direct.crashes.crash_tracker import CrashTracker, RunningRequest
 from briarthread_entry.direct.direct_entry import DirectEntry
-from briarthread_entry.direct.peer_reports import PeerReports
+from briarthread_entry.direct.reports.peer_reports import PeerReports
 from briarthread_entry.direct.targets.standing import Standing
 from briarthread_entry.direct.targets.target_runs import MAX_KNOWN_RUNS, TargetRuns
 from briarthread_entry.direct.targets.target_state import DirectTargetState
--- a/tests/direct/test_running_reports.py
+++ b/tests/direct/test_running_reports.py
@@ -5,7 +5,7 @@
 from direct_builders import MODEL, run_in_direct_world
 
 from briarthread_common.messages.running_report import RunningReport
-from briarthread_entry.direct.peer_reports import PeerReports
+from briarthread_entry.direct.reports.peer_reports import PeerReports
 from briarthread_standins.direct_world import DirectWorld
 
 CENTRES = ("palermo", "catania", "messina", "siracusa", "trapani")
--- a/tests/direct/test_target_backoffs.py
+++ b/tests/direct/test_target_backoffs.py
@@ -7,7 +7,7 @@
 from direct_builders import run_in_direct_world
 
 from briarthread_common.messages.running_report import RunningReport
-from briarthread_entry.direct.peer_reports import PeerReports
+from briarthread_entry.direct.reports.peer_reports import PeerReports
 from briarthread_standins.direct_config import DIARY
 from briarthread_standins.direct_worker import DirectWorker
 from briarthread_standins.direct_world import DirectWorld
--- a/tests/direct/test_urgency.py
+++ b/tests/direct/test_urgency.py
@@ -39,7 +39,7 @@
 )
 from briarthread_entry.direct.admission.urgency_tracker import UrgencyTracker
 from briarthread_entry.direct.admission.waiting_place import WaitingPlace, request_rank
-from briarthread_entry.direct.peer_reports import PeerReports
+from briarthread_entry.direct.reports.peer_reports import PeerReports
 from briarthread_standins.caller_results import CallerResults
 from briarthread_standins.direct_world import DirectWorld
 from briarthread_standins.load_scenario import LoadScenario
