Refuse what begins with other bytes before it is parsed as a head

Cause: heads were compared after parsing, which drops interim ones, and several facts were derived from an address or a word in place of the connection and the field. Change: CallConnection looks at the bytes read in place of a head, on connections that have carried other calls, and raises ForeignResponseError before the parser sees them. After a full read at the end of a response it closes. The end of chunks is looked for where the field says so and a body is due.

--- a/packages/common/src/briarthread_common/http/call_connection.py
+++ b/packages/common/src/briarthread_common/http/call_connection.py
@@ -12,6 +12,7 @@
 
 from briarthread_common.core.exceptions import (
     BrokenCallError,
+    ForeignResponseError,
     RequestNotSentError,
     UnreadBytesError,
 )
@@ -22,8 +23,11 @@
 GRACEFUL_CLOSE = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 0, 0))
 """Socket option with which a close still delivers them."""
 RECEIVE_BYTES = 1024 * 1024
-"""Bytes that are taken from a stream at a time, more than an event loop delivers at
-once, so that the stream keeps none."""
+"""Bytes that are taken from a stream at a time, more than an event loop reads at a
+time, so that no part of a read is left."""
+FULL_READ_BYTES = 256_000
+"""Bytes that uvloop reads at a time. After a full read it reads on at once, and the
+stream may keep what came."""
 
 
 class CallConnection(httpcore.AsyncNetworkStream):
@@ -50,24 +54,33 @@
         self.ended = False
         self.bounds = ResponseBounds()
         self.unread = b""
+        self.last_read_bytes = 0
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """
         Return received bytes, none at the end of the connection.
 
         Raise InvalidResponseError if they exceed their bounds, BrokenCallError if the
-        connection ends before the head is complete.
+        connection ends before the head is complete, ForeignResponseError if other bytes
+        than a head come first on a connection that has carried other calls.
         """
         self.bounds.check(anyio.current_time())
         if self.bounds.in_head:
             max_bytes = min(max_bytes, HEAD_READ_BYTES)
-        received = self.unread or await self.stream.read(RECEIVE_BYTES, timeout)
-        data, self.unread = received[:max_bytes], received[max_bytes:]
+        if not self.unread:
+            self.unread = await self.stream.read(RECEIVE_BYTES, timeout)
+            self.last_read_bytes = len(self.unread)
+        data, self.unread = self.unread[:max_bytes], self.unread[max_bytes:]
         if not data:
             self.ended = True
             if self.bounds.in_head:
                 raise BrokenCallError("the connection ended before the response")
         self.bounds.note_received(data, anyio.current_time())
+        is_kept = self.calls > 1
+        if is_kept and self.bounds.in_head and self.bounds.begins_elsewhere():
+            raise ForeignResponseError(
+                "a response in parts, or not the one to the call"
+            )
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
@@ -86,8 +99,9 @@
         await self.stream.write(buffer, timeout)
 
     async def end_call(self) -> None:
-        """Note that the response has been read; close if more bytes follow it."""
-        if self.bounds.has_excess() or self.has_unread():
+        """Note that the response has been read; close if more bytes may follow it."""
+        may_hide_bytes = self.last_read_bytes >= FULL_READ_BYTES
+        if may_hide_bytes or self.bounds.has_excess() or self.has_unread():
             await self.aclose()
         self.in_call = False
 
@@ -101,9 +115,6 @@
 
     async def aclose(self) -> None:
         """Close the connection; reset it during a call."""
-        if self.in_call and self.calls > 1 and self.bounds.is_in_head():
-            # What came cannot have been the head of the response to this call.
-            self.on_surplus()
         is_open = self.socket.fileno() >= 0
         if is_open and not self.in_call:
             self.socket.setsockopt(*GRACEFUL_CLOSE)
--- a/packages/common/src/briarthread_common/http/http_channel.py
+++ b/packages/common/src/briarthread_common/http/http_channel.py
@@ -10,7 +10,6 @@
 
 from briarthread_common.core.exceptions import (
     BrokenCallError,
-    ChannelError,
     ConnectionRefused,
     ForeignResponseError,
     InvalidResponseError,
@@ -20,7 +19,6 @@
 from briarthread_common.http.call_connection import CallBackend, CallConnection
 from briarthread_common.http.channel import ChannelRequest, ChannelResponse
 from briarthread_common.http.channel_options import ChannelOptions
-from briarthread_common.http.joined_heads import has_joined_heads
 
 FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 """Headers of which a response has one unless its body ends with the connection."""
@@ -54,12 +52,11 @@
     async def stream(self, request: ChannelRequest) -> AsyncIterator[ChannelResponse]:
         """Send a call over a pooled connection; see Channel."""
         connection: CallConnection | None = None
-        may_reuse = not self._needs_new_connection(request)
         try:
             async with AsyncExitStack() as stack:
                 response = await self._begin(stack, request)
                 connection = response.extensions["network_stream"]
-                yield _read_head(response, connection)
+                yield _read_head(request, response, connection)
         except ForeignResponseError:
             self._note_surplus(request.address)
             raise
@@ -74,11 +71,8 @@
             raise kind(_describe_error(request, error)) from error
         except httpcore.ProtocolError as error:
             # Bytes that are no response do not mean that the target has ended.
-            kind: type[ChannelError] = InvalidResponseError
-            if connection is not None and connection.ended:
-                kind = BrokenCallError
-            elif may_reuse and self._is_distrusted(request.address):
-                kind = ForeignResponseError
+            is_lost = connection is not None and connection.ended
+            kind = BrokenCallError if is_lost else InvalidResponseError
             raise kind(_describe_error(request, error)) from error
         except (httpcore.NetworkError, httpcore.TimeoutException) as error:
             raise BrokenCallError(_describe_error(request, error)) from error
@@ -149,15 +143,12 @@
 
 
 def _read_head(
-    response: httpcore.Response, connection: CallConnection
+    request: ChannelRequest, response: httpcore.Response, connection: CallConnection
 ) -> ChannelResponse:
-    """Return a response whose head is complete, or raise ForeignResponseError."""
-    connection.bounds.end_head(anyio.current_time())
-    reason = response.extensions["reason_phrase"]
-    if connection.calls > 1 and has_joined_heads(reason, response.headers):
-        raise ForeignResponseError("two heads of responses run together")
+    """Return a response whose head is complete."""
     fields = _decode_headers(response.headers)
     headers = dict(fields)
+    connection.bounds.end_head(anyio.current_time(), request.method != "HEAD")
     return ChannelResponse(
         response.status,
         headers,
--- a/packages/common/src/briarthread_common/http/response_bounds.py
+++ b/packages/common/src/briarthread_common/http/response_bounds.py
@@ -1,6 +1,7 @@
 """Bounds on the bytes of one response that are no part of an answer."""
 
 import re
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from briarthread_common.core.exceptions import InvalidResponseError
@@ -32,6 +33,9 @@
 FRAMING_SHARE = 4
 """Bytes of framing for each byte of the body."""
 HEAD_END = re.compile(rb"\r?\n\r?\n")
+CHUNKED = re.compile(rb"\ntransfer-encoding:[^\n]*chunked", re.IGNORECASE)
+STATUS_LINE_BEGIN = b"HTTP/"
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 
 @dataclass(slots=True, eq=False)
@@ -92,12 +96,12 @@
         if self.head.endswith((b"\n\r\n", b"\n\n")):
             self.partial_since = None
 
-    def end_head(self, now: float) -> None:
-        """Record that the head is complete."""
+    def end_head(self, now: float, has_body: bool = True) -> None:
+        """Record that the head is complete; one that answers HEAD has no body."""
         self.in_head = False
         self.partial_since = None
         self.body_since = now
-        if b"chunked" in self.head[: self._head_bytes()].lower():
+        if has_body and CHUNKED.search(self.head, 0, self._head_bytes()) is not None:
             self.chunked = ChunkedResponse()
             self.chunked.feed(bytes(self.head))
 
@@ -115,9 +119,20 @@
         if self.small_chunks > SMALL_CHUNK_BURST + allowed:
             raise InvalidResponseError("body in too many small chunks")
 
-    def is_in_head(self) -> bool:
-        """Return whether a head has begun and is not complete."""
-        return self.in_head and self.received > 0
+    def begins_elsewhere(self) -> bool:
+        """
+        Return whether what has been read in place of a head begins with other bytes.
+
+        If a part of a response lies before the next one, the parser takes both for one
+        head, with the status of the first. The status line of the second is then
+        within the head, in a line or as one.
+        """
+        if not STATUS_LINE_BEGIN.startswith(self.head[: len(STATUS_LINE_BEGIN)]):
+            return True
+        return any(
+            STATUS_LINE.search(self.head, begin + 1, end) is not None
+            for begin, end in self._heads()
+        )
 
     def has_excess(self) -> bool:
         """Return whether bytes followed a response whose body has ended."""
@@ -127,10 +142,14 @@
 
     def _head_bytes(self) -> int:
         """Return the size of the head with the interim responses before it."""
-        position = 0
-        while (end := HEAD_END.search(self.head, position)) is not None:
-            status = self.head[position : end.start()].split(b" ", 2)[1:2]
-            position = end.end()
+        return max((end for _, end in self._heads()), default=0)
+
+    def _heads(self) -> Iterator[tuple[int, int]]:
+        """Yield where each complete head begins and ends, up to the last one."""
+        begin = 0
+        while (end := HEAD_END.search(self.head, begin)) is not None:
+            yield begin, end.end()
+            status = self.head[begin : end.start()].split(b" ", 2)[1:2]
+            begin = end.end()
             if not status or not status[0].startswith(b"1"):
-                break
-        return position
+                return
--- a/tests/common/test_response_bounds.py
+++ b/tests/common/test_response_bounds.py
@@ -112,3 +112,22 @@
     bounds = read_head(received)
     bounds.note_chunk(3, now=0.0)
     assert bounds.has_excess() is has_excess
+
+
+@pytest.mark.parametrize(
+    ("received", "expected"),
+    [
+        (b"HTT", False),
+        (HEAD, False),
+        (INTERIM + HEAD, False),
+        (HEAD + b"a body with HTTP/1.1 200 in it", False),
+        (b"\r\n" + HEAD, True),
+        (b"rest of a body" + HEAD, True),
+        (b"HTTP/1.1 103 Early Hi" + HEAD, True),
+        (b"HTTP/1.1 200 OK\r\nServer: a\r\n" + HEAD, True),
+    ],
+)
+def test_bytes_before_a_head_are_noticed(received: bytes, expected: bool) -> None:
+    bounds = ResponseBounds()
+    bounds.note_received(received, now=0.0)
+    assert bounds.begins_elsewhere() is expected
--- a/tests/common/test_unread_bytes.py
+++ b/tests/common/test_unread_bytes.py
@@ -24,6 +24,7 @@
 HEAD_READ_BYTES = 4096
 BODY_READ_BYTES = 65536
 """Bytes that a channel reads at a time."""
+CALL_SECONDS = 5.0
 SETTLE_SECONDS = 0.01
 """Time in seconds for bytes to arrive on the loopback interface."""
 
@@ -44,6 +45,10 @@
         self.target.answers.append(answer)
         headers = (("x-request-id", request_id),)
         request = ChannelRequest("GET", self.address, "/", headers, body=None)
+        with anyio.fail_after(CALL_SECONDS):
+            return await self._exchange(request, request_id)
+
+    async def _exchange(self, request: ChannelRequest, request_id: str) -> int:
         async with self.channel.stream(request) as response:
             ids = {v for name, v in response.fields if name == "x-request-id"}
             if ids != {request_id}:
