--- a/packages/common/src/briarthread_common/http/call_connection.py
+++ b/packages/common/src/briarthread_common/http/call_connection.py
@@ -77,7 +77,7 @@
                 raise BrokenCallError("the connection ended before the response")
         self.bounds.note_received(data, anyio.current_time())
         is_kept = self.calls > 1
-        if is_kept and self.bounds.in_head and self.bounds.begins_elsewhere():
+        if is_kept and self.bounds.in_head and self.bounds.has_foreign_bytes():
             raise ForeignResponseError(
                 "a response in parts, or not the one to the call"
             )
--- a/packages/common/src/briarthread_common/http/response_bounds.py
+++ b/packages/common/src/briarthread_common/http/response_bounds.py
@@ -119,13 +119,13 @@
         if self.small_chunks > SMALL_CHUNK_BURST + allowed:
             raise InvalidResponseError("body in too many small chunks")
 
-    def begins_elsewhere(self) -> bool:
+    def has_foreign_bytes(self) -> bool:
         """
-        Return whether what has been read in place of a head begins with other bytes.
+        Return whether other bytes come before a head, or in it.
 
         If a part of a response lies before the next one, the parser takes both for one
         head, with the status of the first. The status line of the second is then
-        within the head, in a line or as one.
+        within that head, in a line or as one.
         """
         if not STATUS_LINE_BEGIN.startswith(self.head[: len(STATUS_LINE_BEGIN)]):
             return True
--- a/tests/common/test_response_bounds.py
+++ b/tests/common/test_response_bounds.py
@@ -130,4 +130,4 @@
 def test_bytes_before_a_head_are_noticed(received: bytes, expected: bool) -> None:
     bounds = ResponseBounds()
     bounds.note_received(received, now=0.0)
-    assert bounds.begins_elsewhere() is expected
+    assert bounds.has_foreign_bytes() is expected
