Try each cut of an earlier answer, and what proves an answer coming twice

Measured: all pass on the code as it was. With the check's new connection taken back, and with only the last value of a field looked at, the tests of these fail.

--- a/tests/common/test_unread_bytes.py
+++ b/tests/common/test_unread_bytes.py
@@ -102,6 +102,34 @@
     run_with_clients(scenario)
 
 
+@pytest.mark.parametrize("chunked", [False, True])
+def test_rest_of_an_earlier_answer_gives_no_call_its_status(chunked: bool) -> None:
+    async def scenario(build: Callable[[], Awaitable[Client]]) -> None:
+        found = []
+        first = Answer(200, chunked=chunked)
+        whole = len(build_answer(first, "1")[0])
+        for begin in range(whole):
+            client = await build()
+            second = Answer(404, late_from=begin, late=whole)
+            found.append(await client.find_mixed(first, second))
+        assert not list(filter(None, found))
+
+    run_with_clients(scenario)
+
+
+def test_part_that_comes_before_the_next_call_costs_it_nothing() -> None:
+    async def scenario(build: Callable[[], Awaitable[Client]]) -> None:
+        for part in range(1, WHOLE_BYTES + 1):
+            client = await build()
+            assert await client.call(Answer()) == 200
+            await client.target.send_unasked(build_answer(Answer(), "1")[0][:part])
+            await anyio.sleep(SETTLE_SECONDS)
+            assert await client.call(Answer(404)) == 404, part
+            assert client.target.connections == 2
+
+    run_with_clients(scenario)
+
+
 @pytest.mark.parametrize("chunked", [False, True])
 @pytest.mark.parametrize(
     "size", [WHOLE_BYTES, HEAD_READ_BYTES, HEAD_READ_BYTES + BODY_READ_BYTES]
--- a/tests/processes/stuttering_target.py
+++ b/tests/processes/stuttering_target.py
@@ -9,6 +9,8 @@
 from processes.raw_target import listen, read_request
 
 STAMP_BYTES = 24
+MAX_HEAD_BYTES = 300
+"""Size in bytes that no head of these answers reaches."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,17 +18,19 @@
     """
     What a target sends for one request.
 
-    ``late`` is the number of bytes of a second answer to the request before it on the
-    connection that come first, ``surplus`` the number of bytes of a second answer to
-    this request that come with the answer. A body of ``size`` bytes is sent with its
-    length, or in chunks.
+    Before it come the bytes from ``late_from`` to ``late`` of a second answer to the
+    request before it on the connection; ``surplus`` is the number of bytes of a second
+    answer to this request that come with the answer. A body of ``size`` bytes is sent
+    with its length, or in chunks. ``fields`` are lines that the head begins with.
     """
 
     status: int = 200
     late: int = 0
+    late_from: int = 0
     surplus: int = 0
     size: int = 40
     chunked: bool = False
+    fields: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +83,9 @@
                 self.arrivals.append(Arrival(request_id, answer.status, body, number))
                 try:
                     await stream.send(
-                        before[: answer.late] + data + data[: answer.surplus]
+                        before[answer.late_from : answer.late]
+                        + data
+                        + data[: answer.surplus]
                     )
                 except anyio.BrokenResourceError:
                     return
@@ -92,7 +98,7 @@
     body = text.ljust(answer.size, b".")
     framing = "Transfer-Encoding: chunked" if answer.chunked else None
     head = (
-        f"HTTP/1.1 {answer.status} Reason\r\n"
+        f"HTTP/1.1 {answer.status} Reason\r\n{answer.fields}"
         f"X-Request-Id: {request_id}\r\n"
         f"X-Server-Stamp: {request_id.rjust(STAMP_BYTES, '0')}\r\n"
         f"{framing or f'Content-Length: {len(body)}'}\r\n\r\n"
@@ -104,7 +110,7 @@
 
 def fill_reads(total: int, request_id: str, surplus: int, chunked: bool) -> Answer:
     """Return an answer to a request whose head and body have a size in bytes."""
-    for size in range(total):
+    for size in range(max(total - MAX_HEAD_BYTES, 0), total):
         answer = Answer(size=size, surplus=surplus, chunked=chunked)
         if len(build_answer(answer, request_id)[0]) == total:
             return answer
--- a/tests/processes/test_second_answers.py
+++ b/tests/processes/test_second_answers.py
@@ -102,3 +102,17 @@
         assert caller.target.connections <= 1 + MAX_EXTRA_CONNECTIONS
 
     run_before_target(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("field", ["X-Request-Id", "X-Server-Stamp"])
+def test_answer_with_two_values_of_what_proves_it_is_not_passed_on(
+    tmp_path: Path, field: str
+) -> None:
+    """Guards against a head of which only the last value is looked at."""
+
+    async def scenario(caller: Caller) -> None:
+        reply = await caller.call(Answer(fields=f"{field}: another\r\n"))
+        assert reply.status == 502
+        assert len(reply.arrivals) == 1
+
+    run_before_target(tmp_path, scenario)
