Play crowds of clients before an entry and an agent, one test at a time

The tests start a real entry and a real agent on loopback addresses, told of 100 MB and 400 files, and let a crowd press on all four addresses for 2 s: callers, readiness probes, peers, the agent's own. Each test is one point of a connection: nothing sent, empty lines, the first line, a field's name and value, small fields, bodies, chunks, their sizes and extensions, trailers, messages between processes (plain and compressed), requests before an answer, bytes after one. Checked are what the machine's speed does not decide: both processes live, their peak of resident memory is under 100 MB, their open files are under 400, and one ordinary request at each address is answered with 200 afterwards. Crowd and bounds are fixed here, before the product changes.

They run by the README's command after all other tests, one at a time: the scheduler of parallel runs keeps tests/crowds back until all workers but one have ended. tests/common/test_serial_scheduler.py plays that with workers of its own.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,10 @@
-"""Support for tests in KNOWN-RED.txt, which fail because of a known fault."""
+"""Order of the tests, and support for those in KNOWN-RED.txt, which fail."""
 
 from pathlib import Path
 
 import pytest
+from serial_scheduler import SerialLastScheduling, is_serial
+from xdist.remote import Producer
 
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 
@@ -17,7 +19,8 @@
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Expect listed tests to fail; one that passes must be removed from the list."""
+    """Expect listed tests to fail, and put those last that run one at a time."""
+    items.sort(key=lambda item: is_serial(item.nodeid))
     for item in items:
         for listed in known_red():
             if item.nodeid == listed or item.nodeid.startswith(f"{listed}["):
@@ -25,6 +28,13 @@
                 item.add_marker(mark)
 
 
+def pytest_xdist_make_scheduler(
+    config: pytest.Config, log: Producer
+) -> SerialLastScheduling:
+    """Return the scheduler of a parallel run."""
+    return SerialLastScheduling(config, log)
+
+
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     """Print the listed tests at the end of each run."""
     for listed in known_red():
--- a/tests/soak/soak_deployment.py
+++ b/tests/soak/soak_deployment.py
@@ -108,6 +108,8 @@
     targets: dict[str, Target] = field(default_factory=dict)
     callers_addresses: dict[str, str] = field(default_factory=dict)
     ready_addresses: dict[str, str] = field(default_factory=dict)
+    peer_addresses: dict[str, str] = field(default_factory=dict)
+    store_address: str = ""
 
     async def start(self) -> None:
         """Start all processes and wait until every entry is ready."""
@@ -116,10 +118,11 @@
             for number in range(count):
                 data_centre = (FIRST_DATA_CENTRE, SECOND_DATA_CENTRE)[number % 2]
                 await self._start_target(f"{service}-{number}", service, data_centre)
-        store_address = self._serve_store()
-        peer_addresses = [free_address() for _ in range(self.entry_count)]
-        for number in range(self.entry_count):
-            self._start_entry(f"entry-{number}", number, store_address, peer_addresses)
+        self.store_address = self._serve_store()
+        names = [f"entry-{number}" for number in range(self.entry_count)]
+        self.peer_addresses = {name: free_address() for name in names}
+        for name in names:
+            self._start_entry(name)
         try:
             with anyio.fail_after(START_TIMEOUT_SECONDS):
                 for name in self.entries:
@@ -214,19 +217,17 @@
         }
         self.store.put("servers", name, self.rows[name])
 
-    def _start_entry(
-        self, name: str, number: int, store_address: str, peer_addresses: list[str]
-    ) -> None:
+    def _start_entry(self, name: str) -> None:
         self.callers_addresses[name] = free_address()
         self.ready_addresses[name] = free_address()
         settings = self.folder / f"{name}.ini"
         text = ENTRY_SETTINGS.format(
             name=name,
-            listen=peer_addresses[number],
+            listen=self.peer_addresses[name],
             callers=self.callers_addresses[name],
             ready=self.ready_addresses[name],
-            store=store_address,
-            seeds=",".join(peer_addresses),
+            store=self.store_address,
+            seeds=",".join(self.peer_addresses.values()),
             allowance=self.allowance,
             max_files=self.max_files,
             memory_mb=self.memory_mb,
