Parse what follows a request only once it has been answered

What callers saw: 60 clients at each address that sent requests of 30 bytes without waiting took an entry to 371 MB and an agent to 187 MB (bound 100 MB). And a client that sent bad bytes while its answer was under way got a refusal in the middle of it.

Cause: a transport hands over up to 256 kB of one read, and all of it was parsed before any limit looked at it. Each request that it held became a cycle, a scope and a place in a queue, some 2.5 kB. Bad bytes were refused as soon as the parser met them, whatever was being sent to the client then.

What was read goes to the parser in parts that end where a message may end, an empty line or the stated length (clients/message_parts.py), and what follows a request stays unparsed until its response is complete. Reading stops at 16 KiB of such bytes. So the parser never holds more than the message under way, and a refusal always comes after the answers before it.

Weighed: raising from a callback of the parser loses the position in the bytes; closing connections that send ahead would refuse what HTTP/1.1 allows; smaller reads alone only make the same thing smaller.

--- /dev/null
+++ b/packages/common/src/briarthread_common/http/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on what clients may make a process hold or do."""
--- a/packages/common/src/briarthread_common/http/server_protocol.py
+++ b/packages/common/src/briarthread_common/http/server_protocol.py
@@ -8,11 +8,16 @@
 from briarthread_common.http.call import EMPTY_QUERY
 from briarthread_common.http.call_connection import RESET_ON_CLOSE
 from briarthread_common.http.caller_connections import CallerConnections
+from briarthread_common.http.clients.message_parts import end_of_part
+from briarthread_common.http.clients.read_buffer import ReadBuffer
 from briarthread_common.http.closing_transport import ClosingTransport
 from briarthread_common.http.upgrade_offer import without_upgrade
 
 MAX_HEADER_BYTES = 32 * 1024
+MAX_WAITING_BYTES = 16 * 1024
+"""Bytes of later requests that are read before the response to an earlier one."""
 CONNECT_METHOD = b"CONNECT"
+LENGTH_HEADER = b"content-length"
 
 
 class _HeadTooLarge(Exception):  # noqa: N818
@@ -30,13 +35,19 @@
     they arrive; too many of them end the connection with the response to a malformed
     request.
 
+    What follows a request is parsed once its response is complete. Until then it is
+    kept as received, and reading stops at MAX_WAITING_BYTES.
+
     No other protocol is spoken. The parser ends a request that offers one at its head,
     so that its body would be read as the next request; such a request is parsed again
     without the offer.
     """
 
     offers_upgrade = False
+    in_message = False
     in_head = False
+    body_left: int | None = None
+    unparsed = b""
     head_bytes = 0
     incomplete_head_bytes = 0
     is_counted = False
@@ -57,6 +68,7 @@
             transport.get_extra_info("socket").setsockopt(*RESET_ON_CLOSE)
             transport.abort()
             return
+        transport.set_protocol(ReadBuffer(self))
         super().connection_made(transport)
         self.timeout_keep_alive_task = self.loop.call_later(
             self._first_byte_timeout(), self.timeout_keep_alive_handler
@@ -86,12 +98,47 @@
         return self.is_counted
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; reject a head that is too large and incomplete."""
+        """Parse received bytes, or keep those that follow an unanswered request."""
         self._unset_keepalive_if_required()
-        self._parse(data)
+        self.unparsed += data
+        self._parse_received()
+
+    def yield_reading(self) -> None:
+        """Let the other connections be served before more is read from this one."""
+        if not self.transport.is_closing():
+            self.transport.pause_reading()
+            self.loop.call_soon(self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if not (self.transport.is_closing() or self.flow.read_paused):
+            self.transport.resume_reading()
+
+    def _parse_received(self) -> None:
+        """Parse what has been received, as far as it may be parsed now."""
+        data, begin = self.unparsed, 0
+        while begin < len(data) and self._may_parse():
+            end = end_of_part(data, begin, self.body_left)
+            self._feed(data[begin:end])
+            begin = end
+        self.unparsed = b"" if self.transport.is_closing() else data[begin:]
+        if len(self.unparsed) >= MAX_WAITING_BYTES:
+            self.flow.pause_reading()
+
+    def _may_parse(self) -> bool:
+        """Return whether the next bytes belong to a request that may begin or go on."""
+        if self.transport.is_closing():
+            return False
+        is_answered = self.cycle is None or self.cycle.response_complete
+        return self.in_message or is_answered
+
+    def _feed(self, part: bytes) -> None:
+        """Parse a part of a message; reject a head that is too large and incomplete."""
+        if self.body_left is not None:
+            self.body_left -= len(part)
+        self._parse(part)
         if self.in_head:
             self._start_head_timer()
-            self.incomplete_head_bytes += len(data)
+            self.incomplete_head_bytes += len(part)
             if self.incomplete_head_bytes > MAX_HEADER_BYTES:
                 self.send_400_response("The head of the request is too large.")
 
@@ -103,12 +150,9 @@
             )
 
     def _end_slow_head(self) -> None:
-        """Close the connection, but not while an earlier request is being served."""
+        """Close the connection."""
         self.head_timer = None
-        if self.cycle is not None and not self.cycle.response_complete:
-            self._start_head_timer()
-        else:
-            self.transport.close()
+        self.transport.close()
 
     def _stop_head_timer(self) -> None:
         if self.head_timer is not None:
@@ -138,7 +182,8 @@
 
     def on_message_begin(self) -> None:
         """Reset the counters at the start of a request."""
-        self.in_head = True
+        self._unset_keepalive_if_required()
+        self.in_message = self.in_head = True
         self.head_bytes = self.incomplete_head_bytes = 0
         super().on_message_begin()
 
@@ -148,14 +193,27 @@
         self._stop_head_timer()
         self.offers_upgrade = self.parser.should_upgrade()
         if not self.offers_upgrade:
+            self.body_left = self._stated_length()
             self.scope[EMPTY_QUERY] = self.url.endswith(b"?")
             super().on_headers_complete()
 
+    def _stated_length(self) -> int | None:
+        """Return the length of the body if the head states it, as the parser did."""
+        lengths = [value for name, value in self.headers if name == LENGTH_HEADER]
+        return int(lengths[0]) if lengths else None
+
     def on_message_complete(self) -> None:
         """End the body of a request."""
         if not self.offers_upgrade:
+            self.in_message = False
+            self.body_left = None
             super().on_message_complete()
 
+    def on_response_complete(self) -> None:
+        """Go on with what was received in the meantime."""
+        super().on_response_complete()
+        self._parse_received()
+
     def on_url(self, url: bytes) -> None:
         """Count the bytes of a part of the request target."""
         self._count(len(url))
--- /dev/null
+++ b/tests/common/test_unruly_clients.py
@@ -0,0 +1,139 @@
+"""Clients that do not behave, over real sockets and with short timeouts."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+from anyio.abc import SocketStream
+
+from briarthread_common.core.run_loop import run_loop
+from briarthread_common.http.app import App, Route
+from briarthread_common.http.call import Call
+from briarthread_common.http.server import HttpServer, open_listener
+
+IDLE_SECONDS, HEAD_SECONDS = 0.4, 0.1
+ANSWER_SECONDS = 0.1
+LONGEST_SECONDS = 5.0
+"""Time limit of each test, which takes some tenths of a second."""
+SLOW = b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"
+CLOSED = (anyio.EndOfStream, anyio.BrokenResourceError)
+
+
+async def reply_slowly(call: Call) -> None:
+    """Send the halves of a response some time apart."""
+    await call.start(200, [("content-length", "8")])
+    await call.send_chunk(b"half")
+    await anyio.sleep(ANSWER_SECONDS)
+    await call.send_chunk(b"half")
+    await call.finish()
+
+
+async def reply_with_body(call: Call) -> None:
+    """Send back the body of a request."""
+    await call.reply(200, await call.read_body(100))
+
+
+APP = App(
+    [Route("GET", "/slow", reply_slowly), Route("POST", "/echo", reply_with_body)]
+)
+
+
+def run_with_server(client: Callable[[str, HttpServer], Awaitable[None]]) -> None:
+    """Run a server and a client."""
+
+    async def on_drain() -> None:
+        return
+
+    async def scenario() -> None:
+        listener = open_listener("127.0.0.1:0")
+        host, port = listener.getsockname()
+        server = HttpServer(APP, [listener], 1)
+        server.set_idle_timeout(IDLE_SECONDS)
+        server.set_head_timeout(HEAD_SECONDS)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.run, on_drain)
+            with anyio.fail_after(LONGEST_SECONDS):
+                while not server.server.started:
+                    await anyio.sleep(0.01)
+                await client(f"{host}:{port}", server)
+            server.server.should_exit = True
+
+    run_loop(scenario)
+
+
+async def connect(address: str) -> SocketStream:
+    host, _, port = address.rpartition(":")
+    return await anyio.connect_tcp(host, int(port))
+
+
+async def read_to_end(stream: SocketStream) -> bytes:
+    """Return all that comes until the connection ends."""
+    parts: list[bytes] = []
+    try:
+        while True:
+            parts.append(await stream.receive())
+    except CLOSED:
+        return b"".join(parts)
+
+
+def build_echo(body: bytes, chunked: bool, more: bytes = b"") -> bytes:
+    """Return a request with a body, and with further fields."""
+    head = b"POST /echo HTTP/1.1\r\nHost: a\r\n" + more
+    if not chunked:
+        return head + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+    chunk = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
+    return head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk + b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize("size", [1, 7, 40, 100_000])
+@pytest.mark.parametrize("chunked", [False, True])
+def test_requests_sent_before_an_answer_are_answered_in_order(
+    chunked: bool, size: int
+) -> None:
+    """Guards against requests that wait behind another one and are lost or mixed."""
+    bodies = [b"first\n\n", b"", b"\r\n\r\nthird", b"\r\n0\r\n\r\n", b"fifth"]
+    sent = b"\r\n".join(build_echo(body, chunked) for body in bodies)
+    sent += build_echo(b"end", chunked, b"Connection: close\r\n")
+
+    async def client(address: str, _: HttpServer) -> None:
+        async with await connect(address) as stream:
+            for begin in range(0, len(sent), size):
+                await stream.send(sent[begin : begin + size])
+            received = await read_to_end(stream)
+        answers = received.split(b"HTTP/1.1 200 OK")[1:]
+        answered = [answer.partition(b"\r\n\r\n")[2] for answer in answers]
+        assert answered == [*bodies, b"end"]
+
+    run_with_server(client)
+
+
+def test_requests_sent_before_an_answer_are_kept_unparsed() -> None:
+    """Guards against memory for thousands of requests of one connection."""
+
+    async def client(address: str, server: HttpServer) -> None:
+        async with await connect(address) as stream:
+            await stream.send(SLOW)
+            await stream.receive()
+            await stream.send(SLOW * 300)
+            await anyio.sleep(ANSWER_SECONDS / 2)
+            (connection,) = server.server.server_state.connections
+            assert not connection.pipeline
+            assert len(server.server.server_state.tasks) == 1
+
+    run_with_server(client)
+
+
+def test_bad_bytes_after_a_request_leave_its_answer_whole() -> None:
+    """Guards against a refusal that is written into the middle of an answer."""
+
+    async def client(address: str, _: HttpServer) -> None:
+        async with await connect(address) as stream:
+            await stream.send(SLOW)
+            received = await stream.receive()
+            await stream.send(b"\x00 no request\r\n\r\n")
+            received += await read_to_end(stream)
+        answer, _, refusal = received.partition(b"HTTP/1.1 400")
+        assert answer.endswith(b"\r\n\r\nhalfhalf")
+        assert b"\r\nconnection: close\r\n" in refusal.lower()
+
+    run_with_server(client)
