Refuse heads that are larger than the operator allows

What callers saw: heads of up to 32 KiB were accepted whatever the configuration says, and a larger one got a 400 in plain text.

Cause: maxHeaderBytes was decoded and used nowhere; the limit was a constant of the connection class. Names and values were counted in callbacks of the parser, which come once a field is complete, and other bytes per read.

Change: the limits of an address are one type, ClientBounds, and Clients holds them with what is counted for that address; callers, probes and peers have one each. A head may have the operator's bytes of header fields and 8,000 for its request line, as much as RFC 9112 wants recipients to accept, so that no client inside the limits meets it. All bytes given to the parser are counted before it sees them, and the check comes before the request begins. Each refusal has a reason from one enumeration, counted by address and reason and logged at most once a second; the fields of a trailer are no longer added to the head's.

--- a/packages/agent/src/briarthread_agent/ranks/direct_agent.py
+++ b/packages/agent/src/briarthread_agent/ranks/direct_agent.py
@@ -28,6 +28,7 @@
 from briarthread_common.http.app import App, Route
 from briarthread_common.http.channel import Channel
 from briarthread_common.http.channel_options import ChannelOptions
+from briarthread_common.http.clients.clients import Clients
 from briarthread_common.http.http_channel import HttpChannel
 from briarthread_common.http.server import HttpServer, open_listener
 from briarthread_common.http.status_pages import StatusPages
@@ -172,7 +173,13 @@
         Clock.from_system(),
         random.SystemRandom(),
     )
-    server = HttpServer(agent.app, [listener], settings.drain_timeout)
+    clients = Clients("peers", on_refused=agent.metrics.count_client_refusal)
+    server = HttpServer(
+        agent.app,
+        [listener],
+        settings.drain_timeout,
+        clients={listener.getsockname()[1]: clients},
+    )
     async with anyio.create_task_group() as tasks:
         agent.start(tasks)
         tasks.start_soon(
--- a/packages/agent/src/briarthread_agent/run_agent.py
+++ b/packages/agent/src/briarthread_agent/run_agent.py
@@ -7,6 +7,7 @@
 
 from briarthread_agent.agent import Agent
 from briarthread_agent.settings import AgentSettings
+from briarthread_common.http.clients.clients import Clients
 from briarthread_common.http.http_channel import HttpChannel
 from briarthread_common.http.server import HttpServer, open_listener
 from briarthread_common.utils.clock import Clock
@@ -21,7 +22,13 @@
             settings, channel, Clock.from_system(), tasks, random.SystemRandom()
         )
         agent.start()
-        server = HttpServer(agent.app, [listener], settings.drain_timeout)
+        clients = Clients("peers", on_refused=agent.metrics.count_client_refusal)
+        server = HttpServer(
+            agent.app,
+            [listener],
+            settings.drain_timeout,
+            clients={listener.getsockname()[1]: clients},
+        )
         logger.info("agent: {} listens on {}", settings.name, settings.listen)
         await server.run(agent.drain)
         tasks.cancel_scope.cancel()
--- a/packages/common/src/briarthread_common/core/error_kind.py
+++ b/packages/common/src/briarthread_common/core/error_kind.py
@@ -11,6 +11,7 @@
     FORBIDDEN = "forbidden"
     UNKNOWN_SERVICE = "unknown-service"
     NOT_FOUND = "not-found"
+    HEAD_TOO_LARGE = "head-too-large"
     BODY_TOO_LARGE = "body-too-large"
     BODY_TOO_SLOW = "body-too-slow"
     KEY_REUSED = "key-reused"
--- a/packages/common/src/briarthread_common/core/error_response.py
+++ b/packages/common/src/briarthread_common/core/error_response.py
@@ -30,6 +30,7 @@
     ErrorKind.FORBIDDEN: ErrorResponse(403, _NOT_RUN, None, "Service not allowed"),
     ErrorKind.UNKNOWN_SERVICE: ErrorResponse(404, _NOT_RUN, None, "Unknown service"),
     ErrorKind.NOT_FOUND: ErrorResponse(404, _NOT_RUN, None, "No such page"),
+    ErrorKind.HEAD_TOO_LARGE: ErrorResponse(431, _NOT_RUN, None, "Head too large"),
     ErrorKind.BODY_TOO_LARGE: ErrorResponse(413, _NOT_RUN, None, "Body too large"),
     ErrorKind.BODY_TOO_SLOW: ErrorResponse(408, _NOT_RUN, 1, "Body too slow"),
     ErrorKind.KEY_REUSED: ErrorResponse(
--- a/packages/common/src/briarthread_common/core/metrics.py
+++ b/packages/common/src/briarthread_common/core/metrics.py
@@ -76,6 +76,12 @@
             "Connections of callers that were reset unread, since too many were open.",
             registry=self.registry,
         )
+        self.client_refusals = Counter(
+            "briarthread_client_refusals",
+            "Clients refused or disconnected, by address and reason.",
+            ["address", "reason"],
+            registry=self.registry,
+        )
         self.crash_decisions = Counter(
             "briarthread_crash_decisions",
             "Decisions on requests under which targets crashed.",
@@ -179,6 +185,10 @@
             registry=self.registry,
         )
 
+    def count_client_refusal(self, address: str, reason: str) -> None:
+        """Count a client that was refused or disconnected."""
+        self.client_refusals.labels(address, reason).inc()
+
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
         return generate_latest(self.registry)
--- /dev/null
+++ b/packages/common/src/briarthread_common/http/clients/client_bounds.py
@@ -0,0 +1,60 @@
+"""Bounds on what the clients of one address may make a process hold or do."""
+
+import math
+from dataclasses import dataclass
+
+RESERVED_FILES = 200
+"""Open files of a process that are kept for anything but sockets."""
+KEPT_SHARE = 0.5
+"""Fraction of the connections above which none is kept open after a response, so that
+idle ones leave room for new ones."""
+REQUEST_LINE_BYTES = 8000
+"""Bytes of a request line beside the header fields (RFC 9112, 3)."""
+
+
+@dataclass(frozen=True, slots=True)
+class ListenerShare:
+    """What one address gets of an instance: fractions of its sockets."""
+
+    connections: float
+
+
+CALLERS_SHARE = ListenerShare(connections=0.5)
+"""Each connection of a caller may need one more to a target."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClientBounds:
+    """
+    Bound the clients of one address; sizes are in bytes, times in seconds.
+
+    ``header_bytes`` are those of a head beside its request line. Above
+    ``kept_connections`` open ones a connection is closed after its response;
+    ``connections`` may be open at the same time.
+    """
+
+    header_bytes: int = 16 * 1024
+    head_seconds: float = 10.0
+    idle_seconds: float = 75.0
+    kept_connections: float = math.inf
+    connections: float = math.inf
+
+    @classmethod
+    def of_instance(cls, share: ListenerShare, max_files: float = 0) -> "ClientBounds":
+        """
+        Return the bounds for a share of an instance; 0 stands for any number.
+
+        >>> bounds = ClientBounds.of_instance(CALLERS_SHARE, max_files=4100)
+        >>> bounds.kept_connections, bounds.connections
+        (975.0, 1950.0)
+        """
+        if not max_files:
+            return cls()
+        sockets = max_files - RESERVED_FILES
+        connections = max(sockets * share.connections, 1.0)
+        return cls(kept_connections=connections * KEPT_SHARE, connections=connections)
+
+    @property
+    def head_bytes(self) -> int:
+        """Return the largest head of a request."""
+        return self.header_bytes + REQUEST_LINE_BYTES
--- /dev/null
+++ b/packages/common/src/briarthread_common/http/clients/client_refusal.py
@@ -0,0 +1,46 @@
+"""Reasons for which a client is refused or its connection is closed."""
+
+from enum import StrEnum
+
+from briarthread_common.core.error_kind import ErrorKind
+from briarthread_common.core.error_response import ERROR_RESPONSES
+from briarthread_common.core.exceptions import RequestError
+from briarthread_common.http.problem import problem_body, problem_headers
+
+
+class ClientRefusal(StrEnum):
+    """Every reason, as logs and counters name it."""
+
+    MALFORMED = "malformed"
+    TUNNEL = "tunnel"
+    HEAD_TOO_LARGE = "head-too-large"
+    HEAD_TOO_SLOW = "head-too-slow"
+    TOO_MANY_CONNECTIONS = "too-many-connections"
+
+
+REFUSAL_ERRORS = {
+    ClientRefusal.MALFORMED: RequestError(
+        ErrorKind.BAD_REQUEST, "the bytes are no request"
+    ),
+    ClientRefusal.TUNNEL: RequestError(
+        ErrorKind.BAD_REQUEST, "tunnels are not supported"
+    ),
+    ClientRefusal.HEAD_TOO_LARGE: RequestError(
+        ErrorKind.HEAD_TOO_LARGE, "the head of the request is too large"
+    ),
+}
+"""Errors that clients are told of; for other reasons their connection is closed."""
+
+
+def build_refusal(error: RequestError) -> bytes:
+    """Return the response to a request that was not begun; it ends the connection."""
+    body = problem_body(error)
+    response = ERROR_RESPONSES[error.kind]
+    fields = [
+        *problem_headers(error),
+        ("content-length", str(len(body))),
+        ("connection", "close"),
+    ]
+    lines = [f"HTTP/1.1 {response.status} {response.title}"]
+    lines += [f"{name}: {value}" for name, value in fields]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
--- /dev/null
+++ b/packages/common/src/briarthread_common/http/clients/clients.py
@@ -0,0 +1,74 @@
+"""
+The clients of one address, all together.
+
+A balancer may hand most new connections of all callers to one process for a while, and
+callers keep connections open after their responses. Each request that was read needs
+another socket to a target. If callers' connections took all sockets, the process would
+read requests that it cannot send.
+"""
+
+from collections.abc import Callable
+
+from briarthread_common.http.clients.client_bounds import ClientBounds
+from briarthread_common.http.clients.client_refusal import ClientRefusal
+from briarthread_common.http.clients.refusal_log import RefusalLog
+
+
+class Clients:
+    """
+    Hold the bounds on the clients of an address, and count their connections.
+
+    ``on_refused`` is called with the name and the reason for each client that is
+    refused, ``on_rejected`` for each connection that is reset unread.
+
+    >>> clients = Clients("callers", ClientBounds(kept_connections=1, connections=2))
+    >>> [clients.open() for _ in range(3)], clients.is_crowded()
+    ([True, True, False], True)
+    """
+
+    def __init__(
+        self,
+        name: str = "clients",
+        bounds: ClientBounds | None = None,
+        on_refused: Callable[[str, str], None] | None = None,
+    ) -> None:
+        self.name = name
+        self.bounds = bounds or ClientBounds()
+        self.on_refused = on_refused or _ignore_refusal
+        self.count = 0
+        self.log = RefusalLog(name)
+        self.on_rejected: Callable[[], None] = _ignore
+
+    def open(self) -> bool:
+        """Count a new connection; return false if it has to be rejected."""
+        if self.rejects():
+            self.refuse(ClientRefusal.TOO_MANY_CONNECTIONS)
+            self.on_rejected()
+            return False
+        self.count += 1
+        return True
+
+    def close(self) -> None:
+        """Stop counting a connection that was open."""
+        self.count -= 1
+
+    def rejects(self) -> bool:
+        """Return whether a new connection would be rejected now."""
+        return self.count >= self.bounds.connections
+
+    def is_crowded(self) -> bool:
+        """Return whether connections are to be closed after their responses."""
+        return self.count > self.bounds.kept_connections
+
+    def refuse(self, refusal: ClientRefusal) -> None:
+        """Log and count that a client is refused."""
+        self.log.add(refusal)
+        self.on_refused(self.name, refusal)
+
+
+def _ignore() -> None:
+    """Ignore a rejected connection."""
+
+
+def _ignore_refusal(name: str, reason: str) -> None:
+    """Ignore a refused client."""
--- a/packages/common/src/briarthread_common/http/server.py
+++ b/packages/common/src/briarthread_common/http/server.py
@@ -4,7 +4,8 @@
 import logging
 import signal
 import socket
-from collections.abc import Awaitable, Callable, Iterator, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -12,16 +13,12 @@
 from loguru import logger
 
 from briarthread_common.core.exceptions import ListenError
-from briarthread_common.http.caller_connections import CallerConnections
+from briarthread_common.http.clients.clients import Clients
 from briarthread_common.http.server_protocol import (
     LimitedProtocol,
     UnreadDroppingProtocol,
 )
 
-KEEPALIVE_SECONDS = 75
-"""Longer than the client's idle timeout, so that the client closes first."""
-HEAD_SECONDS = 10.0
-"""Time in seconds that a client may take for the head of a request by default."""
 BACKLOG = 2048
 UVICORN_LOGGER = logging.getLogger("uvicorn.error")
 """uvicorn's logger. It writes a traceback for each response that is truncated on
@@ -44,8 +41,8 @@
     the process is leaving and may wait until the announcement has spread. Then the
     listeners are closed and the requests in flight are awaited. With ``drops_unread``
     less is buffered for each connection, and a closed connection is aborted if its
-    client does not read the rest. ``caller_connections`` bounds the connections of
-    callers; those beyond are reset before anything is read.
+    client does not read the rest. ``clients`` bounds the clients of each port; a port
+    that it does not name has the default bounds.
     """
 
     def __init__(
@@ -54,7 +51,7 @@
         listeners: Sequence[socket.socket],
         drain_timeout: float,
         drops_unread: bool = False,
-        caller_connections: CallerConnections | None = None,
+        clients: Mapping[int, Clients] | None = None,
     ) -> None:
         self.listeners = list(listeners)
         UVICORN_LOGGER.setLevel(logging.CRITICAL)
@@ -67,11 +64,11 @@
             server_header=False,
             date_header=False,
             backlog=BACKLOG,
-            timeout_keep_alive=KEEPALIVE_SECONDS,
             timeout_graceful_shutdown=int(drain_timeout) + 1,
         )
-        self.config.caller_connections = caller_connections
-        self.config.head_timeout = HEAD_SECONDS
+        ports = [listener.getsockname()[1] for listener in self.listeners]
+        self.clients = {port: Clients() for port in ports} | dict(clients or {})
+        self.config.clients = self.clients
         self.server = _Server(self.config)
 
     async def run(self, on_drain: Callable[[], Awaitable[None]]) -> None:
@@ -85,11 +82,13 @@
 
     def set_idle_timeout(self, seconds: float) -> None:
         """Set the idle timeout of connections, existing ones included."""
-        self.config.timeout_keep_alive = seconds
+        for clients in self.clients.values():
+            clients.bounds = replace(clients.bounds, idle_seconds=seconds)
 
     def set_head_timeout(self, seconds: float) -> None:
         """Set the time that a client may take for the head of a request."""
-        self.config.head_timeout = seconds
+        for clients in self.clients.values():
+            clients.bounds = replace(clients.bounds, head_seconds=seconds)
 
     async def _wait_signal(self, on_drain: Callable[[], Awaitable[None]]) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/packages/common/src/briarthread_common/http/server_protocol.py
+++ b/packages/common/src/briarthread_common/http/server_protocol.py
@@ -7,33 +7,33 @@
 
 from briarthread_common.http.call import EMPTY_QUERY
 from briarthread_common.http.call_connection import RESET_ON_CLOSE
-from briarthread_common.http.caller_connections import CallerConnections
+from briarthread_common.http.clients.client_refusal import (
+    REFUSAL_ERRORS,
+    ClientRefusal,
+    build_refusal,
+)
+from briarthread_common.http.clients.clients import Clients
 from briarthread_common.http.clients.message_parts import end_of_part
 from briarthread_common.http.clients.read_buffer import ReadBuffer
+from briarthread_common.http.clients.request_meter import RequestMeter
 from briarthread_common.http.closing_transport import ClosingTransport
 from briarthread_common.http.upgrade_offer import without_upgrade
 
-MAX_HEADER_BYTES = 32 * 1024
 MAX_WAITING_BYTES = 16 * 1024
 """Bytes of later requests that are read before the response to an earlier one."""
 CONNECT_METHOD = b"CONNECT"
 LENGTH_HEADER = b"content-length"
 
 
-class _HeadTooLarge(Exception):  # noqa: N818
-    """The head of a request exceeds MAX_HEADER_BYTES."""
-
-
 class LimitedProtocol(HttpToolsProtocol):
     """
-    A connection with limits on a request's head and on the time that a client takes.
+    A connection whose client is held to the bounds of its address.
 
-    The timeouts are read from the configuration when they begin. A connection is idle
-    from its start until the first byte of a request, and from a response until the
-    next one. If many are open, one that has carried no request has only the time of a
-    head. The parser limits nothing by itself, so the bytes of a head are counted as
-    they arrive; too many of them end the connection with the response to a malformed
-    request.
+    The timeouts are read when they begin. A connection is idle from its start until the
+    first byte of a request, and from a response until the next one. If many are open,
+    one that has carried no request has only the time of a head. The parser limits
+    nothing by itself, so what it is given is counted. A client that exceeds a bound is
+    refused, and the connection ends.
 
     What follows a request is parsed once its response is complete. Until then it is
     kept as received, and reading stops at MAX_WAITING_BYTES.
@@ -48,15 +48,15 @@
     in_head = False
     body_left: int | None = None
     unparsed = b""
-    head_bytes = 0
-    incomplete_head_bytes = 0
-    is_counted = False
+    part_bytes = 0
+    clients: Clients | None = None
+    meter: RequestMeter
     head_timer: asyncio.TimerHandle | None = None
 
     @property
     def timeout_keep_alive(self) -> float:
         """Return the idle timeout in seconds."""
-        return self.config.timeout_keep_alive
+        return self.clients.bounds.idle_seconds
 
     @timeout_keep_alive.setter
     def timeout_keep_alive(self, seconds: float) -> None:
@@ -64,10 +64,13 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Start serving a connection, or reset it if there are too many."""
-        if not self._is_accepted(transport):
+        clients: Clients = self.config.clients[transport.get_extra_info("sockname")[1]]
+        if not clients.open():
             transport.get_extra_info("socket").setsockopt(*RESET_ON_CLOSE)
             transport.abort()
             return
+        self.clients = clients
+        self.meter = RequestMeter()
         transport.set_protocol(ReadBuffer(self))
         super().connection_made(transport)
         self.timeout_keep_alive_task = self.loop.call_later(
@@ -76,27 +79,18 @@
 
     def _first_byte_timeout(self) -> float:
         """Return the time in seconds within which the first request has to begin."""
-        connections: CallerConnections | None = self.config.caller_connections
-        is_crowded = self.is_counted and connections.is_crowded()
-        return self.config.head_timeout if is_crowded else self.timeout_keep_alive
+        bounds = self.clients.bounds
+        return bounds.head_seconds if self.clients.is_crowded() else bounds.idle_seconds
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop serving a connection that has ended."""
         self._unset_keepalive_if_required()
         self._stop_head_timer()
-        if self.is_counted:
-            self.is_counted = False
-            self.config.caller_connections.close()
+        if self.clients is not None:
+            self.clients.close()
+            self.clients = None
         super().connection_lost(exc)
 
-    def _is_accepted(self, transport: asyncio.Transport) -> bool:
-        connections: CallerConnections | None = self.config.caller_connections
-        port = transport.get_extra_info("sockname")[1]
-        if connections is None or port != connections.port:
-            return True
-        self.is_counted = connections.open()
-        return self.is_counted
-
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or keep those that follow an unanswered request."""
         self._unset_keepalive_if_required()
@@ -132,27 +126,37 @@
         return self.in_message or is_answered
 
     def _feed(self, part: bytes) -> None:
-        """Parse a part of a message; reject a head that is too large and incomplete."""
+        """Parse a part of a message, and refuse its client if it exceeds a bound."""
+        self.part_bytes = len(part)
         if self.body_left is not None:
             self.body_left -= len(part)
-        self._parse(part)
         if self.in_head:
-            self._start_head_timer()
-            self.incomplete_head_bytes += len(part)
-            if self.incomplete_head_bytes > MAX_HEADER_BYTES:
-                self.send_400_response("The head of the request is too large.")
+            self.meter.head_bytes += len(part)
+        self._parse(part)
+        self._check()
+
+    def _check(self) -> bool:
+        """Return whether all bounds are kept; refuse the client otherwise."""
+        refusal = self.meter.fault(self.clients.bounds)
+        if refusal is not None:
+            self.refuse(refusal)
+        return refusal is None
+
+    def refuse(self, refusal: ClientRefusal) -> None:
+        """Refuse what the client sends, and close the connection."""
+        if self.transport.is_closing():
+            return
+        self.clients.refuse(refusal)
+        error = REFUSAL_ERRORS.get(refusal)
+        if error is not None:
+            self.transport.write(build_refusal(error))
+        self.transport.close()
 
     def _start_head_timer(self) -> None:
         """Close the connection unless the head is complete in time."""
-        if self.head_timer is None:
-            self.head_timer = self.loop.call_later(
-                self.config.head_timeout, self._end_slow_head
-            )
-
-    def _end_slow_head(self) -> None:
-        """Close the connection."""
-        self.head_timer = None
-        self.transport.close()
+        self.head_timer = self.loop.call_later(
+            self.clients.bounds.head_seconds, self.refuse, ClientRefusal.HEAD_TOO_SLOW
+        )
 
     def _stop_head_timer(self) -> None:
         if self.head_timer is not None:
@@ -163,10 +167,10 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
-            self.send_400_response("Invalid HTTP request received.")
+            self.refuse(ClientRefusal.MALFORMED)
         except httptools.HttpParserUpgrade as upgrade:
             if self.parser.get_method() == CONNECT_METHOD:
-                self.send_400_response("Tunnels are not supported.")
+                self.refuse(ClientRefusal.TUNNEL)
                 return
             (parsed,) = upgrade.args
             head = self._head_without_upgrade()
@@ -181,10 +185,13 @@
         return b"\r\n".join([*lines, b"", b""])
 
     def on_message_begin(self) -> None:
-        """Reset the counters at the start of a request."""
+        """Reset the counters at the start of a request, and limit its time."""
         self._unset_keepalive_if_required()
+        self._stop_head_timer()
+        self._start_head_timer()
         self.in_message = self.in_head = True
-        self.head_bytes = self.incomplete_head_bytes = 0
+        if not self.offers_upgrade:
+            self.meter = RequestMeter(head_bytes=self.part_bytes)
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
@@ -192,7 +199,7 @@
         self.in_head = False
         self._stop_head_timer()
         self.offers_upgrade = self.parser.should_upgrade()
-        if not self.offers_upgrade:
+        if self._check() and not self.offers_upgrade:
             self.body_left = self._stated_length()
             self.scope[EMPTY_QUERY] = self.url.endswith(b"?")
             super().on_headers_complete()
@@ -204,7 +211,7 @@
 
     def on_message_complete(self) -> None:
         """End the body of a request."""
-        if not self.offers_upgrade:
+        if not (self.offers_upgrade or self.transport.is_closing()):
             self.in_message = False
             self.body_left = None
             super().on_message_complete()
@@ -214,20 +221,10 @@
         super().on_response_complete()
         self._parse_received()
 
-    def on_url(self, url: bytes) -> None:
-        """Count the bytes of a part of the request target."""
-        self._count(len(url))
-        super().on_url(url)
-
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Count the bytes of a header."""
-        self._count(len(name) + len(value))
-        super().on_header(name, value)
-
-    def _count(self, size: int) -> None:
-        self.head_bytes += size
-        if self.head_bytes > MAX_HEADER_BYTES:
-            raise _HeadTooLarge
+        """Keep a header; the fields of a trailer are not used."""
+        if self.in_head:
+            super().on_header(name, value)
 
 
 class UnreadDroppingProtocol(LimitedProtocol):
--- a/packages/entry/src/briarthread_entry/commands/direct.py
+++ b/packages/entry/src/briarthread_entry/commands/direct.py
@@ -1,6 +1,7 @@
 """``briarthread direct``."""
 
 import random
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 
@@ -11,14 +12,15 @@
 from briarthread_common.core.exit_code import ExitCode
 from briarthread_common.core.logs import set_up_logs
 from briarthread_common.direct.load_adapter import load_adapter
-from briarthread_common.http.caller_connections import CallerConnections
 from briarthread_common.http.channel_options import ChannelOptions
+from briarthread_common.http.clients.clients import Clients
 from briarthread_common.http.http_channel import HttpChannel
 from briarthread_common.http.port_app import PortApp
 from briarthread_common.http.server import HttpServer, open_listener
 from briarthread_common.utils.clock import Clock
 from briarthread_entry.commands.base import Arguments, Command
 from briarthread_entry.direct.direct_entry import DirectEntry
+from briarthread_entry.direct.entry_clients import EntryClients
 from briarthread_entry.direct.settings import DirectSettings, load_direct_settings
 
 TARGET_CHANNEL_OPTIONS = ChannelOptions(
@@ -66,19 +68,19 @@
                 settings.listen,
             )
         )
+        clients = _build_clients(entry)
         port = callers.getsockname()[1]
         app = PortApp({port: entry.app}, entry.peer_app)
-        connections = CallerConnections(settings.connection_bounds, port)
-        entry.handler.is_crowded = connections.is_crowded
-        entry.is_full = connections.rejects
-        connections.on_rejected = entry.metrics.rejected_connections.inc
-        entry.metrics.caller_connections.set_function(lambda: connections.count)
         server = HttpServer(
             app,
             [callers, ready, peers],
             settings.drain_timeout,
             drops_unread=settings.memory_mb > 0,
-            caller_connections=connections,
+            clients={
+                port: clients.callers,
+                ready.getsockname()[1]: clients.probes,
+                peers.getsockname()[1]: clients.peers,
+            },
         )
         async with anyio.create_task_group() as tasks:
             entry.start(tasks)
@@ -90,7 +92,7 @@
                 entry.supervisor,
             )
             entry.supervisor.start(
-                tasks, "timeouts", partial(_update_timeouts, entry, server)
+                tasks, "limits", partial(_update_limits, entry, server, clients.callers)
             )
             logger.info(
                 "entry: {} listens for callers on {}",
@@ -118,13 +120,32 @@
         return entry
 
 
-async def _update_timeouts(entry: DirectEntry, server: HttpServer) -> None:
-    """Apply the timeouts of each new configuration to callers' connections."""
+def _build_clients(entry: DirectEntry) -> EntryClients:
+    """Return the clients of an entry's addresses, and connect it to them."""
+    clients = EntryClients.of_instance(
+        entry.settings.max_files, entry.metrics.count_client_refusal
+    )
+    callers = clients.callers
+    entry.handler.is_crowded = callers.is_crowded
+    entry.is_full = callers.rejects
+    callers.on_rejected = entry.metrics.rejected_connections.inc
+    entry.metrics.caller_connections.set_function(lambda: callers.count)
+    return clients
+
+
+async def _update_limits(
+    entry: DirectEntry, server: HttpServer, callers: Clients
+) -> None:
+    """Apply the limits of each new configuration to the connections of clients."""
     number = 0
     while True:
         await entry.feeds.routes.wait_for_newer(number)
         number = entry.feeds.routes.number
         routes = entry.routes.current()
         if routes is not None:
-            server.set_idle_timeout(routes.limits.idle_timeout)
-            server.set_head_timeout(routes.limits.header_timeout)
+            limits = routes.limits
+            callers.bounds = replace(
+                callers.bounds, header_bytes=limits.max_header_bytes
+            )
+            server.set_idle_timeout(limits.idle_timeout)
+            server.set_head_timeout(limits.header_timeout)
--- a/packages/entry/src/briarthread_entry/commands/serve.py
+++ b/packages/entry/src/briarthread_entry/commands/serve.py
@@ -8,6 +8,7 @@
 
 from briarthread_common.core.exit_code import ExitCode
 from briarthread_common.core.logs import set_up_logs
+from briarthread_common.http.clients.clients import Clients
 from briarthread_common.http.server import HttpServer, open_listener
 from briarthread_common.utils.clock import Clock
 from briarthread_entry.commands.base import Arguments, Command
@@ -37,7 +38,13 @@
             settings, self.channel, Clock.from_system(), random.SystemRandom()
         )
         listener = open_listener(settings.listen)
-        server = HttpServer(entry.app, [listener], settings.drain_timeout)
+        clients = Clients("callers", on_refused=entry.metrics.count_client_refusal)
+        server = HttpServer(
+            entry.app,
+            [listener],
+            settings.drain_timeout,
+            clients={listener.getsockname()[1]: clients},
+        )
         async with anyio.create_task_group() as tasks:
             entry.start(tasks)
             logger.info("entry: {} listens on {}", settings.name, settings.listen)
--- a/packages/entry/src/briarthread_entry/direct/settings.py
+++ b/packages/entry/src/briarthread_entry/direct/settings.py
@@ -13,7 +13,6 @@
     STORE_OPTIONS,
     instance_section,
 )
-from briarthread_common.http.caller_connections import ConnectionBounds
 from briarthread_common.spread.replication_options import ReplicationOptions
 from briarthread_entry.direct.retries.shared_retry_budget import RetryAllowance
 
@@ -91,7 +90,7 @@
     log_level: str
     log_json: bool
     memory_mb: float = 0.0
-    connection_bounds: ConnectionBounds = ConnectionBounds()
+    max_files: float = 0.0
 
 
 def load_direct_settings(path: Path) -> DirectSettings:
@@ -115,5 +114,5 @@
         log_level=values["logs"]["level"],
         log_json=values["logs"]["json"],
         memory_mb=direct["memory_mb"],
-        connection_bounds=ConnectionBounds.of_files(direct["max_files"]),
+        max_files=direct["max_files"],
     )
