Bound the chunk sizes, extensions and trailers of requests

What callers saw: 60 clients at each address with a trailer without end took an entry to 437 MB and an agent to 170 MB, all that they sent; with trailers of small fields 232 MB.

Cause: the parser keeps the value of a field until it is complete and calls nobody before, and it has no callback at all for the bytes of a chunk's size and extension. Nothing counted them, on any address.

Change: each byte given to the parser after a head is either content, of which the parser tells, or framing. Framing may have the header bytes and 8 bytes for each byte of content: a body in chunks of one byte has 5, and trailers as large as a head fit. More is refused with 400, "not run", and the connection ends.

Sizes, extensions, trailers and names of trailers without end: the four tests failed before; 100 chunks of one byte with a trailer of 900 are served before and after.

--- a/packages/common/src/briarthread_common/http/clients/client_bounds.py
+++ b/packages/common/src/briarthread_common/http/clients/client_bounds.py
@@ -10,6 +10,8 @@
 idle ones leave room for new ones."""
 REQUEST_LINE_BYTES = 8000
 """Bytes of a request line beside the header fields (RFC 9112, 3)."""
+FRAMING_SHARE = 8
+"""Bytes of framing for each byte of a body; a chunk of one byte has five."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,3 +60,7 @@
     def head_bytes(self) -> int:
         """Return the largest head of a request."""
         return self.header_bytes + REQUEST_LINE_BYTES
+
+    def framing_bytes(self, body_bytes: int) -> int:
+        """Return the most bytes of chunk sizes, extensions and trailers of a body."""
+        return self.header_bytes + FRAMING_SHARE * body_bytes
--- a/packages/common/src/briarthread_common/http/clients/client_refusal.py
+++ b/packages/common/src/briarthread_common/http/clients/client_refusal.py
@@ -15,6 +15,7 @@
     TUNNEL = "tunnel"
     HEAD_TOO_LARGE = "head-too-large"
     HEAD_TOO_SLOW = "head-too-slow"
+    TOO_MUCH_FRAMING = "too-much-framing"
     TOO_MANY_CONNECTIONS = "too-many-connections"
 
 
@@ -28,6 +29,9 @@
     ClientRefusal.HEAD_TOO_LARGE: RequestError(
         ErrorKind.HEAD_TOO_LARGE, "the head of the request is too large"
     ),
+    ClientRefusal.TOO_MUCH_FRAMING: RequestError(
+        ErrorKind.BAD_REQUEST, "the body has more framing than content"
+    ),
 }
 """Errors that clients are told of; for other reasons their connection is closed."""
 
--- a/packages/common/src/briarthread_common/http/server_protocol.py
+++ b/packages/common/src/briarthread_common/http/server_protocol.py
@@ -130,9 +130,13 @@
         self.part_bytes = len(part)
         if self.body_left is not None:
             self.body_left -= len(part)
+        is_body = self.in_message and not self.in_head
         if self.in_head:
             self.meter.head_bytes += len(part)
+        content = self.meter.body_bytes
         self._parse(part)
+        if is_body:
+            self.meter.framing_bytes += len(part) - (self.meter.body_bytes - content)
         self._check()
 
     def _check(self) -> bool:
@@ -221,6 +225,11 @@
         super().on_response_complete()
         self._parse_received()
 
+    def on_body(self, body: bytes) -> None:
+        """Take a part of a body."""
+        self.meter.body_bytes += len(body)
+        super().on_body(body)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header; the fields of a trailer are not used."""
         if self.in_head:
--- a/tests/common/test_unruly_clients.py
+++ b/tests/common/test_unruly_clients.py
@@ -167,3 +167,40 @@
             assert (await stream.receive()).startswith(b"HTTP/1.1 %d" % status)
 
     run_with_server(client, bounds)
+
+
+CHUNKED = b"POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS_FRAMING = {
+    "size": CHUNKED + b"0",
+    "extension": CHUNKED + b"1;a",
+    "trailer": CHUNKED + b"0\r\nx-a: 0",
+    "trailer name": CHUNKED + b"1\r\na\r\n0\r\nx",
+}
+
+
+@pytest.mark.parametrize("place", ENDLESS_FRAMING)
+def test_framing_without_end_is_refused(place: str) -> None:
+    """Guards against bytes of a body for which the parser calls nobody."""
+    bounds = ClientBounds(header_bytes=1000)
+
+    async def client(address: str, _: HttpServer) -> None:
+        async with await connect(address) as stream:
+            last = ENDLESS_FRAMING[place][-1:]
+            await stream.send(ENDLESS_FRAMING[place] + last * 2000)
+            assert (await stream.receive()).startswith(b"HTTP/1.1 400")
+            await read_to_end(stream)
+
+    run_with_server(client, bounds)
+
+
+@pytest.mark.parametrize("trailer", [b"", b"x-a: " + b"a" * 900 + b"\r\n"])
+def test_body_in_the_smallest_chunks_is_served(trailer: bytes) -> None:
+    """Guards against a bound that a client inside the limits meets."""
+
+    async def client(address: str, _: HttpServer) -> None:
+        async with await connect(address) as stream:
+            chunks = b"1\r\na\r\n" * 100
+            await stream.send(CHUNKED + chunks + b"0\r\n" + trailer + b"\r\n")
+            assert (await stream.receive()).endswith(b"a" * 100)
+
+    run_with_server(client, ClientBounds(header_bytes=1000))
