Add no refusal of a body to an answer that has begun

What callers saw: a client that was answered before its body had come, with a 404 for example, and then sent a chunk that is none, got a 400 after its answer, or in the middle of it. No request waited for that second response.

Cause: the refusal of bad bytes was written whatever had been sent for the request.

Change: a refusal in a body is written only while the request's response has not begun; otherwise the connection is closed, so that an unfinished answer stays recognisably truncated. The handler of the request learns at once that its client has gone.

Tests: two of the three failed before, with two responses to one request.

--- a/packages/common/src/briarthread_common/http/server_protocol.py
+++ b/packages/common/src/briarthread_common/http/server_protocol.py
@@ -152,10 +152,22 @@
             return
         self.clients.refuse(refusal)
         error = REFUSAL_ERRORS.get(refusal)
-        if error is not None:
+        if error is not None and self._may_answer():
             self.transport.write(build_refusal(error))
+        self._end_request()
         self.transport.close()
 
+    def _may_answer(self) -> bool:
+        """Return whether a response may be written that is not the application's."""
+        is_body = self.in_message and not self.in_head
+        return not (is_body and self.cycle.response_started)
+
+    def _end_request(self) -> None:
+        """Tell the application that the client of a request has gone."""
+        if self.cycle is not None and not self.cycle.response_complete:
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
+
     def _start_head_timer(self) -> None:
         """Close the connection unless the head is complete in time."""
         self.head_timer = self.loop.call_later(
@@ -199,14 +211,14 @@
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
-        """Note that the head is complete; begin the request unless it offers more."""
-        self.in_head = False
+        """Begin the request, unless it exceeds a bound or offers another protocol."""
         self._stop_head_timer()
         self.offers_upgrade = self.parser.should_upgrade()
         if self._check() and not self.offers_upgrade:
             self.body_left = self._stated_length()
             self.scope[EMPTY_QUERY] = self.url.endswith(b"?")
             super().on_headers_complete()
+            self.in_head = False
 
     def _stated_length(self) -> int | None:
         """Return the length of the body if the head states it, as the parser did."""
--- a/tests/common/test_unruly_clients.py
+++ b/tests/common/test_unruly_clients.py
@@ -36,7 +36,11 @@
 
 
 APP = App(
-    [Route("GET", "/slow", reply_slowly), Route("POST", "/echo", reply_with_body)]
+    [
+        Route("GET", "/slow", reply_slowly),
+        Route("POST", "/slow-refusal", reply_slowly),
+        Route("POST", "/echo", reply_with_body),
+    ]
 )
 
 
@@ -204,3 +208,33 @@
             assert (await stream.receive()).endswith(b"a" * 100)
 
     run_with_server(client, ClientBounds(header_bytes=1000))
+
+
+@pytest.mark.parametrize("path", [b"/absent", b"/slow-refusal"])
+def test_bad_body_adds_nothing_to_an_answer_that_has_begun(path: bytes) -> None:
+    """Guards against a refusal after, or in the middle of, another answer."""
+
+    async def client(address: str, _: HttpServer) -> None:
+        async with await connect(address) as stream:
+            await stream.send(CHUNKED.replace(b"/echo", path))
+            received = await stream.receive()
+            await stream.send(b"no size\r\n")
+            received += await read_to_end(stream)
+        assert received.count(b"HTTP/1.1") == 1
+        assert b"no request" not in received
+
+    run_with_server(client)
+
+
+def test_bad_body_ends_its_request() -> None:
+    """Guards against a handler that goes on reading a body that was refused."""
+
+    async def client(address: str, server: HttpServer) -> None:
+        async with await connect(address) as stream:
+            await stream.send(CHUNKED + b"no size\r\n")
+            assert (await stream.receive()).startswith(b"HTTP/1.1 400")
+            await read_to_end(stream)
+            await anyio.sleep(0.01)
+            assert not server.server.server_state.tasks
+
+    run_with_server(client)
