Bound the sum of what all clients of an address hold

What callers saw: 90 clients at each address with heads of 15 KiB in small fields, which the operator allows, took an entry to 130 MB of its 100; whole requests of that kind to 605 MB, messages between processes that were begun and not finished to 295 MB. 160 silent connections at each address opened 444 files where 400 are allowed.

Cause: limits held for one connection, and only callers' connections were counted. A head costs many times its bytes in objects (measured: 100 bytes a field in the parser's list, some 600 while the request is sent on), and the memory budget counts bodies and responses only. A connection also kept the head of its last request while idle.

Change: each address has a share of the instance: callers half of the sockets, peers a fifth, probes a twentieth; the only address of an agent 0.8. Each has a share of the memory too. A connection counts what it holds: twice the bytes of its head, 640 for each field, twice the body where no budget counts it, what a trailer keeps, and requests that wait. 16 KiB of each connection are free, so an ordinary request fits beside any crowd; the number of connections bounds that part. What does not fit gets 503 "not run" with Retry-After before it begins; bytes that wait behind an answer are not read further. An answered request is dropped at once. Agents and `briarthread serve` have the options memory_mb and max_files; empty they bound nothing, as before.

The four tests of sums and of answered requests were written after the change; without the bounds they have no meaning.

--- a/packages/agent/src/briarthread_agent/ranks/settings.py
+++ b/packages/agent/src/briarthread_agent/ranks/settings.py
@@ -29,6 +29,8 @@
     spread: ReplicationOptions
     log_level: str
     log_json: bool
+    memory_mb: float = 0.0
+    max_files: float = 0.0
 
 
 def load_direct_agent_settings(path: Path) -> DirectAgentSettings:
--- a/packages/agent/src/briarthread_agent/run_agent.py
+++ b/packages/agent/src/briarthread_agent/run_agent.py
@@ -7,6 +7,7 @@
 
 from briarthread_agent.agent import Agent
 from briarthread_agent.settings import AgentSettings
+from briarthread_common.http.clients.client_bounds import ONLY_SHARE, ClientBounds
 from briarthread_common.http.clients.clients import Clients
 from briarthread_common.http.http_channel import HttpChannel
 from briarthread_common.http.server import HttpServer, open_listener
@@ -22,7 +23,10 @@
             settings, channel, Clock.from_system(), tasks, random.SystemRandom()
         )
         agent.start()
-        clients = Clients("peers", on_refused=agent.metrics.count_client_refusal)
+        bounds = ClientBounds.of_instance(
+            ONLY_SHARE, settings.max_files, settings.memory_mb
+        )
+        clients = Clients("peers", bounds, agent.metrics.count_client_refusal)
         server = HttpServer(
             agent.app,
             [listener],
--- a/packages/agent/src/briarthread_agent/settings.py
+++ b/packages/agent/src/briarthread_agent/settings.py
@@ -11,12 +11,14 @@
     LOGS,
     PEERS,
     PLATFORM,
+    RESOURCE_OPTIONS,
     instance_section,
 )
 from briarthread_common.spread.replication_options import ReplicationOptions
 
 INSTANCE = instance_section(
     Option("service", OptionKind.TEXT, None, "Service of the agent's target."),
+    *RESOURCE_OPTIONS,
 )
 TARGET = SectionSpec(
     "target",
@@ -42,6 +44,8 @@
     drain_timeout: float
     log_level: str = "INFO"
     log_json: bool = False
+    memory_mb: float = 0.0
+    max_files: float = 0.0
 
 
 def load_agent_settings(path: Path) -> AgentSettings:
--- a/packages/common/src/briarthread_common/conf/shared_sections.py
+++ b/packages/common/src/briarthread_common/conf/shared_sections.py
@@ -49,6 +49,26 @@
 )
 """Options of a platform that lists direct targets."""
 
+RESOURCE_OPTIONS = (
+    Option(
+        "memory_mb",
+        OptionKind.OPTIONAL_NUMBER,
+        "",
+        "Memory of the instance, MB; shares of it bound what clients make the process "
+        "hold. Empty or 0: no bound.",
+        minimum=0,
+    ),
+    Option(
+        "max_files",
+        OptionKind.OPTIONAL_NUMBER,
+        "",
+        "Files and sockets that the process may open; shares of it bound the "
+        "connections of clients. Empty or 0: no bound.",
+        minimum=0,
+    ),
+)
+"""Options that say what an instance has."""
+
 LOGS = SectionSpec(
     "logs",
     "What is logged, to standard output.",
--- a/packages/common/src/briarthread_common/http/clients/client_bounds.py
+++ b/packages/common/src/briarthread_common/http/clients/client_bounds.py
@@ -10,19 +10,29 @@
 idle ones leave room for new ones."""
 REQUEST_LINE_BYTES = 8000
 """Bytes of a request line beside the header fields (RFC 9112, 3)."""
+MEBIBYTE = 1024 * 1024
+FREE_BYTES = 16 * 1024
+"""Bytes of a connection that are not counted, so that an ordinary request always fits;
+the number of connections bounds their sum."""
 FRAMING_SHARE = 8
 """Bytes of framing for each byte of a body; a chunk of one byte has five."""
 
 
 @dataclass(frozen=True, slots=True)
 class ListenerShare:
-    """What one address gets of an instance: fractions of its sockets."""
+    """What one address gets of an instance: fractions of its sockets and memory."""
 
     connections: float
+    memory: float
 
 
-CALLERS_SHARE = ListenerShare(connections=0.5)
-"""Each connection of a caller may need one more to a target."""
+CALLERS_SHARE = ListenerShare(connections=0.5, memory=0.08)
+"""Each connection of a caller may need one more to a target. The memory is for heads;
+bodies have a budget of their own."""
+PROBES_SHARE = ListenerShare(connections=0.05, memory=0.02)
+PEERS_SHARE = ListenerShare(connections=0.2, memory=0.08)
+ONLY_SHARE = ListenerShare(connections=0.8, memory=0.3)
+"""The only address of a process, which opens few connections itself."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,7 +42,8 @@
 
     ``header_bytes`` are those of a head beside its request line. Above
     ``kept_connections`` open ones a connection is closed after its response;
-    ``connections`` may be open at the same time.
+    ``connections`` may be open at the same time. ``held_bytes`` is what all of them
+    may hold beside FREE_BYTES each; bodies belong to it if ``counts_bodies`` is true.
     """
 
     header_bytes: int = 16 * 1024
@@ -40,21 +51,30 @@
     idle_seconds: float = 75.0
     kept_connections: float = math.inf
     connections: float = math.inf
+    held_bytes: float = math.inf
+    counts_bodies: bool = True
 
     @classmethod
-    def of_instance(cls, share: ListenerShare, max_files: float = 0) -> "ClientBounds":
+    def of_instance(
+        cls, share: ListenerShare, max_files: float, memory_mb: float
+    ) -> "ClientBounds":
         """
         Return the bounds for a share of an instance; 0 stands for any number.
 
-        >>> bounds = ClientBounds.of_instance(CALLERS_SHARE, max_files=4100)
-        >>> bounds.kept_connections, bounds.connections
-        (975.0, 1950.0)
+        >>> bounds = ClientBounds.of_instance(CALLERS_SHARE, 4100, memory_mb=300)
+        >>> bounds.kept_connections, bounds.connections, bounds.held_bytes // MEBIBYTE
+        (975.0, 1950.0, 24.0)
         """
-        if not max_files:
-            return cls()
-        sockets = max_files - RESERVED_FILES
-        connections = max(sockets * share.connections, 1.0)
-        return cls(kept_connections=connections * KEPT_SHARE, connections=connections)
+        connections, held_bytes = math.inf, math.inf
+        if max_files:
+            connections = max((max_files - RESERVED_FILES) * share.connections, 1.0)
+        if memory_mb:
+            held_bytes = memory_mb * MEBIBYTE * share.memory
+        return cls(
+            kept_connections=connections * KEPT_SHARE,
+            connections=connections,
+            held_bytes=held_bytes,
+        )
 
     @property
     def head_bytes(self) -> int:
--- a/packages/common/src/briarthread_common/http/clients/client_refusal.py
+++ b/packages/common/src/briarthread_common/http/clients/client_refusal.py
@@ -16,6 +16,7 @@
     HEAD_TOO_LARGE = "head-too-large"
     HEAD_TOO_SLOW = "head-too-slow"
     TOO_MUCH_FRAMING = "too-much-framing"
+    MEMORY_FULL = "memory-full"
     TOO_MANY_CONNECTIONS = "too-many-connections"
 
 
@@ -32,6 +33,9 @@
     ClientRefusal.TOO_MUCH_FRAMING: RequestError(
         ErrorKind.BAD_REQUEST, "the body has more framing than content"
     ),
+    ClientRefusal.MEMORY_FULL: RequestError(
+        ErrorKind.OVERLOADED, "no memory for the request"
+    ),
 }
 """Errors that clients are told of; for other reasons their connection is closed."""
 
--- a/packages/common/src/briarthread_common/http/clients/clients.py
+++ b/packages/common/src/briarthread_common/http/clients/clients.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Callable
 
-from briarthread_common.http.clients.client_bounds import ClientBounds
+from briarthread_common.http.clients.client_bounds import FREE_BYTES, ClientBounds
 from briarthread_common.http.clients.client_refusal import ClientRefusal
 from briarthread_common.http.clients.refusal_log import RefusalLog
 
@@ -36,6 +36,7 @@
         self.bounds = bounds or ClientBounds()
         self.on_refused = on_refused or _ignore_refusal
         self.count = 0
+        self.held = 0
         self.log = RefusalLog(name)
         self.on_rejected: Callable[[], None] = _ignore
 
@@ -52,6 +53,22 @@
         """Stop counting a connection that was open."""
         self.count -= 1
 
+    def hold(self, held: int, size: int) -> bool:
+        """
+        Count that a connection holds ``size`` bytes in place of ``held``.
+
+        Return false, and count nothing, if that is more and does not fit.
+
+        >>> clients = Clients("callers", ClientBounds(held_bytes=1000))
+        >>> clients.hold(0, FREE_BYTES + 900), clients.hold(0, FREE_BYTES + 200)
+        (True, False)
+        """
+        change = max(size - FREE_BYTES, 0) - max(held - FREE_BYTES, 0)
+        if change > 0 and self.held + change > self.bounds.held_bytes:
+            return False
+        self.held += change
+        return True
+
     def rejects(self) -> bool:
         """Return whether a new connection would be rejected now."""
         return self.count >= self.bounds.connections
--- a/packages/common/src/briarthread_common/http/server_protocol.py
+++ b/packages/common/src/briarthread_common/http/server_protocol.py
@@ -49,6 +49,8 @@
     body_left: int | None = None
     unparsed = b""
     part_bytes = 0
+    content_bytes = 0
+    held = 0
     clients: Clients | None = None
     meter: RequestMeter
     head_timer: asyncio.TimerHandle | None = None
@@ -87,6 +89,7 @@
         self._unset_keepalive_if_required()
         self._stop_head_timer()
         if self.clients is not None:
+            self.clients.hold(self.held, 0)
             self.clients.close()
             self.clients = None
         super().connection_lost(exc)
@@ -109,43 +112,56 @@
 
     def _parse_received(self) -> None:
         """Parse what has been received, as far as it may be parsed now."""
-        data, begin = self.unparsed, 0
+        data, self.unparsed = self.unparsed, b""
+        begin = 0
         while begin < len(data) and self._may_parse():
             end = end_of_part(data, begin, self.body_left)
             self._feed(data[begin:end])
             begin = end
-        self.unparsed = b"" if self.transport.is_closing() else data[begin:]
-        if len(self.unparsed) >= MAX_WAITING_BYTES:
+        if self.transport.is_closing():
+            return
+        self.unparsed = data[begin:]
+        fits = self._hold()
+        if self.unparsed and not (fits and len(self.unparsed) < MAX_WAITING_BYTES):
             self.flow.pause_reading()
 
     def _may_parse(self) -> bool:
         """Return whether the next bytes belong to a request that may begin or go on."""
-        if self.transport.is_closing():
-            return False
         is_answered = self.cycle is None or self.cycle.response_complete
-        return self.in_message or is_answered
+        return (self.in_message or is_answered) and not self.transport.is_closing()
 
     def _feed(self, part: bytes) -> None:
         """Parse a part of a message, and refuse its client if it exceeds a bound."""
         self.part_bytes = len(part)
         if self.body_left is not None:
             self.body_left -= len(part)
-        is_body = self.in_message and not self.in_head
+        self.content_bytes = 0
         if self.in_head:
             self.meter.head_bytes += len(part)
-        content = self.meter.body_bytes
+        meter, is_body = self.meter, self.in_message and not self.in_head
         self._parse(part)
         if is_body:
-            self.meter.framing_bytes += len(part) - (self.meter.body_bytes - content)
+            meter.note_body(len(part), self.content_bytes)
         self._check()
 
     def _check(self) -> bool:
         """Return whether all bounds are kept; refuse the client otherwise."""
         refusal = self.meter.fault(self.clients.bounds)
+        if refusal is None and not self._hold():
+            refusal = ClientRefusal.MEMORY_FULL
         if refusal is not None:
             self.refuse(refusal)
         return refusal is None
 
+    def _hold(self) -> bool:
+        """Return whether what this connection holds now fits, and count it then."""
+        size = self.meter.held_bytes(self.clients.bounds.counts_bodies)
+        size += len(self.unparsed)
+        if not self.clients.hold(self.held, size):
+            return False
+        self.held = size
+        return True
+
     def refuse(self, refusal: ClientRefusal) -> None:
         """Refuse what the client sends, and close the connection."""
         if self.transport.is_closing():
@@ -206,7 +222,9 @@
         self._stop_head_timer()
         self._start_head_timer()
         self.in_message = self.in_head = True
-        if not self.offers_upgrade:
+        if self.offers_upgrade:
+            self.meter.fields = 0
+        else:
             self.meter = RequestMeter(head_bytes=self.part_bytes)
         super().on_message_begin()
 
@@ -231,20 +249,34 @@
             self.in_message = False
             self.body_left = None
             super().on_message_complete()
+            if self.cycle.response_complete:
+                self.meter = RequestMeter()
 
     def on_response_complete(self) -> None:
-        """Go on with what was received in the meantime."""
+        """Drop what was kept of the request, and go on with what came after it."""
         super().on_response_complete()
-        self._parse_received()
+        self._forget_head()
+        if not self.transport.is_closing():
+            self._parse_received()
+
+    def _forget_head(self) -> None:
+        """Keep nothing of a request that has been answered but the rest of its body."""
+        self.headers = []
+        self.scope = self.cycle.scope = {}
+        if self.in_message:
+            self.meter.note_answered()
+        else:
+            self.meter = RequestMeter()
 
     def on_body(self, body: bytes) -> None:
         """Take a part of a body."""
-        self.meter.body_bytes += len(body)
+        self.content_bytes += len(body)
         super().on_body(body)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header; the fields of a trailer are not used."""
         if self.in_head:
+            self.meter.fields += 1
             super().on_header(name, value)
 
 
--- a/packages/entry/src/briarthread_entry/commands/direct.py
+++ b/packages/entry/src/briarthread_entry/commands/direct.py
@@ -122,8 +122,9 @@
 
 def _build_clients(entry: DirectEntry) -> EntryClients:
     """Return the clients of an entry's addresses, and connect it to them."""
+    settings = entry.settings
     clients = EntryClients.of_instance(
-        entry.settings.max_files, entry.metrics.count_client_refusal
+        settings.max_files, settings.memory_mb, entry.metrics.count_client_refusal
     )
     callers = clients.callers
     entry.handler.is_crowded = callers.is_crowded
--- a/packages/entry/src/briarthread_entry/commands/serve.py
+++ b/packages/entry/src/briarthread_entry/commands/serve.py
@@ -8,6 +8,7 @@
 
 from briarthread_common.core.exit_code import ExitCode
 from briarthread_common.core.logs import set_up_logs
+from briarthread_common.http.clients.client_bounds import ONLY_SHARE, ClientBounds
 from briarthread_common.http.clients.clients import Clients
 from briarthread_common.http.server import HttpServer, open_listener
 from briarthread_common.utils.clock import Clock
@@ -38,7 +39,10 @@
             settings, self.channel, Clock.from_system(), random.SystemRandom()
         )
         listener = open_listener(settings.listen)
-        clients = Clients("callers", on_refused=entry.metrics.count_client_refusal)
+        bounds = ClientBounds.of_instance(
+            ONLY_SHARE, settings.max_files, settings.memory_mb
+        )
+        clients = Clients("callers", bounds, entry.metrics.count_client_refusal)
         server = HttpServer(
             entry.app,
             [listener],
--- a/packages/entry/src/briarthread_entry/direct/entry_clients.py
+++ b/packages/entry/src/briarthread_entry/direct/entry_clients.py
@@ -1,9 +1,15 @@
 """The clients of each address of an entry that sends to targets directly."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from briarthread_common.http.clients.client_bounds import CALLERS_SHARE, ClientBounds
+from briarthread_common.http.clients.client_bounds import (
+    CALLERS_SHARE,
+    PEERS_SHARE,
+    PROBES_SHARE,
+    ClientBounds,
+    ListenerShare,
+)
 from briarthread_common.http.clients.clients import Clients
 
 
@@ -17,12 +23,22 @@
 
     @classmethod
     def of_instance(
-        cls, max_files: float, on_refused: Callable[[str, str], None]
+        cls,
+        max_files: float,
+        memory_mb: float,
+        on_refused: Callable[[str, str], None],
     ) -> "EntryClients":
         """Return the clients of an instance, each with its share."""
-        bounds = ClientBounds.of_instance(CALLERS_SHARE, max_files)
-        return cls(
-            callers=Clients("callers", bounds, on_refused),
-            probes=Clients("probes", on_refused=on_refused),
-            peers=Clients("peers", on_refused=on_refused),
+
+        def build(name: str, share: ListenerShare) -> Clients:
+            bounds = ClientBounds.of_instance(share, max_files, memory_mb)
+            return Clients(name, bounds, on_refused)
+
+        clients = cls(
+            callers=build("callers", CALLERS_SHARE),
+            probes=build("probes", PROBES_SHARE),
+            peers=build("peers", PEERS_SHARE),
         )
+        callers = clients.callers
+        callers.bounds = replace(callers.bounds, counts_bodies=False)
+        return clients
--- a/packages/entry/src/briarthread_entry/direct/settings.py
+++ b/packages/entry/src/briarthread_entry/direct/settings.py
@@ -10,6 +10,7 @@
 from briarthread_common.conf.shared_sections import (
     LOGS,
     PEERS,
+    RESOURCE_OPTIONS,
     STORE_OPTIONS,
     instance_section,
 )
@@ -51,22 +52,7 @@
             "10",
             "Time over which retries are counted, s.",
         ),
-        Option(
-            "memory_mb",
-            OptionKind.OPTIONAL_NUMBER,
-            "",
-            "Memory of the instance, MB; a share of it bounds the bodies and responses "
-            "held. Empty or 0: no bound.",
-            minimum=0,
-        ),
-        Option(
-            "max_files",
-            OptionKind.OPTIONAL_NUMBER,
-            "",
-            "Files and sockets that the process may open; a share of it bounds the "
-            "connections of callers. Empty or 0: no bound.",
-            minimum=0,
-        ),
+        *RESOURCE_OPTIONS,
     ),
 )
 DIRECT_SECTIONS = (instance_section(), CALLERS, DIRECT, PEERS, LOGS)
--- a/packages/entry/src/briarthread_entry/settings.py
+++ b/packages/entry/src/briarthread_entry/settings.py
@@ -11,11 +11,12 @@
     LOGS,
     PEERS,
     PLATFORM,
+    RESOURCE_OPTIONS,
     instance_section,
 )
 from briarthread_common.spread.replication_options import ReplicationOptions
 
-INSTANCE = instance_section()
+INSTANCE = instance_section(*RESOURCE_OPTIONS)
 LIMITS = SectionSpec(
     "limits",
     "Limits on the requests that the entry accepts.",
@@ -47,6 +48,8 @@
     max_in_flight: int = 1000
     log_level: str = "INFO"
     log_json: bool = False
+    memory_mb: float = 0.0
+    max_files: float = 0.0
 
 
 def load_entry_settings(path: Path) -> EntrySettings:
--- a/tests/common/test_unruly_clients.py
+++ b/tests/common/test_unruly_clients.py
@@ -15,6 +15,7 @@
 
 IDLE_SECONDS, HEAD_SECONDS = 0.4, 0.1
 ANSWER_SECONDS = 0.1
+MAX_BODY_BYTES = 100_000
 LONGEST_SECONDS = 5.0
 """Time limit of each test, which takes some tenths of a second."""
 SLOW = b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -32,7 +33,7 @@
 
 async def reply_with_body(call: Call) -> None:
     """Send back the body of a request."""
-    await call.reply(200, await call.read_body(100))
+    await call.reply(200, await call.read_body(MAX_BODY_BYTES))
 
 
 APP = App(
@@ -238,3 +239,63 @@
             assert not server.server.server_state.tasks
 
     run_with_server(client)
+
+
+SMALL_FIELDS = b"POST /echo HTTP/1.1\r\nHost: a\r\n" + b"".join(
+    b"%x:\r\n" % number for number in range(100)
+)
+"""The begin of a head that holds some 65 KB."""
+
+
+def test_sum_of_all_heads_is_bounded_and_leaves_room_for_an_ordinary_one() -> None:
+    """Guards against a crowd whose heads take the memory of a process."""
+    bounds = ClientBounds(held_bytes=200_000)
+
+    async def client(address: str, server: HttpServer) -> None:
+        streams = [await connect(address) for _ in range(10)]
+        for stream in streams:
+            await stream.send(SMALL_FIELDS)
+        await anyio.sleep(HEAD_SECONDS / 4)
+        (clients,) = server.clients.values()
+        assert 0 < clients.held <= bounds.held_bytes
+        async with await connect(address) as ordinary:
+            await ordinary.send(build_echo(b"body", chunked=False))
+            assert (await ordinary.receive()).endswith(b"body")
+        refused = [await read_to_end(stream) for stream in streams]
+        assert 0 < sum(b"HTTP/1.1 503" in answer for answer in refused) < len(streams)
+        assert all(
+            b"outcome: not-run\r\nretry-after: 1" in answer
+            for answer in refused
+            if answer
+        )
+        assert clients.held == 0
+
+    run_with_server(client, bounds)
+
+
+@pytest.mark.parametrize("is_whole", [False, True])
+def test_answered_request_holds_nothing(is_whole: bool) -> None:
+    """Guards against idle connections that each keep the head of their last request."""
+
+    async def client(address: str, server: HttpServer) -> None:
+        (clients,) = server.clients.values()
+        async with await connect(address) as stream:
+            length = 0 if is_whole else 1000
+            rest = b"Content-Length: %d\r\n\r\n" % length
+            await stream.send(SMALL_FIELDS.replace(b"/echo", b"/absent") + rest)
+            assert (await stream.receive()).startswith(b"HTTP/1.1 404")
+            (connection,) = server.server.server_state.connections
+            assert not (connection.headers or connection.scope or clients.held)
+
+    run_with_server(client, ClientBounds(held_bytes=200_000))
+
+
+def test_bodies_count_where_nothing_else_counts_them() -> None:
+    """Guards against messages between processes that fill one of them together."""
+
+    async def client(address: str, _: HttpServer) -> None:
+        async with await connect(address) as stream:
+            await stream.send(CHUNKED + b"ffff\r\n" + b"a" * 65_000)
+            assert (await stream.receive()).startswith(b"HTTP/1.1 503")
+
+    run_with_server(client, ClientBounds(held_bytes=50_000))
--- a/tests/crowds/crowd_deployment.py
+++ b/tests/crowds/crowd_deployment.py
@@ -37,6 +37,8 @@
 listen = {listen}
 drain_notice = 0.1
 drain_timeout = 1
+memory_mb = {memory_mb}
+max_files = {max_files}
 [target]
 address = {target}
 [direct]
@@ -132,6 +134,8 @@
     settings = folder / f"{AGENT}.ini"
     text = AGENT_SETTINGS.format(
         listen=address,
+        memory_mb=MEMORY_MB,
+        max_files=MAX_FILES,
         target=next(iter(deployment.rows.values()))["address"],
         store=deployment.store_address,
         seeds=",".join(deployment.peer_addresses.values()),
