Close connections on which only empty lines come

What callers saw: a client that sent an empty line now and then kept its connection as long as it liked, and could take the place of another one for good.

Cause: any received bytes stopped the idle timer, and the timer of a head starts with the first byte of one, which the parser, as it should, does not see in empty lines.

Change: the idle timer runs until a request begins, and 1 KiB of empty lines before a request closes the connection ("empty-lines"). RFC 9112 wants some to be ignored.

Tests: two of the three failed before; 400 bytes of empty lines before each of three requests are ignored before and after.

--- a/packages/common/src/briarthread_common/http/clients/client_bounds.py
+++ b/packages/common/src/briarthread_common/http/clients/client_bounds.py
@@ -14,6 +14,8 @@
 FREE_BYTES = 16 * 1024
 """Bytes of a connection that are not counted, so that an ordinary request always fits;
 the number of connections bounds their sum."""
+EMPTY_LINE_BYTES = 1024
+"""Bytes of empty lines before a request; recipients ignore some (RFC 9112, 2.2)."""
 FRAMING_SHARE = 8
 """Bytes of framing for each byte of a body; a chunk of one byte has five."""
 
--- a/packages/common/src/briarthread_common/http/clients/client_refusal.py
+++ b/packages/common/src/briarthread_common/http/clients/client_refusal.py
@@ -13,6 +13,7 @@
 
     MALFORMED = "malformed"
     TUNNEL = "tunnel"
+    EMPTY_LINES = "empty-lines"
     HEAD_TOO_LARGE = "head-too-large"
     HEAD_TOO_SLOW = "head-too-slow"
     TOO_MUCH_FRAMING = "too-much-framing"
--- a/packages/common/src/briarthread_common/http/clients/request_meter.py
+++ b/packages/common/src/briarthread_common/http/clients/request_meter.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from briarthread_common.http.clients.client_bounds import ClientBounds
+from briarthread_common.http.clients.client_bounds import EMPTY_LINE_BYTES, ClientBounds
 from briarthread_common.http.clients.client_refusal import ClientRefusal
 
 FIELD_BYTES = 640
@@ -18,13 +18,14 @@
 
     ``framing_bytes`` are those of a body that are not its content: the sizes and
     extensions of chunks, and trailers; ``pending_bytes`` are those since the last
-    content, which the parser may keep.
+    content, which the parser may keep. ``empty_bytes`` follow the request.
 
     >>> meter = RequestMeter(head_bytes=30_000)
     >>> meter.fault(ClientBounds(header_bytes=16_384))
     <ClientRefusal.HEAD_TOO_LARGE: 'head-too-large'>
     """
 
+    empty_bytes: int = 0
     head_bytes: int = 0
     fields: int = 0
     body_bytes: int = 0
@@ -58,6 +59,8 @@
 
     def fault(self, bounds: ClientBounds) -> ClientRefusal | None:
         """Return which bound is exceeded."""
+        if self.empty_bytes > EMPTY_LINE_BYTES:
+            return ClientRefusal.EMPTY_LINES
         if self.head_bytes > bounds.head_bytes:
             return ClientRefusal.HEAD_TOO_LARGE
         if self.pending_bytes > bounds.header_bytes:
--- a/packages/common/src/briarthread_common/http/server_protocol.py
+++ b/packages/common/src/briarthread_common/http/server_protocol.py
@@ -96,7 +96,6 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or keep those that follow an unanswered request."""
-        self._unset_keepalive_if_required()
         self.unparsed += data
         self._parse_received()
 
@@ -138,10 +137,13 @@
         self.content_bytes = 0
         if self.in_head:
             self.meter.head_bytes += len(part)
-        meter, is_body = self.meter, self.in_message and not self.in_head
+        meter, was_in_message = self.meter, self.in_message
+        is_body = was_in_message and not self.in_head
         self._parse(part)
         if is_body:
             meter.note_body(len(part), self.content_bytes)
+        elif not was_in_message and meter is self.meter:
+            meter.empty_bytes += len(part)
         self._check()
 
     def _check(self) -> bool:
--- a/tests/common/test_unruly_clients.py
+++ b/tests/common/test_unruly_clients.py
@@ -152,11 +152,11 @@
 
 def build_head(size: int) -> bytes:
     """Return a request whose head has that many bytes."""
-    head = b"POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nx-a: %s\r\n\r\n"
+    head = b"POST /echo HTTP/1.1\r\nHost: a\r\nx-a: %s\r\n\r\n"
     return head % (b"a" * (size - len(head) + 2))
 
 
-@pytest.mark.parametrize("size", [300, 100_000])
+@pytest.mark.parametrize("size", [300, 5000, 100_000])
 @pytest.mark.parametrize(("excess", "status"), [(0, 200), (1, 431)])
 def test_head_is_refused_if_it_is_larger_than_the_operator_allows(
     size: int, excess: int, status: int
@@ -299,3 +299,39 @@
             assert (await stream.receive()).startswith(b"HTTP/1.1 503")
 
     run_with_server(client, ClientBounds(held_bytes=50_000))
+
+
+def test_empty_lines_do_not_keep_a_connection_open() -> None:
+    """Guards against empty lines that stop the idle timer and start none."""
+
+    async def client(address: str, _: HttpServer) -> None:
+        async with await connect(address) as stream:
+            with pytest.raises(CLOSED), anyio.fail_after(3 * IDLE_SECONDS):
+                while True:
+                    await stream.send(b"\r\n")
+                    await anyio.sleep(IDLE_SECONDS / 10)
+
+    run_with_server(client)
+
+
+def test_empty_lines_without_end_close_their_connection() -> None:
+    """Guards against bytes before a request that nothing counts."""
+
+    async def client(address: str, _: HttpServer) -> None:
+        async with await connect(address) as stream:
+            began = anyio.current_time()
+            await stream.send(b"\r\n" * 1000)
+            assert await read_to_end(stream) == b""
+            assert anyio.current_time() - began < IDLE_SECONDS / 2
+
+    run_with_server(client)
+
+
+def test_some_empty_lines_before_a_request_are_ignored() -> None:
+    async def client(address: str, _: HttpServer) -> None:
+        async with await connect(address) as stream:
+            for _ in range(3):
+                await stream.send(b"\r\n" * 200 + build_echo(b"body", chunked=False))
+                assert (await stream.receive()).endswith(b"body")
+
+    run_with_server(client)
