Limit the time of a request's body, and its bytes after the answer

What callers saw: a body that came byte by byte, or stopped midway, kept its connection as long as the client liked on the addresses for probes and peers and at agents, with the handler that read it. After an answer that had not waited for the body, a client could go on sending at full speed for good.

Cause: only the handler of callers' requests limited the time for a body. The protocol knew idle connections and heads.

Change: what has begun has a timer: a head the operator's time for one, then the body the idle timeout and one second more, in which the application may refuse it itself, as the entry does for its callers. Then it is refused with 408, "not run", or its connection is closed if it had an answer. A body that goes on after its answer may have as many bytes as the operator allows for a body.

--- a/packages/common/src/briarthread_common/http/clients/client_bounds.py
+++ b/packages/common/src/briarthread_common/http/clients/client_bounds.py
@@ -16,6 +16,9 @@
 the number of connections bounds their sum."""
 EMPTY_LINE_BYTES = 1024
 """Bytes of empty lines before a request; recipients ignore some (RFC 9112, 2.2)."""
+BODY_GRACE_SECONDS = 1.0
+"""Time in seconds after the idle timeout in which an application may refuse a body
+itself."""
 FRAMING_SHARE = 8
 """Bytes of framing for each byte of a body; a chunk of one byte has five."""
 
@@ -42,13 +45,15 @@
     """
     Bound the clients of one address; sizes are in bytes, times in seconds.
 
-    ``header_bytes`` are those of a head beside its request line. Above
+    ``header_bytes`` are those of a head beside its request line, ``body_bytes`` those
+    of a body that goes on after its request was answered. Above
     ``kept_connections`` open ones a connection is closed after its response;
     ``connections`` may be open at the same time. ``held_bytes`` is what all of them
     may hold beside FREE_BYTES each; bodies belong to it if ``counts_bodies`` is true.
     """
 
     header_bytes: int = 16 * 1024
+    body_bytes: int = 4 * MEBIBYTE
     head_seconds: float = 10.0
     idle_seconds: float = 75.0
     kept_connections: float = math.inf
@@ -83,6 +88,11 @@
         """Return the largest head of a request."""
         return self.header_bytes + REQUEST_LINE_BYTES
 
+    @property
+    def body_seconds(self) -> float:
+        """Return the time for a body, from the end of its head."""
+        return self.idle_seconds + BODY_GRACE_SECONDS
+
     def framing_bytes(self, body_bytes: int) -> int:
         """Return the most bytes of chunk sizes, extensions and trailers of a body."""
         return self.header_bytes + FRAMING_SHARE * body_bytes
--- a/packages/common/src/briarthread_common/http/clients/client_refusal.py
+++ b/packages/common/src/briarthread_common/http/clients/client_refusal.py
@@ -16,6 +16,8 @@
     EMPTY_LINES = "empty-lines"
     HEAD_TOO_LARGE = "head-too-large"
     HEAD_TOO_SLOW = "head-too-slow"
+    BODY_TOO_SLOW = "body-too-slow"
+    BODY_AFTER_ANSWER = "body-after-answer"
     TOO_MUCH_FRAMING = "too-much-framing"
     MEMORY_FULL = "memory-full"
     TOO_MANY_CONNECTIONS = "too-many-connections"
@@ -31,6 +33,9 @@
     ClientRefusal.HEAD_TOO_LARGE: RequestError(
         ErrorKind.HEAD_TOO_LARGE, "the head of the request is too large"
     ),
+    ClientRefusal.BODY_TOO_SLOW: RequestError(
+        ErrorKind.BODY_TOO_SLOW, "request body not received in time"
+    ),
     ClientRefusal.TOO_MUCH_FRAMING: RequestError(
         ErrorKind.BAD_REQUEST, "the body has more framing than content"
     ),
--- a/packages/common/src/briarthread_common/http/clients/request_meter.py
+++ b/packages/common/src/briarthread_common/http/clients/request_meter.py
@@ -63,6 +63,8 @@
             return ClientRefusal.EMPTY_LINES
         if self.head_bytes > bounds.head_bytes:
             return ClientRefusal.HEAD_TOO_LARGE
+        if self.is_answered and self.body_bytes > bounds.body_bytes:
+            return ClientRefusal.BODY_AFTER_ANSWER
         if self.pending_bytes > bounds.header_bytes:
             return ClientRefusal.TOO_MUCH_FRAMING
         if self.framing_bytes > bounds.framing_bytes(self.body_bytes):
--- a/packages/common/src/briarthread_common/http/server_protocol.py
+++ b/packages/common/src/briarthread_common/http/server_protocol.py
@@ -53,7 +53,8 @@
     held = 0
     clients: Clients | None = None
     meter: RequestMeter
-    head_timer: asyncio.TimerHandle | None = None
+    timer: asyncio.TimerHandle | None = None
+    too_slow: ClientRefusal | None = None
 
     @property
     def timeout_keep_alive(self) -> float:
@@ -87,7 +88,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop serving a connection that has ended."""
         self._unset_keepalive_if_required()
-        self._stop_head_timer()
+        self._limit_time(None)
         if self.clients is not None:
             self.clients.hold(self.held, 0)
             self.clients.close()
@@ -144,7 +145,8 @@
             meter.note_body(len(part), self.content_bytes)
         elif not was_in_message and meter is self.meter:
             meter.empty_bytes += len(part)
-        self._check()
+        if self._check():
+            self._limit_time(self._refusal_if_slow())
 
     def _check(self) -> bool:
         """Return whether all bounds are kept; refuse the client otherwise."""
@@ -186,16 +188,25 @@
             self.cycle.disconnected = True
             self.cycle.message_event.set()
 
-    def _start_head_timer(self) -> None:
-        """Close the connection unless the head is complete in time."""
-        self.head_timer = self.loop.call_later(
-            self.clients.bounds.head_seconds, self.refuse, ClientRefusal.HEAD_TOO_SLOW
-        )
+    def _refusal_if_slow(self) -> ClientRefusal | None:
+        """Return how the client is refused if what has begun takes too long."""
+        if self.in_head:
+            return ClientRefusal.HEAD_TOO_SLOW
+        return ClientRefusal.BODY_TOO_SLOW if self.in_message else None
 
-    def _stop_head_timer(self) -> None:
-        if self.head_timer is not None:
-            self.head_timer.cancel()
-            self.head_timer = None
+    def _limit_time(self, too_slow: ClientRefusal | None) -> None:
+        """Start the timer of a head or a body, unless it runs, or stop any timer."""
+        if too_slow is self.too_slow:
+            return
+        self.too_slow = too_slow
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if too_slow is not None:
+            bounds = self.clients.bounds
+            is_head = too_slow is ClientRefusal.HEAD_TOO_SLOW
+            seconds = bounds.head_seconds if is_head else bounds.body_seconds
+            self.timer = self.loop.call_later(seconds, self.refuse, too_slow)
 
     def _parse(self, data: bytes) -> None:
         try:
@@ -219,10 +230,8 @@
         return b"\r\n".join([*lines, b"", b""])
 
     def on_message_begin(self) -> None:
-        """Reset the counters at the start of a request, and limit its time."""
+        """Reset the counters at the start of a request."""
         self._unset_keepalive_if_required()
-        self._stop_head_timer()
-        self._start_head_timer()
         self.in_message = self.in_head = True
         if self.offers_upgrade:
             self.meter.fields = 0
@@ -232,7 +241,6 @@
 
     def on_headers_complete(self) -> None:
         """Begin the request, unless it exceeds a bound or offers another protocol."""
-        self._stop_head_timer()
         self.offers_upgrade = self.parser.should_upgrade()
         if self._check() and not self.offers_upgrade:
             self.body_left = self._stated_length()
--- a/packages/entry/src/briarthread_entry/commands/direct.py
+++ b/packages/entry/src/briarthread_entry/commands/direct.py
@@ -146,7 +146,9 @@
         if routes is not None:
             limits = routes.limits
             callers.bounds = replace(
-                callers.bounds, header_bytes=limits.max_header_bytes
+                callers.bounds,
+                header_bytes=limits.max_header_bytes,
+                body_bytes=limits.max_body_bytes,
             )
             server.set_idle_timeout(limits.idle_timeout)
             server.set_head_timeout(limits.header_timeout)
--- a/tests/common/test_unruly_clients.py
+++ b/tests/common/test_unruly_clients.py
@@ -1,5 +1,6 @@
 """Clients that do not behave, over real sockets and with short timeouts."""
 
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -9,6 +10,7 @@
 from briarthread_common.core.run_loop import run_loop
 from briarthread_common.http.app import App, Route
 from briarthread_common.http.call import Call
+from briarthread_common.http.clients import client_bounds
 from briarthread_common.http.clients.client_bounds import ClientBounds
 from briarthread_common.http.clients.clients import Clients
 from briarthread_common.http.server import HttpServer, open_listener
@@ -335,3 +337,67 @@
                 assert (await stream.receive()).endswith(b"body")
 
     run_with_server(client)
+
+
+SLOW_BODIES = {
+    "content": CHUNKED + b"ffff\r\n",
+    "chunk size": CHUNKED,
+    "extension": CHUNKED + b"1;",
+    "trailer": CHUNKED + b"0\r\nx-a: ",
+    "answered": CHUNKED.replace(b"/echo", b"/absent") + b"ffff\r\n",
+}
+
+
+@pytest.mark.parametrize("is_silent", [False, True])
+@pytest.mark.parametrize("place", SLOW_BODIES)
+def test_body_that_is_not_complete_in_time_ends_its_connection(
+    place: str, is_silent: bool
+) -> None:
+    """Guards against bodies that take a connection for good, byte by byte."""
+
+    async def client(address: str, _: HttpServer) -> None:
+        async with await connect(address) as stream, anyio.create_task_group() as tasks:
+            await stream.send(SLOW_BODIES[place])
+            if not is_silent:
+                tasks.start_soon(_trickle, stream)
+            await read_to_end(stream)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(client_bounds, "BODY_GRACE_SECONDS", IDLE_SECONDS)
+        run_with_server(client)
+
+
+async def _trickle(stream: SocketStream) -> None:
+    with contextlib.suppress(*CLOSED):
+        while True:
+            await stream.send(b"0")
+            await anyio.sleep(IDLE_SECONDS / 10)
+
+
+def test_body_that_is_late_for_an_application_without_a_limit_gets_408() -> None:
+    async def client(address: str, _: HttpServer) -> None:
+        async with await connect(address) as stream:
+            await stream.send(CHUNKED)
+            answer = await read_to_end(stream)
+            assert answer.startswith(b"HTTP/1.1 408")
+            assert b"outcome: not-run" in answer
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(client_bounds, "BODY_GRACE_SECONDS", 0.0)
+        run_with_server(client)
+
+
+def test_body_without_end_after_an_answer_closes_its_connection() -> None:
+    """Guards against a client that sends at full speed what nobody wants."""
+    bounds = ClientBounds(body_bytes=1000)
+
+    async def client(address: str, _: HttpServer) -> None:
+        async with await connect(address) as stream:
+            began = anyio.current_time()
+            await stream.send(SLOW_BODIES["answered"])
+            assert (await stream.receive()).startswith(b"HTTP/1.1 404")
+            await stream.send(b"a" * 2000)
+            await read_to_end(stream)
+            assert anyio.current_time() - began < IDLE_SECONDS / 2
+
+    run_with_server(client, bounds)
