Let a new connection take the place of one that has sent no request

What callers saw: clients that opened all connections of an address and sent nothing kept every other client away for the time of a head, and again with their next connections.

Cause: a full address rejected the newest connection, whoever held the others.

Change: if all are open, the oldest connection that has not carried a request is closed ("replaced") and the new one accepted; an entry that has such connections is ready. Those that have carried a request keep their place, since their clients rely on it; they are half of all at most when idle, because above that none is kept after a response.

Ruled out: replacing the longest idle one of all. test_connection_surge has clients that keep connections, and closing these under them broke its clients.

--- a/packages/common/src/briarthread_common/http/clients/clients.py
+++ b/packages/common/src/briarthread_common/http/clients/clients.py
@@ -8,16 +8,28 @@
 """
 
 from collections.abc import Callable
+from typing import Protocol
 
 from briarthread_common.http.clients.client_bounds import FREE_BYTES, ClientBounds
 from briarthread_common.http.clients.client_refusal import ClientRefusal
 from briarthread_common.http.clients.refusal_log import RefusalLog
 
 
+class UnusedConnection(Protocol):
+    """A connection that has not carried a request."""
+
+    def make_room(self) -> None:
+        """End, and stop being counted, in favour of a new connection."""
+        ...
+
+
 class Clients:
     """
     Hold the bounds on the clients of an address, and count their connections.
 
+    If all connections are open, the oldest one that has not carried a request is closed
+    in favour of a new one, so that clients that send nothing do not keep others away.
+    Those that are kept open after a response are half of them at most.
     ``on_refused`` is called with the name and the reason for each client that is
     refused, ``on_rejected`` for each connection that is reset unread.
 
@@ -37,6 +49,7 @@
         self.on_refused = on_refused or _ignore_refusal
         self.count = 0
         self.held = 0
+        self.unused: dict[UnusedConnection, None] = {}
         self.log = RefusalLog(name)
         self.on_rejected: Callable[[], None] = _ignore
 
@@ -46,9 +59,19 @@
             self.refuse(ClientRefusal.TOO_MANY_CONNECTIONS)
             self.on_rejected()
             return False
+        if self._is_full():
+            next(iter(self.unused)).make_room()
         self.count += 1
         return True
 
+    def note_unused(self, connection: UnusedConnection) -> None:
+        """Record a connection that was opened last."""
+        self.unused[connection] = None
+
+    def note_used(self, connection: UnusedConnection) -> None:
+        """Record that a connection has carried a request, or has ended."""
+        self.unused.pop(connection, None)
+
     def close(self) -> None:
         """Stop counting a connection that was open."""
         self.count -= 1
@@ -71,6 +94,9 @@
 
     def rejects(self) -> bool:
         """Return whether a new connection would be rejected now."""
+        return self._is_full() and not self.unused
+
+    def _is_full(self) -> bool:
         return self.count >= self.bounds.connections
 
     def is_crowded(self) -> bool:
--- a/packages/common/src/briarthread_common/http/server_protocol.py
+++ b/packages/common/src/briarthread_common/http/server_protocol.py
@@ -76,6 +76,7 @@
         self.meter = RequestMeter()
         transport.set_protocol(ReadBuffer(self))
         super().connection_made(transport)
+        clients.note_unused(self)
         self.timeout_keep_alive_task = self.loop.call_later(
             self._first_byte_timeout(), self.timeout_keep_alive_handler
         )
@@ -89,11 +90,21 @@
         """Stop serving a connection that has ended."""
         self._unset_keepalive_if_required()
         self._limit_time(None)
+        self._leave()
+        super().connection_lost(exc)
+
+    def make_room(self) -> None:
+        """Close this connection, which is unused, in favour of a new one."""
+        self.refuse(ClientRefusal.REPLACED)
+        self._leave()
+
+    def _leave(self) -> None:
+        """Stop being one of the clients."""
         if self.clients is not None:
+            self.clients.note_used(self)
             self.clients.hold(self.held, 0)
             self.clients.close()
             self.clients = None
-        super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or keep those that follow an unanswered request."""
@@ -247,6 +258,7 @@
             self.scope[EMPTY_QUERY] = self.url.endswith(b"?")
             super().on_headers_complete()
             self.in_head = False
+            self.clients.note_used(self)
 
     def _stated_length(self) -> int | None:
         """Return the length of the body if the head states it, as the parser did."""
--- a/tests/common/test_unruly_clients.py
+++ b/tests/common/test_unruly_clients.py
@@ -401,3 +401,38 @@
             assert anyio.current_time() - began < IDLE_SECONDS / 2
 
     run_with_server(client, bounds)
+
+
+def test_silent_connections_make_room_for_a_new_one() -> None:
+    """Guards against clients that send nothing and keep all others away."""
+
+    async def client(address: str, server: HttpServer) -> None:
+        (clients,) = server.clients.values()
+        silent = [await connect(address) for _ in range(4)]
+        await silent[0].send(b"POST /echo HTTP/1.1\r\nHost:")
+        assert await read_to_end(silent[0]) == b""
+        async with await connect(address) as stream:
+            await stream.send(build_echo(b"body", chunked=False))
+            assert (await stream.receive()).endswith(b"body")
+            assert clients.count == 3 and not clients.rejects()
+
+    run_with_server(client, ClientBounds(connections=3))
+
+
+def test_connections_that_have_carried_a_request_do_not_make_room() -> None:
+    """Guards against an answer that is cut off for a client that has sent nothing."""
+
+    async def client(address: str, server: HttpServer) -> None:
+        (clients,) = server.clients.values()
+        async with await connect(address) as served:
+            await served.send(SLOW)
+            received = await served.receive()
+            assert clients.rejects()
+            with pytest.raises(CLOSED):
+                await (await connect(address)).receive()
+            while not received.endswith(b"halfhalf"):
+                received += await served.receive()
+            await anyio.sleep(0.01)
+            assert clients.rejects()
+
+    run_with_server(client, ClientBounds(connections=1))
