Drop clients that stop reading, on every address

What callers saw: at agents, at `briarthread serve` and at entries without memory_mb, a connection that was closed while its client did not read stayed for good, with all that was written to it. On every address a stream to a client that had stopped reading kept its place, without a limit of time unless the handler had a deadline.

Cause: only entries that are told of their memory used the connection class that drops unread data, and it limits the time after a close, not before one.

Change: there is one connection class. A client that has read nothing of what is waiting for it within the idle timeout is dropped ("unread"), and what waits counts to what the clients of its address hold.

--- a/packages/common/src/briarthread_common/http/clients/client_refusal.py
+++ b/packages/common/src/briarthread_common/http/clients/client_refusal.py
@@ -20,6 +20,7 @@
     BODY_AFTER_ANSWER = "body-after-answer"
     TOO_MUCH_FRAMING = "too-much-framing"
     MEMORY_FULL = "memory-full"
+    UNREAD = "unread"
     REPLACED = "replaced"
     TOO_MANY_CONNECTIONS = "too-many-connections"
 
--- a/packages/common/src/briarthread_common/http/clients/clients.py
+++ b/packages/common/src/briarthread_common/http/clients/clients.py
@@ -86,12 +86,20 @@
         >>> clients.hold(0, FREE_BYTES + 900), clients.hold(0, FREE_BYTES + 200)
         (True, False)
         """
-        change = max(size - FREE_BYTES, 0) - max(held - FREE_BYTES, 0)
+        change = _counted(size) - _counted(held)
         if change > 0 and self.held + change > self.bounds.held_bytes:
             return False
         self.held += change
         return True
 
+    def note_held(self, held: int, size: int) -> None:
+        """Count that a connection holds ``size`` bytes in place of ``held``."""
+        self.held += _counted(size) - _counted(held)
+
+    def room(self) -> float:
+        """Return the bytes that may be held in addition."""
+        return max(self.bounds.held_bytes - self.held, 0.0)
+
     def rejects(self) -> bool:
         """Return whether a new connection would be rejected now."""
         return self._is_full() and not self.unused
@@ -109,6 +117,11 @@
         self.on_refused(self.name, refusal)
 
 
+def _counted(size: int) -> int:
+    """Return how much of what a connection holds is counted."""
+    return max(size - FREE_BYTES, 0)
+
+
 def _ignore() -> None:
     """Ignore a rejected connection."""
 
--- a/packages/common/src/briarthread_common/http/server.py
+++ b/packages/common/src/briarthread_common/http/server.py
@@ -14,10 +14,7 @@
 
 from briarthread_common.core.exceptions import ListenError
 from briarthread_common.http.clients.clients import Clients
-from briarthread_common.http.server_protocol import (
-    LimitedProtocol,
-    UnreadDroppingProtocol,
-)
+from briarthread_common.http.server_protocol import LimitedProtocol
 
 BACKLOG = 2048
 UVICORN_LOGGER = logging.getLogger("uvicorn.error")
@@ -39,10 +36,8 @@
 
     On SIGTERM or SIGINT the ``on_drain`` callback runs first; it announces that
     the process is leaving and may wait until the announcement has spread. Then the
-    listeners are closed and the requests in flight are awaited. With ``drops_unread``
-    less is buffered for each connection, and a closed connection is aborted if its
-    client does not read the rest. ``clients`` bounds the clients of each port; a port
-    that it does not name has the default bounds.
+    listeners are closed and the requests in flight are awaited. ``clients`` bounds the
+    clients of each port; a port that it does not name has the default bounds.
     """
 
     def __init__(
@@ -50,14 +45,13 @@
         app: Any,
         listeners: Sequence[socket.socket],
         drain_timeout: float,
-        drops_unread: bool = False,
         clients: Mapping[int, Clients] | None = None,
     ) -> None:
         self.listeners = list(listeners)
         UVICORN_LOGGER.setLevel(logging.CRITICAL)
         self.config = uvicorn.Config(
             app,
-            http=UnreadDroppingProtocol if drops_unread else LimitedProtocol,
+            http=LimitedProtocol,
             lifespan="off",
             log_config=None,
             access_log=False,
--- a/packages/common/src/briarthread_common/http/server_protocol.py
+++ b/packages/common/src/briarthread_common/http/server_protocol.py
@@ -55,6 +55,7 @@
     meter: RequestMeter
     timer: asyncio.TimerHandle | None = None
     too_slow: ClientRefusal | None = None
+    unread_timer: asyncio.TimerHandle | None = None
 
     @property
     def timeout_keep_alive(self) -> float:
@@ -67,6 +68,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Start serving a connection, or reset it if there are too many."""
+        transport = ClosingTransport(transport)
         clients: Clients = self.config.clients[transport.get_extra_info("sockname")[1]]
         if not clients.open():
             transport.get_extra_info("socket").setsockopt(*RESET_ON_CLOSE)
@@ -90,6 +92,7 @@
         """Stop serving a connection that has ended."""
         self._unset_keepalive_if_required()
         self._limit_time(None)
+        self._stop_unread_timer()
         self._leave()
         super().connection_lost(exc)
 
@@ -170,13 +173,24 @@
 
     def _hold(self) -> bool:
         """Return whether what this connection holds now fits, and count it then."""
-        size = self.meter.held_bytes(self.clients.bounds.counts_bodies)
-        size += len(self.unparsed)
+        size = self._size()
         if not self.clients.hold(self.held, size):
             return False
         self.held = size
         return True
 
+    def _size(self) -> int:
+        """Return about how much memory this connection takes."""
+        size = self.meter.held_bytes(self.clients.bounds.counts_bodies)
+        return size + len(self.unparsed) + self.transport.get_write_buffer_size()
+
+    def _note_unsent(self) -> None:
+        """Count what the client has not read yet; it has been written already."""
+        if self.clients is not None:
+            size = self._size()
+            self.clients.note_held(self.held, size)
+            self.held = size
+
     def refuse(self, refusal: ClientRefusal) -> None:
         """Refuse what the client sends, and close the connection."""
         if self.transport.is_closing():
@@ -233,6 +247,30 @@
             self.parser = httptools.HttpRequestParser(self)
             self._parse(head + data[parsed:])
 
+    def pause_writing(self) -> None:
+        """Send no more until the client has read; it has the idle timeout for that."""
+        super().pause_writing()
+        if self.clients is not None:
+            seconds = self.clients.bounds.idle_seconds
+            self.unread_timer = self.loop.call_later(seconds, self._drop_unread)
+        self._note_unsent()
+
+    def resume_writing(self) -> None:
+        """Send more to a client that has read."""
+        super().resume_writing()
+        self._stop_unread_timer()
+        self._note_unsent()
+
+    def _stop_unread_timer(self) -> None:
+        if self.unread_timer is not None:
+            self.unread_timer.cancel()
+            self.unread_timer = None
+
+    def _drop_unread(self) -> None:
+        """End the connection of a client that has stopped reading."""
+        self.refuse(ClientRefusal.UNREAD)
+        self.transport.abort()
+
     def _head_without_upgrade(self) -> bytes:
         """Return the head of the request as if it offered no other protocol."""
         version = self.parser.get_http_version().encode()
@@ -277,13 +315,14 @@
     def on_response_complete(self) -> None:
         """Drop what was kept of the request, and go on with what came after it."""
         super().on_response_complete()
-        self._forget_head()
+        self._forget()
         if not self.transport.is_closing():
             self._parse_received()
 
-    def _forget_head(self) -> None:
-        """Keep nothing of a request that has been answered but the rest of its body."""
+    def _forget(self) -> None:
+        """Keep nothing of a request that has been answered."""
         self.headers = []
+        self.cycle.body = bytearray()
         self.scope = self.cycle.scope = {}
         if self.in_message:
             self.meter.note_answered()
@@ -300,17 +339,3 @@
         if self.in_head:
             self.meter.fields += 1
             super().on_header(name, value)
-
-
-class UnreadDroppingProtocol(LimitedProtocol):
-    """A connection that does not stay open for a client that has stopped reading."""
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Start serving a connection."""
-        super().connection_made(ClosingTransport(transport))
-
-    def on_response_complete(self) -> None:
-        """Drop what was received of a body that the response did not wait for."""
-        if self.cycle.response_complete:
-            self.cycle.body = bytearray()
-        super().on_response_complete()
--- a/packages/entry/src/briarthread_entry/commands/direct.py
+++ b/packages/entry/src/briarthread_entry/commands/direct.py
@@ -75,7 +75,6 @@
             app,
             [callers, ready, peers],
             settings.drain_timeout,
-            drops_unread=settings.memory_mb > 0,
             clients={
                 port: clients.callers,
                 ready.getsockname()[1]: clients.probes,
--- a/tests/common/test_slow_clients.py
+++ b/tests/common/test_slow_clients.py
@@ -80,7 +80,7 @@
         listener = open_listener("127.0.0.1:0")
         host, port = listener.getsockname()
         handlers = Handlers()
-        server = HttpServer(handlers.app, [listener], 1, drops_unread=True)
+        server = HttpServer(handlers.app, [listener], 1)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(server.run, on_drain)
             with anyio.fail_after(TIMEOUT_SECONDS):
--- a/tests/common/test_unruly_clients.py
+++ b/tests/common/test_unruly_clients.py
@@ -38,8 +38,21 @@
     await call.reply(200, await call.read_body(MAX_BODY_BYTES))
 
 
+async def reply_without_end(call: Call) -> None:
+    """Send chunks until the client has gone."""
+
+    async def send_chunks() -> None:
+        await call.start(200, [])
+        while True:
+            await call.send_chunk(b"a" * 10_000)
+            await anyio.lowlevel.checkpoint()
+
+    await call.run_until_disconnect(send_chunks)
+
+
 APP = App(
     [
+        Route("GET", "/endless", reply_without_end),
         Route("GET", "/slow", reply_slowly),
         Route("POST", "/slow-refusal", reply_slowly),
         Route("POST", "/echo", reply_with_body),
@@ -436,3 +449,21 @@
             assert clients.rejects()
 
     run_with_server(client, ClientBounds(connections=1))
+
+
+def test_client_that_stops_reading_a_stream_is_dropped() -> None:
+    """Guards against streams to clients that never read and keep their places."""
+
+    async def client(address: str, server: HttpServer) -> None:
+        (clients,) = server.clients.values()
+        async with await connect(address) as stream:
+            await stream.send(b"GET /endless HTTP/1.1\r\nHost: a\r\n\r\n")
+            while clients.held == 0:
+                await anyio.sleep(0.01)
+            while server.server.server_state.connections:
+                await anyio.sleep(0.01)
+            assert clients.held == 0
+            await anyio.sleep(0.01)
+            assert not server.server.server_state.tasks
+
+    run_with_server(client, ClientBounds(held_bytes=200_000))
