Decompress messages, and answer with large ones, only where there is room

What callers saw: five clients at each address that sent messages of 60 KB took an entry to 171 MB and an agent to 167 MB of their 100: compressed, these are 60 MiB of spaces.

Cause: a message between processes may have 64 MiB, whatever the machine has, and what it becomes when it is decompressed was counted nowhere. Answers that a client asks for and does not read were not counted either.

Change: the protocol tells each call how much room the clients of its address have left. A compressed message may take a quarter of that, since it is there as bytes, as the result and as objects; otherwise 503, "not run". An answer in JSON has to fit; otherwise 504, "unknown", since what was asked for may have been done. Without memory_mb there is no such bound.

Two of the three tests failed before.

--- a/packages/common/src/briarthread_common/http/call.py
+++ b/packages/common/src/briarthread_common/http/call.py
@@ -1,5 +1,6 @@
 """Server side of one HTTP call."""
 
+import math
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, TypeVar
 
@@ -23,6 +24,9 @@
 
 EMPTY_QUERY = "briarthread.empty_query"
 """Key of an ASGI scope that is true for a target that ends with a question mark."""
+MEMORY_ROOM = "briarthread.memory_room"
+"""Key of an ASGI scope that has a function. It returns the bytes for which there is
+memory beside what the clients of the address hold."""
 LIST_HEADERS = frozenset(
     {
         "accept",
@@ -52,6 +56,9 @@
 
 They are those of RFC 9110 and RFC 9111, and of W3C's Baggage and Trace Context.
 """
+DECODING_COPIES = 4
+"""Bytes that a compressed message takes for each byte of it while it is decompressed
+and decoded."""
 REPLY_TIMEOUT_SECONDS = 5.0
 """Time limit for sending a complete response to a slow client."""
 
@@ -167,7 +174,7 @@
         """Decode the JSON body; raise RequestError if it is invalid."""
         raw = await self.read_body(limit)
         if self._has_header(b"content-encoding", ENCODING):
-            raw = decompress_body(raw, limit)
+            raw = self._decompress(raw, limit)
         try:
             return decode_json(raw, message_type)
         except DecodeError as error:
@@ -175,6 +182,24 @@
                 ErrorKind.BAD_REQUEST, f"invalid JSON: {error}"
             ) from error
 
+    def _memory_room(self) -> float:
+        """Return the bytes for which there is memory."""
+        room: Callable[[], float] | None = self.scope.get(MEMORY_ROOM)
+        return math.inf if room is None else room()
+
+    def _decompress(self, raw: bytes, limit: int) -> bytes:
+        """Return a decompressed body; raise RequestError if there is no room for it."""
+        room = self._memory_room() / DECODING_COPIES
+        if room >= limit:
+            return decompress_body(raw, limit)
+        try:
+            return decompress_body(raw, int(room))
+        except RequestError as error:
+            if error.kind is not ErrorKind.BODY_TOO_LARGE:
+                raise
+            reason = f"no memory for a body of over {room:.0f} bytes"
+            raise RequestError(ErrorKind.OVERLOADED, reason) from error
+
     async def wait_for_disconnect(self) -> None:
         """Return once the client has disconnected."""
         while (await self.receive())["type"] != "http.disconnect":
@@ -247,8 +272,14 @@
         )
 
     async def reply_json(self, message: object, status: int = 200) -> None:
-        """Send a message as JSON, compressed if the caller accepts that."""
+        """
+        Send a message as JSON, compressed if the caller accepts that.
+
+        Raise RequestError if there is no memory for one that the client may not read.
+        """
         body = msgspec.json.encode(message)
+        if len(body) > self._memory_room():
+            raise RequestError(ErrorKind.OUTCOME_UNKNOWN, "no memory for the answer")
         fields = [("content-type", "application/json")]
         accepted = self._has_header(b"accept-encoding", ENCODING)
         compressed = compress_body(body) if accepted else None
--- a/packages/common/src/briarthread_common/http/server_protocol.py
+++ b/packages/common/src/briarthread_common/http/server_protocol.py
@@ -5,7 +5,7 @@
 import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from briarthread_common.http.call import EMPTY_QUERY
+from briarthread_common.http.call import EMPTY_QUERY, MEMORY_ROOM
 from briarthread_common.http.call_connection import RESET_ON_CLOSE
 from briarthread_common.http.clients.client_refusal import (
     REFUSAL_ERRORS,
@@ -294,6 +294,7 @@
         if self._check() and not self.offers_upgrade:
             self.body_left = self._stated_length()
             self.scope[EMPTY_QUERY] = self.url.endswith(b"?")
+            self.scope[MEMORY_ROOM] = self.clients.room
             super().on_headers_complete()
             self.in_head = False
             self.clients.note_used(self)
--- a/tests/common/test_unruly_clients.py
+++ b/tests/common/test_unruly_clients.py
@@ -1,6 +1,7 @@
 """Clients that do not behave, over real sockets and with short timeouts."""
 
 import contextlib
+import zlib
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -18,6 +19,7 @@
 IDLE_SECONDS, HEAD_SECONDS = 0.4, 0.1
 ANSWER_SECONDS = 0.1
 MAX_BODY_BYTES = 100_000
+MAX_MESSAGE_BYTES = 1_000_000
 LONGEST_SECONDS = 5.0
 """Time limit of each test, which takes some tenths of a second."""
 SLOW = b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -50,9 +52,15 @@
     await call.run_until_disconnect(send_chunks)
 
 
+async def reply_with_message(call: Call) -> None:
+    """Send back a message."""
+    await call.reply_json(await call.read_json(str, MAX_MESSAGE_BYTES))
+
+
 APP = App(
     [
         Route("GET", "/endless", reply_without_end),
+        Route("POST", "/message", reply_with_message),
         Route("GET", "/slow", reply_slowly),
         Route("POST", "/slow-refusal", reply_slowly),
         Route("POST", "/echo", reply_with_body),
@@ -467,3 +475,31 @@
             assert not server.server.server_state.tasks
 
     run_with_server(client, ClientBounds(held_bytes=200_000))
+
+
+@pytest.mark.parametrize("size", [20_000, 300_000])
+def test_compressed_message_has_room_or_is_refused(size: int) -> None:
+    """Guards against small messages that become large ones."""
+
+    async def client(address: str, _: HttpServer) -> None:
+        body = zlib.compress(b'"%s"' % (b"a" * size))
+        head = b"POST /message HTTP/1.1\r\nHost: a\r\nContent-Encoding: deflate\r\n"
+        async with await connect(address) as stream:
+            await stream.send(head + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+            status = 200 if size < 100_000 else 503
+            assert (await stream.receive()).startswith(b"HTTP/1.1 %d" % status)
+
+    run_with_server(client, ClientBounds(held_bytes=100_000))
+
+
+def test_large_answer_for_which_there_is_no_room_is_refused() -> None:
+    """Guards against answers that clients ask for and do not read."""
+
+    async def client(address: str, _: HttpServer) -> None:
+        body = b'"%s"' % (b"a" * 60_000)
+        head = b"POST /message HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+        async with await connect(address) as stream:
+            await stream.send(head % len(body) + body)
+            assert (await stream.receive()).startswith(b"HTTP/1.1 504")
+
+    run_with_server(client, ClientBounds(held_bytes=150_000))
