--- a/packages/common/src/briarthread_common/http/closing_transport.py
+++ b/packages/common/src/briarthread_common/http/closing_transport.py
@@ -21,6 +21,7 @@
         self.transport = transport
         self.write = transport.write
         self.is_closing = transport.is_closing
+        self.get_write_buffer_size = transport.get_write_buffer_size
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
 
     def __getattr__(self, name: str) -> Any:
@@ -31,6 +32,6 @@
         if self.is_closing():
             return
         self.transport.close()
-        if self.transport.get_write_buffer_size():
+        if self.get_write_buffer_size():
             loop = asyncio.get_running_loop()
             loop.call_later(UNREAD_CLOSE_SECONDS, self.transport.abort)
--- a/packages/common/src/briarthread_common/http/server_protocol.py
+++ b/packages/common/src/briarthread_common/http/server_protocol.py
@@ -135,10 +135,13 @@
         if self.transport.is_closing():
             return
         self.unparsed = data[begin:]
-        fits = self._hold()
-        if self.unparsed and not (fits and len(self.unparsed) < MAX_WAITING_BYTES):
+        if self.unparsed and not (self._hold() and self._may_wait()):
             self.flow.pause_reading()
 
+    def _may_wait(self) -> bool:
+        """Return whether more may be read before what has been is parsed."""
+        return len(self.unparsed) < MAX_WAITING_BYTES
+
     def _may_parse(self) -> bool:
         """Return whether the next bytes belong to a request that may begin or go on."""
         is_answered = self.cycle is None or self.cycle.response_complete
@@ -318,6 +321,7 @@
         super().on_response_complete()
         self._forget()
         if not self.transport.is_closing():
+            self._hold()
             self._parse_received()
 
     def _forget(self) -> None:
