Bound the texts of events and log lines

What callers saw: nothing yet. A crowd that sent requests with a path, a host and an id of 7,000 bytes each took an entry to 84 MB in 2 s, by the ring of 2,000 events, which kept all three, and by the queue of log lines; 42 MB for good, and more if the log is not read.

Cause: both are bounded by their number only, while clients choose the size.

Change: a text of an event has 1,000 characters at most, a log line 8,000. `explain` finds an event by its whole request id, too.

The crowd of long texts stays under its bound of 100 MB on the code before as well; it is kept, since it is one more point of a connection.

--- a/packages/common/src/briarthread_common/core/event_log.py
+++ b/packages/common/src/briarthread_common/core/event_log.py
@@ -8,6 +8,8 @@
 from briarthread_common.utils.clock import Clock
 
 RING_SIZE = 2000
+MAX_TEXT_CHARACTERS = 1000
+"""Longest text of an event that is kept; some are of a request's head."""
 
 
 class EventLog:
@@ -19,7 +21,10 @@
         self.ring: deque[Event] = deque(maxlen=size)
 
     def add(self, decision: str, subject: str, reason: str, request: str = "") -> None:
-        """Record a decision about a subject and log it."""
+        """Record a decision about a subject and log it; long texts are cut."""
+        subject, reason, request = (
+            text[:MAX_TEXT_CHARACTERS] for text in (subject, reason, request)
+        )
         event = Event(self.clock.now(), decision, subject, reason, request)
         self.ring.append(event)
         suffix = f" request={request}" if request else ""
@@ -27,6 +32,7 @@
 
     def events_for(self, subject: str) -> list[Event]:
         """Return the events for a request id or a subject, oldest first."""
+        subject = subject[:MAX_TEXT_CHARACTERS]
         return [
             event
             for event in self.ring
--- a/packages/common/src/briarthread_common/core/log_sink.py
+++ b/packages/common/src/briarthread_common/core/log_sink.py
@@ -8,6 +8,8 @@
 
 MAX_QUEUED_LINES = 2000
 """Number of lines buffered for a slow reader, about 400 KB."""
+MAX_LINE_CHARACTERS = 8000
+"""Longest line that is written, enough for most tracebacks."""
 MAX_LINES_PER_SECOND = 500
 """Lines accepted per second. A loaded entry writes about 40, so that only lines
 that repeat endlessly are dropped; ten instances at this limit take at least an hour
@@ -51,6 +53,8 @@
             self.dropped += 1
             return
         self.accepted += 1
+        if len(line) > MAX_LINE_CHARACTERS:
+            line = f"{line[:MAX_LINE_CHARACTERS]}...\n"
         if self.dropped:
             line = f"logs: {self.dropped} lines were left out before this\n{line}"
         try:
--- a/tests/common/test_log_sink.py
+++ b/tests/common/test_log_sink.py
@@ -62,3 +62,14 @@
     written = stream.getvalue().splitlines()
     assert len(written) == 22
     assert written[-2:] == ["logs: 50 lines were left out before this", "next second"]
+
+
+def test_long_line_is_cut() -> None:
+    """Guards against lines of a size that clients choose."""
+    stream = io.StringIO()
+    sink = LogSink(stream, clock=lambda: 0.0)
+    sink.write("a" * 100_000 + "\n")
+    sink.write("next\n")
+    sink.stop()
+    first, second = stream.getvalue().splitlines()
+    assert len(first) < 10_000 and first.endswith("...") and second == "next"
--- a/tests/crowds/client_bytes.py
+++ b/tests/crowds/client_bytes.py
@@ -49,6 +49,7 @@
     COMPRESSED_BODY = "compressed-body"
     REQUESTS = "requests"
     LARGE_REQUESTS = "large-requests"
+    LONG_TEXTS = "long-texts"
     AFTER_CLOSE = "after-close"
 
 
@@ -84,6 +85,13 @@
     return b"GET /list/1 HTTP/1.1\r\n" + HOST + fields + b"\r\n"
 
 
+def _long_texts(number: int) -> bytes:
+    """Return a request with a path, a host and an id that are as long as allowed."""
+    path, host, request_id = b"a" * 7000, b"b" * 7000, b"c" * 7000
+    head = b"GET /%d%s HTTP/1.1\r\nhost: %s\r\nx-request-id: %s\r\n\r\n"
+    return head % (number, path, host, request_id)
+
+
 CLIENT_BYTES = {
     ClientKind.NOTHING: ClientBytes(b"", _always(b"")),
     ClientKind.EMPTY_LINES: ClientBytes(b"", _always(b"\r\n")),
@@ -110,6 +118,7 @@
     ),
     ClientKind.LARGE_REQUESTS: ClientBytes(b"", _always(_large_request())),
     ClientKind.REQUESTS: ClientBytes(b"", _always(SMALL_REQUEST)),
+    ClientKind.LONG_TEXTS: ClientBytes(b"", _long_texts),
     ClientKind.AFTER_CLOSE: ClientBytes(
         REQUEST_LINE + HOST + b"connection: close\r\ncontent-length: 0\r\n\r\n",
         _always(b"a" * 1024),
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -44,6 +44,7 @@
     (Behaviour(ClientKind.LARGE_REQUESTS, MOST_BYTES), CROWD),
     (Behaviour(ClientKind.REQUESTS, READ_BYTES), CROWD),
     (Behaviour(ClientKind.REQUESTS, MOST_BYTES, reads=False), CROWD),
+    (Behaviour(ClientKind.LONG_TEXTS, MOST_BYTES), CROWD),
     (Behaviour(ClientKind.AFTER_CLOSE, MOST_BYTES), CROWD),
 ]
 
