--- a/packages/common/src/briarthread_common/http/clients/client_bounds.py
+++ b/packages/common/src/briarthread_common/http/clients/client_bounds.py
@@ -3,6 +3,8 @@
 import math
 from dataclasses import dataclass
 
+from briarthread_common.http.clients.client_refusal import ClientRefusal
+
 RESERVED_FILES = 200
 """Open files of a process that are kept for anything but sockets."""
 KEPT_SHARE = 0.5
@@ -88,10 +90,15 @@
         """Return the largest head of a request."""
         return self.header_bytes + REQUEST_LINE_BYTES
 
-    @property
-    def body_seconds(self) -> float:
-        """Return the time for a body, from the end of its head."""
-        return self.idle_seconds + BODY_GRACE_SECONDS
+    def seconds(self, reason: ClientRefusal) -> float:
+        """Return the time after which a client is refused with a reason."""
+        match reason:
+            case ClientRefusal.HEAD_TOO_SLOW:
+                return self.head_seconds
+            case ClientRefusal.BODY_TOO_SLOW:
+                return self.idle_seconds + BODY_GRACE_SECONDS
+            case _:
+                return self.idle_seconds
 
     def framing_bytes(self, body_bytes: int) -> int:
         """Return the most bytes of chunk sizes, extensions and trailers of a body."""
--- a/packages/common/src/briarthread_common/http/server_protocol.py
+++ b/packages/common/src/briarthread_common/http/server_protocol.py
@@ -12,12 +12,14 @@
     ClientRefusal,
     build_refusal,
 )
+from briarthread_common.http.clients.client_timer import ClientTimer
 from briarthread_common.http.clients.clients import Clients
+from briarthread_common.http.clients.held_share import HeldShare
 from briarthread_common.http.clients.message_parts import end_of_part
 from briarthread_common.http.clients.read_buffer import ReadBuffer
 from briarthread_common.http.clients.request_meter import RequestMeter
 from briarthread_common.http.closing_transport import ClosingTransport
-from briarthread_common.http.upgrade_offer import without_upgrade
+from briarthread_common.http.upgrade_offer import head_without_upgrade
 
 MAX_WAITING_BYTES = 16 * 1024
 """Bytes of later requests that are read before the response to an earlier one."""
@@ -50,12 +52,11 @@
     unparsed = b""
     part_bytes = 0
     content_bytes = 0
-    held = 0
     clients: Clients | None = None
     meter: RequestMeter
-    timer: asyncio.TimerHandle | None = None
-    too_slow: ClientRefusal | None = None
-    unread_timer: asyncio.TimerHandle | None = None
+    held: HeldShare
+    request_timer: ClientTimer
+    unread_timer: ClientTimer
 
     @property
     def timeout_keep_alive(self) -> float:
@@ -76,6 +77,9 @@
             return
         self.clients = clients
         self.meter = RequestMeter()
+        self.held = HeldShare(clients)
+        self.request_timer = ClientTimer(self.loop, self.refuse)
+        self.unread_timer = ClientTimer(self.loop, self._drop_unread)
         transport.set_protocol(ReadBuffer(self))
         super().connection_made(transport)
         clients.note_unused(self)
@@ -90,10 +94,13 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop serving a connection that has ended."""
+        if self.transport is None:
+            return
         self._unset_keepalive_if_required()
-        self._limit_time(None)
-        self._stop_unread_timer()
-        self._leave()
+        self.request_timer.stop()
+        self.unread_timer.stop()
+        if self.clients is not None:
+            self._leave()
         super().connection_lost(exc)
 
     def make_room(self) -> None:
@@ -103,11 +110,10 @@
 
     def _leave(self) -> None:
         """Stop being one of the clients."""
-        if self.clients is not None:
-            self.clients.note_used(self)
-            self.clients.hold(self.held, 0)
-            self.clients.close()
-            self.clients = None
+        self.clients.note_used(self)
+        self.clients.close()
+        self.held.release()
+        self.clients = None
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or keep those that follow an unanswered request."""
@@ -163,7 +169,7 @@
         elif not was_in_message and meter is self.meter:
             meter.empty_bytes += len(part)
         if self._check():
-            self._limit_time(self._refusal_if_slow())
+            self._limit_time()
 
     def _check(self) -> bool:
         """Return whether all bounds are kept; refuse the client otherwise."""
@@ -176,24 +182,13 @@
 
     def _hold(self) -> bool:
         """Return whether what this connection holds now fits, and count it then."""
-        size = self._size()
-        if not self.clients.hold(self.held, size):
-            return False
-        self.held = size
-        return True
+        return self.held.hold(self._size())
 
     def _size(self) -> int:
         """Return about how much memory this connection takes."""
         size = self.meter.held_bytes(self.clients.bounds.counts_bodies)
         return size + len(self.unparsed) + self.transport.get_write_buffer_size()
 
-    def _note_unsent(self) -> None:
-        """Count what the client has not read yet; it has been written already."""
-        if self.clients is not None:
-            size = self._size()
-            self.clients.note_held(self.held, size)
-            self.held = size
-
     def refuse(self, refusal: ClientRefusal) -> None:
         """Refuse what the client sends, and close the connection."""
         if self.transport.is_closing():
@@ -216,25 +211,14 @@
             self.cycle.disconnected = True
             self.cycle.message_event.set()
 
-    def _refusal_if_slow(self) -> ClientRefusal | None:
-        """Return how the client is refused if what has begun takes too long."""
-        if self.in_head:
-            return ClientRefusal.HEAD_TOO_SLOW
-        return ClientRefusal.BODY_TOO_SLOW if self.in_message else None
-
-    def _limit_time(self, too_slow: ClientRefusal | None) -> None:
-        """Start the timer of a head or a body, unless it runs, or stop any timer."""
-        if too_slow is self.too_slow:
+    def _limit_time(self) -> None:
+        """Limit the time of the head or the body that has begun."""
+        if not self.in_message:
+            self.request_timer.stop()
             return
-        self.too_slow = too_slow
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-        if too_slow is not None:
-            bounds = self.clients.bounds
-            is_head = too_slow is ClientRefusal.HEAD_TOO_SLOW
-            seconds = bounds.head_seconds if is_head else bounds.body_seconds
-            self.timer = self.loop.call_later(seconds, self.refuse, too_slow)
+        is_head = self.in_head
+        slow = ClientRefusal.HEAD_TOO_SLOW if is_head else ClientRefusal.BODY_TOO_SLOW
+        self.request_timer.start(slow, self.clients.bounds)
 
     def _parse(self, data: bytes) -> None:
         try:
@@ -242,11 +226,13 @@
         except httptools.HttpParserError:
             self.refuse(ClientRefusal.MALFORMED)
         except httptools.HttpParserUpgrade as upgrade:
-            if self.parser.get_method() == CONNECT_METHOD:
+            method = self.parser.get_method()
+            if method == CONNECT_METHOD:
                 self.refuse(ClientRefusal.TUNNEL)
                 return
             (parsed,) = upgrade.args
-            head = self._head_without_upgrade()
+            version = self.parser.get_http_version()
+            head = head_without_upgrade(method, self.url, version, self.headers)
             self.parser = httptools.HttpRequestParser(self)
             self._parse(head + data[parsed:])
 
@@ -254,33 +240,21 @@
         """Send no more until the client has read; it has the idle timeout for that."""
         super().pause_writing()
         if self.clients is not None:
-            seconds = self.clients.bounds.idle_seconds
-            self.unread_timer = self.loop.call_later(seconds, self._drop_unread)
-        self._note_unsent()
+            self.unread_timer.start(ClientRefusal.UNREAD, self.clients.bounds)
+            self.held.note(self._size())
 
     def resume_writing(self) -> None:
         """Send more to a client that has read."""
         super().resume_writing()
-        self._stop_unread_timer()
-        self._note_unsent()
-
-    def _stop_unread_timer(self) -> None:
-        if self.unread_timer is not None:
-            self.unread_timer.cancel()
-            self.unread_timer = None
+        if self.clients is not None:
+            self.unread_timer.stop()
+            self.held.note(self._size())
 
-    def _drop_unread(self) -> None:
+    def _drop_unread(self, reason: ClientRefusal) -> None:
         """End the connection of a client that has stopped reading."""
-        self.refuse(ClientRefusal.UNREAD)
+        self.refuse(reason)
         self.transport.abort()
 
-    def _head_without_upgrade(self) -> bytes:
-        """Return the head of the request as if it offered no other protocol."""
-        version = self.parser.get_http_version().encode()
-        lines = [b"%s %s HTTP/%s" % (self.parser.get_method(), self.url, version)]
-        lines += [b"%s: %s" % field for field in without_upgrade(self.headers)]
-        return b"\r\n".join([*lines, b"", b""])
-
     def on_message_begin(self) -> None:
         """Reset the counters at the start of a request."""
         self._unset_keepalive_if_required()
--- a/packages/common/src/briarthread_common/http/upgrade_offer.py
+++ b/packages/common/src/briarthread_common/http/upgrade_offer.py
@@ -9,6 +9,20 @@
 """Fields of an offer, and their names in the field that lists those of one hop."""
 
 
+def head_without_upgrade(
+    method: bytes, target: bytes, version: str, fields: Iterable[HeaderField]
+) -> bytes:
+    r"""
+    Return the head of a request as if it offered no other protocol.
+
+    >>> head_without_upgrade(b"GET", b"/", "1.1", [(b"upgrade", b"h2c")])
+    b'GET / HTTP/1.1\r\n\r\n'
+    """
+    lines = [b"%s %s HTTP/%s" % (method, target, version.encode())]
+    lines += [b"%s: %s" % field for field in without_upgrade(fields)]
+    return b"\r\n".join([*lines, b"", b""])
+
+
 def without_upgrade(fields: Iterable[HeaderField]) -> list[HeaderField]:
     """
     Return header fields without the offer; names are lower case.
