Free closed connections at once

Cause: the timers kept a method of the connection, so that a closed connection, with the head it had been refused for, was part of a reference cycle and waited for the garbage collector. What the connections held had been released in the count at once.

Change: a timer gets the method when it starts, and keeps it no longer than it runs; a refused connection drops its head.

The new test opens and closes connections without the collector; it failed before.

--- a/packages/common/src/briarthread_common/http/clients/client_timer.py
+++ b/packages/common/src/briarthread_common/http/clients/client_timer.py
@@ -15,21 +15,23 @@
     no time by sending a little. Times are read from the bounds when they begin.
     """
 
-    def __init__(
-        self, loop: asyncio.AbstractEventLoop, refuse: Callable[[ClientRefusal], None]
-    ) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.loop = loop
-        self.refuse = refuse
         self.reason: ClientRefusal | None = None
         self.handle: asyncio.TimerHandle | None = None
 
-    def start(self, reason: ClientRefusal, bounds: ClientBounds) -> None:
+    def start(
+        self,
+        reason: ClientRefusal,
+        bounds: ClientBounds,
+        refuse: Callable[[ClientRefusal], None],
+    ) -> None:
         """Start the timer, unless it runs for the same reason."""
         if reason is self.reason:
             return
         self.stop()
         self.reason = reason
-        self.handle = self.loop.call_later(bounds.seconds(reason), self._end)
+        self.handle = self.loop.call_later(bounds.seconds(reason), refuse, reason)
 
     def stop(self) -> None:
         """Stop the timer if it runs."""
@@ -37,8 +39,3 @@
         if self.handle is not None:
             self.handle.cancel()
             self.handle = None
-
-    def _end(self) -> None:
-        reason, self.reason, self.handle = self.reason, None, None
-        if reason is not None:
-            self.refuse(reason)
--- a/packages/common/src/briarthread_common/http/server_protocol.py
+++ b/packages/common/src/briarthread_common/http/server_protocol.py
@@ -78,8 +78,8 @@
         self.clients = clients
         self.meter = RequestMeter()
         self.held = HeldShare(clients)
-        self.request_timer = ClientTimer(self.loop, self.refuse)
-        self.unread_timer = ClientTimer(self.loop, self._drop_unread)
+        self.request_timer = ClientTimer(self.loop)
+        self.unread_timer = ClientTimer(self.loop)
         transport.set_protocol(ReadBuffer(self))
         super().connection_made(transport)
         clients.note_unused(self)
@@ -198,6 +198,7 @@
         if error is not None and self._may_answer():
             self.transport.write(build_refusal(error))
         self._end_request()
+        self.headers = []
         self.transport.close()
 
     def _may_answer(self) -> bool:
@@ -218,7 +219,7 @@
             return
         is_head = self.in_head
         slow = ClientRefusal.HEAD_TOO_SLOW if is_head else ClientRefusal.BODY_TOO_SLOW
-        self.request_timer.start(slow, self.clients.bounds)
+        self.request_timer.start(slow, self.clients.bounds, self.refuse)
 
     def _parse(self, data: bytes) -> None:
         try:
@@ -240,7 +241,9 @@
         """Send no more until the client has read; it has the idle timeout for that."""
         super().pause_writing()
         if self.clients is not None:
-            self.unread_timer.start(ClientRefusal.UNREAD, self.clients.bounds)
+            self.unread_timer.start(
+                ClientRefusal.UNREAD, self.clients.bounds, self._drop_unread
+            )
             self.held.note(self._size())
 
     def resume_writing(self) -> None:
--- a/tests/common/test_unruly_clients.py
+++ b/tests/common/test_unruly_clients.py
@@ -1,6 +1,8 @@
 """Clients that do not behave, over real sockets and with short timeouts."""
 
 import contextlib
+import gc
+import weakref
 import zlib
 from collections.abc import Awaitable, Callable
 
@@ -503,3 +505,24 @@
             assert (await stream.receive()).startswith(b"HTTP/1.1 504")
 
     run_with_server(client, ClientBounds(held_bytes=150_000))
+
+
+def test_closed_connection_is_freed_at_once() -> None:
+    """Guards against closed connections that keep their heads for the collector."""
+
+    async def client(address: str, server: HttpServer) -> None:
+        for sent in (SMALL_FIELDS, SMALL_FIELDS + b"\x00: ", build_echo(b"a", False)):
+            async with await connect(address) as stream:
+                await stream.send(sent)
+                await anyio.sleep(HEAD_SECONDS / 4)
+                found = [weakref.ref(c) for c in server.server.server_state.connections]
+            while server.server.server_state.connections:
+                await anyio.sleep(0.01)
+            await anyio.sleep(0.01)
+            assert [reference() for reference in found if reference()] == []
+
+    gc.disable()
+    try:
+        run_with_server(client)
+    finally:
+        gc.enable()
