Split changes of targets and registration from the entry's composition

direct_entry.py composed the components and also held what follows when targets are listed, removed, restarted or taken back, and how an entry is registered. Behaviour as before: 148 tests of failing tasks, restarts, evacuations and cold targets pass; the task "registration" has the name of its new component in their list.

--- a/packages/entry/src/briarthread_entry/direct/direct_entry.py
+++ b/packages/entry/src/briarthread_entry/direct/direct_entry.py
@@ -1,8 +1,7 @@
 """Composition of an entry that sends to targets directly."""
 
 import random
-from collections.abc import Callable, Collection, Sequence
-from dataclasses import replace as replace_field
+from collections.abc import Callable, Collection
 
 import anyio
 from anyio.abc import TaskGroup
@@ -10,12 +9,10 @@
 from msgspec.structs import replace
 
 from briarthread_common.core.event_log import EventLog
-from briarthread_common.core.exceptions import PlatformError
 from briarthread_common.core.logs import set_up_logs
 from briarthread_common.core.metrics import Metrics
 from briarthread_common.core.task_supervisor import Run, TaskSupervisor
 from briarthread_common.direct.direct_service import DirectService
-from briarthread_common.direct.direct_target import DirectTarget
 from briarthread_common.direct.platform_adapter import PlatformAdapter
 from briarthread_common.direct.route_view import RouteView
 from briarthread_common.feeds.feed_set import DIRECT_FEEDS, FeedSet
@@ -23,10 +20,9 @@
 from briarthread_common.http.channel import Channel
 from briarthread_common.http.status_pages import StatusPages
 from briarthread_common.messages.blocklist_entry import BlocklistEntry
-from briarthread_common.messages.instance import Instance, InstanceRole
+from briarthread_common.messages.instance import InstanceRole
 from briarthread_common.messages.running_report import RunningReport
 from briarthread_common.spread.directory import Directory
-from briarthread_common.spread.ensure_registered import ensure_registered
 from briarthread_common.spread.feed_replicator import EXCHANGE_PATH
 from briarthread_common.spread.long_poll_replicator import LongPollReplicator
 from briarthread_common.utils.clock import Clock
@@ -36,6 +32,7 @@
 from briarthread_entry.direct.attempts.attempt_sender import AttemptSender
 from briarthread_entry.direct.crashes.blocklist_store import BlocklistStore
 from briarthread_entry.direct.crashes.crash_tracker import CrashTracker
+from briarthread_entry.direct.entry_registration import EntryRegistration
 from briarthread_entry.direct.groups.assigned_slots import AssignedSlots
 from briarthread_entry.direct.groups.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.groups.group_membership import GroupMembership
@@ -60,13 +57,11 @@
 from briarthread_entry.direct.settings import DirectSettings
 from briarthread_entry.direct.targets.evacuations import Evacuations
 from briarthread_entry.direct.targets.leaving_targets import LeavingTargets
+from briarthread_entry.direct.targets.target_changes import TargetChanges
 from briarthread_entry.direct.targets.target_checker import TargetChecker
 from briarthread_entry.direct.targets.target_registry import TargetRegistry
 from briarthread_entry.direct.targets.target_runs import TargetRuns
 
-SETTLED_CHECK_SECONDS = 0.5
-"""Interval in seconds at which an entry checks whether it has settled in the list."""
-
 TARGET_ROW = "target-row"
 """Name under which errors with single rows of the list of targets are reported."""
 
@@ -124,13 +119,9 @@
             self.runs,
         )
         self.registry.on_row_error = self._report_row_error
-        self.registry.on_removed = self._discard_removed_targets
-        self.registry.on_restarted = self._discard_former_runs
-        self.registry.on_assumed_cold = self._end_evacuation
         self.cold_targets = ColdTargets(
             self.registry.find, self._find_service, self.metrics
         )
-        self.registry.on_listed = self._note_listed
         self.checker = TargetChecker(
             self.registry.holders,
             self._find_service,
@@ -235,6 +226,27 @@
             self.events,
             rng,
         )
+        self.target_changes = TargetChanges(
+            self.registry,
+            self.limits,
+            self.tokens,
+            self.backoffs,
+            self.leaving_targets,
+            self.cold_targets,
+            self.crashes,
+            self.peer_reports,
+            self.runner.attempt_recorder,
+            self.metrics,
+        )
+        self.target_changes.follow()
+        self.registration = EntryRegistration(
+            settings,
+            self.replicator,
+            self.directory,
+            self.store,
+            self.issuer_members,
+            self._services,
+        )
         self.handler = RequestHandler(
             self.routes,
             RequestReader(adapter.headers, rng),
@@ -302,7 +314,7 @@
             "slow-ranks": self.slow_ranks.run,
             "issuers": self.issuer_members.follow,
             "silent-attempts": self.runner.silent_attempts.run,
-            "registration": self._ensure_registered,
+            "registration": self.registration.run,
             "blocklist": self.blocklist.run,
         }
         for name, run in essential.items():
@@ -337,74 +349,10 @@
     def _report_row_error(self, name: str, error: Exception) -> None:
         self.supervisor.report(TARGET_ROW, error, f"row {name[:40]!r} is ignored")
 
-    def _discard_removed_targets(self) -> None:
-        """Drop what is known of removed targets, such as their limits."""
-        self.runner.attempt_recorder.note_gone_targets()
-        self.limits.retain(self.registry.states)
-        self.tokens.retain(self.registry.states)
-        self.leaving_targets.retain(self.registry.states)
-        self.cold_targets.retain(self.registry.states)
-
-    def _note_listed(self, target: DirectTarget) -> None:
-        self.cold_targets.note_row(target, anyio.current_time())
-
     def _find_service(self, name: str) -> DirectService | None:
         routes = self.routes.current()
         return None if routes is None else routes.services.get(name)
 
-    def _discard_former_runs(self, names: Sequence[str]) -> None:
-        """Drop what is known of the former runs of restarted targets."""
-        self.metrics.target_restarts.inc(len(names))
-        self.limits.discard(names)
-        self.tokens.discard(names)
-        self.backoffs.discard(names)
-        self.leaving_targets.discard(names)
-        self.crashes.discard_running(names)
-        self.peer_reports.discard_former_runs(names)
-        self.runner.attempt_recorder.note_gone_targets()
-        self._assume_cold(names, "restart")
-
-    def _end_evacuation(self, names: Sequence[str]) -> None:
-        self._assume_cold(names, "evacuation")
-
-    def _assume_cold(self, names: Sequence[str], source: str) -> None:
-        """Assume that targets are cold from now on."""
-        now = anyio.current_time()
-        for name in names:
-            target = self.registry.find(name)
-            if target is not None:
-                self.cold_targets.assume_cold(target, now, source)
-
-    async def _ensure_registered(self) -> None:
-        await self.replicator.started.wait()
-        row = Instance(
-            self.settings.name,
-            self.settings.data_centre,
-            self.settings.listen,
-            InstanceRole.ENTRY,
-        )
-        await ensure_registered(row, self.directory, self.store)
-        await self._list_as_settled(replace_field(row, settled=True))
-
-    async def _list_as_settled(self, row: Instance) -> None:
-        """
-        List this entry as settled once it is, so that it issues tokens after a restart.
-
-        Nothing is written unless a service bounds the requests to cold targets.
-        """
-        while True:
-            await anyio.sleep(SETTLED_CHECK_SECONDS)
-            now = anyio.current_time()
-            if not (self.issuer_members.has_settled(now) and self._has_cold_rate()):
-                continue
-            try:
-                await self.store.register_instance(row)
-            except PlatformError as error:
-                logger.warning("cold: not listed as settled: {}", error)
-
-    def _has_cold_rate(self) -> bool:
-        return any(service.cold_rate > 0 for service in self._services())
-
     def _report(self) -> RunningReport:
         """Return the running report for the other entries."""
         report = self.admission.report()
--- a/tests/direct/test_failing_tasks.py
+++ b/tests/direct/test_failing_tasks.py
@@ -30,7 +30,7 @@
     "issuer_members.follow",
     "runner.silent_attempts.run",
     "blocklist.run",
-    "_ensure_registered",
+    "registration.run",
 ]
 AGENT_TASKS = [
     "replicator.run",
