Untie the memory budget from the bytes that a request holds

memory_budget.py and held_bytes.py imported each other, the latter for its types only. The budget now deals with any holder that has a size, and hold_bytes() in held_bytes.py opens the bytes of a request.

--- a/packages/entry/src/briarthread_entry/direct/memory/held_bytes.py
+++ b/packages/entry/src/briarthread_entry/direct/memory/held_bytes.py
@@ -1,11 +1,13 @@
 """Bytes that an entry holds for one request."""
 
-from typing import TYPE_CHECKING
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import anyio
 
 from briarthread_common.core.error_kind import ErrorKind
 from briarthread_common.core.exceptions import RequestError
+from briarthread_entry.direct.memory.memory_budget import MemoryBudget
 from briarthread_entry.direct.memory.memory_rule import (
     Granted,
     MemoryDecision,
@@ -13,9 +15,6 @@
     TooLarge,
 )
 
-if TYPE_CHECKING:
-    from briarthread_entry.direct.memory.memory_budget import MemoryBudget
-
 MAX_WAIT_SECONDS = 2.0
 """Longest time for which the reading of one request's responses waits for memory.
 
@@ -34,7 +33,7 @@
     since the responses of failed attempts are kept that long.
     """
 
-    def __init__(self, budget: "MemoryBudget") -> None:
+    def __init__(self, budget: MemoryBudget) -> None:
         self.budget = budget
         self.size = 0
         self.event_size = 0
@@ -101,3 +100,13 @@
     def _fail(self, decision: str, reason: str, request: str) -> None:
         self.budget.note(decision, reason, request)
         raise RequestError(ErrorKind.OUTCOME_UNKNOWN, reason)
+
+
+@contextmanager
+def hold_bytes(budget: MemoryBudget) -> Iterator[HeldBytes]:
+    """Return the bytes of a new request; they are released at the end."""
+    held = HeldBytes(budget)
+    try:
+        yield held
+    finally:
+        held.release()
--- a/packages/entry/src/briarthread_entry/direct/memory/memory_budget.py
+++ b/packages/entry/src/briarthread_entry/direct/memory/memory_budget.py
@@ -1,15 +1,13 @@
 """Budget of the bytes that an entry holds for its requests."""
 
-from collections.abc import Iterator
-from contextlib import contextmanager
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import anyio
 from loguru import logger
 
 from briarthread_common.core.event_log import EventLog
 from briarthread_common.core.metrics import Metrics
-from briarthread_entry.direct.memory.held_bytes import HeldBytes
 from briarthread_entry.direct.memory.memory_limits import MEBIBYTE, MemoryLimits
 from briarthread_entry.direct.memory.memory_rule import (
     Granted,
@@ -25,11 +23,17 @@
 """Fraction of the limit below which a full budget is reported as free again."""
 
 
+class Holder(Protocol):
+    """A request as the budget sees it; ``size`` is the number of bytes it holds."""
+
+    size: int
+
+
 @dataclass(eq=False, slots=True)
 class MemoryWaiter:
     """A request that waits until it may hold ``size`` more bytes."""
 
-    held: HeldBytes
+    held: Holder
     size: int
     granted: anyio.Event = field(default_factory=anyio.Event)
 
@@ -53,16 +57,7 @@
         self.full_until = 0.0
         metrics.held_bytes.set_function(lambda: self.held)
 
-    @contextmanager
-    def hold(self) -> Iterator[HeldBytes]:
-        """Return the bytes of a new request; they are released at the end."""
-        held = HeldBytes(self)
-        try:
-            yield held
-        finally:
-            held.release()
-
-    def reserve(self, held: HeldBytes, size: int) -> MemoryDecision:
+    def reserve(self, held: Holder, size: int) -> MemoryDecision:
         """Reserve bytes for a request if they fit now."""
         if self.limits is None:
             return Granted()
@@ -84,7 +79,7 @@
         self._serve_waiters()
         self._note_released()
 
-    def enqueue(self, held: HeldBytes, size: int) -> MemoryWaiter:
+    def enqueue(self, held: Holder, size: int) -> MemoryWaiter:
         """Let a request wait for bytes."""
         waiter = MemoryWaiter(held, size)
         self.waiters.append(waiter)
@@ -123,7 +118,7 @@
             else:
                 queued += waiter.size
 
-    def grant(self, held: HeldBytes, size: int) -> None:
+    def grant(self, held: Holder, size: int) -> None:
         """Count bytes for a request."""
         self.held += size
         held.size += size
--- a/packages/entry/src/briarthread_entry/direct/request_handler.py
+++ b/packages/entry/src/briarthread_entry/direct/request_handler.py
@@ -14,7 +14,7 @@
 from briarthread_common.http.app import ResponseAborted
 from briarthread_common.http.call import Call
 from briarthread_common.http.problem import problem_body, problem_headers
-from briarthread_entry.direct.memory.held_bytes import HeldBytes
+from briarthread_entry.direct.memory.held_bytes import HeldBytes, hold_bytes
 from briarthread_entry.direct.memory.memory_budget import MemoryBudget
 from briarthread_entry.direct.request_runner import RequestRunner
 from briarthread_entry.direct.requests.direct_request import DirectRequest
@@ -50,7 +50,7 @@
 
     async def handle(self, call: Call) -> None:
         """Serve one call and release the bytes held for it."""
-        with self.memory.hold() as held:
+        with hold_bytes(self.memory) as held:
             await self._handle(call, held)
 
     async def _handle(self, call: Call, held: HeldBytes) -> None:
--- a/tests/crowds/run_crowds.py
+++ b/tests/crowds/run_crowds.py
@@ -27,6 +27,8 @@
 
 def behaviours(kind: ClientKind) -> list[Behaviour]:
     """Return the paces of a kind."""
+    if kind is ClientKind.NOTHING:
+        return [Behaviour(kind, 0)]
     return [
         Behaviour(kind, MOST_BYTES),
         Behaviour(kind, 0, slow=True),
