Let the soak press on an entry with clients that do not behave

The kind whose requests are served is left out, since it would take the targets from the callers that are checked.

--- a/tests/soak/run_soak.py
+++ b/tests/soak/run_soak.py
@@ -37,6 +37,7 @@
 from soak.soak_faults import (
     Disturbance,
     FaultInjector,
+    draw_crowd,
     draw_endless_bytes,
     draw_evacuation,
     draw_faults,
@@ -115,6 +116,7 @@
         faults += draw_refusals_with_kills(rng, list(deployment.entries), seconds)
     faults += draw_foreign_rows(rng, seconds)
     faults.append(draw_endless_bytes(rng, seconds))
+    faults.append(draw_crowd(rng, seconds))
     injector = FaultInjector(deployment)
     soak_callers = [
         SoakCaller(f"c{number}", deployment.callers_addresses, seed)
--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -8,6 +8,8 @@
 from enum import StrEnum
 
 import anyio
+from crowds.client_bytes import ClientKind
+from crowds.crowd import Behaviour, press
 from processes.endless_target import EndlessKind
 
 from soak.soak_deployment import SECOND_DATA_CENTRE, SoakDeployment, SoakProcess
@@ -31,6 +33,13 @@
 """Time until all entries know a change of the list."""
 ANSWERING_KINDS = (EndlessKind.PAST_LENGTH, EndlessKind.SECOND_ANSWERS)
 """Kinds whose answers are whole, which the checks of answers do not know."""
+CROWD_SECONDS = 5.0
+CROWD_SIZE = 20
+"""Clients of a crowd at each address that it presses on."""
+CROWD_BYTES = 1024 * 1024
+"""Bytes that such a client sends on a connection before it falls silent."""
+SERVED_CLIENT_KINDS = (ClientKind.LARGE_REQUESTS,)
+"""Kinds whose requests are served, which would take the targets from the callers."""
 
 
 class FaultKind(StrEnum):
@@ -50,6 +59,7 @@
     TARGETS_REFUSE = "targets-refuse"
     FOREIGN_ROWS = "foreign-rows"
     ENDLESS_BYTES = "endless-bytes"
+    CROWD = "crowd"
 
 
 HELD_DIRECTIONS = {
@@ -64,6 +74,7 @@
     FaultKind.TARGETS_REFUSE,
     FaultKind.FOREIGN_ROWS,
     FaultKind.ENDLESS_BYTES,
+    FaultKind.CROWD,
 )
 """Faults that concern many targets at once and are not drawn for one process."""
 ENTRY_FAULTS = (
@@ -155,6 +166,15 @@
     )
 
 
+def draw_crowd(rng: random.Random, seconds: float) -> PlannedFault:
+    """Return a crowd of clients that do not behave, of a kind that is drawn."""
+    kind = rng.choice([kind for kind in ClientKind if kind not in SERVED_CLIENT_KINDS])
+    at = rng.uniform(0.0, seconds / 2)
+    return PlannedFault(
+        FaultKind.CROWD, kind, at, CROWD_SECONDS, float(rng.random() < 0.5)
+    )
+
+
 def draw_refusals_with_kills(
     rng: random.Random, entries: list[str], seconds: float
 ) -> list[PlannedFault]:
@@ -201,6 +221,8 @@
                 await self._write_foreign_rows(fault)
             elif fault.kind is FaultKind.ENDLESS_BYTES:
                 await self._send_endless_bytes(fault)
+            elif fault.kind is FaultKind.CROWD:
+                await self._press(fault)
             elif fault.subject in self.deployment.entries:
                 await self._disturb_entry(fault, self.deployment.entries[fault.subject])
             else:
@@ -243,6 +265,22 @@
         for process in processes:
             process.handle.kill()
 
+    async def _press(self, fault: PlannedFault) -> None:
+        """Press on all addresses of an entry; ``delay`` makes the clients slow."""
+        kind = ClientKind(fault.subject)
+        size = 0 if kind is ClientKind.NOTHING else CROWD_BYTES
+        behaviour = Behaviour(kind, size, slow=bool(fault.delay and size))
+        deployment, entry = self.deployment, next(iter(self.deployment.entries))
+        async with anyio.create_task_group() as crowds:
+            for addresses in (
+                deployment.callers_addresses,
+                deployment.ready_addresses,
+                deployment.peer_addresses,
+            ):
+                crowds.start_soon(
+                    press, addresses[entry], behaviour, CROWD_SIZE, fault.seconds
+                )
+
     async def _let_targets_refuse(self, fault: PlannedFault) -> None:
         self._signal_targets(signal.SIGUSR1)
         await anyio.sleep(fault.seconds)
