Show what clients hold, and check that it is back after a crowd

briarthread_client_held_bytes says by address what the clients hold beside what each has free. The crowds check that it is 0 once they have gone; framing without end is also tried on a connection that has carried a request, and empty lines as CR LF, LF, CR and mixed. The three processes with one address build its clients in one place; the method of Clients that logs and counts a refusal is note_refused, since the connection's refuse() does more.

--- a/packages/agent/src/briarthread_agent/ranks/direct_agent.py
+++ b/packages/agent/src/briarthread_agent/ranks/direct_agent.py
@@ -28,7 +28,6 @@
 from briarthread_common.http.app import App, Route
 from briarthread_common.http.channel import Channel
 from briarthread_common.http.channel_options import ChannelOptions
-from briarthread_common.http.clients.client_bounds import ONLY_SHARE, ClientBounds
 from briarthread_common.http.clients.clients import Clients
 from briarthread_common.http.http_channel import HttpChannel
 from briarthread_common.http.server import HttpServer, open_listener
@@ -174,10 +173,13 @@
         Clock.from_system(),
         random.SystemRandom(),
     )
-    bounds = ClientBounds.of_instance(
-        ONLY_SHARE, settings.max_files, settings.memory_mb
+    clients = Clients.of_only_address(
+        "peers",
+        settings.max_files,
+        settings.memory_mb,
+        agent.metrics.count_client_refusal,
     )
-    clients = Clients("peers", bounds, agent.metrics.count_client_refusal)
+    agent.metrics.observe_clients(clients)
     server = HttpServer(
         agent.app,
         [listener],
--- a/packages/agent/src/briarthread_agent/run_agent.py
+++ b/packages/agent/src/briarthread_agent/run_agent.py
@@ -7,7 +7,6 @@
 
 from briarthread_agent.agent import Agent
 from briarthread_agent.settings import AgentSettings
-from briarthread_common.http.clients.client_bounds import ONLY_SHARE, ClientBounds
 from briarthread_common.http.clients.clients import Clients
 from briarthread_common.http.http_channel import HttpChannel
 from briarthread_common.http.server import HttpServer, open_listener
@@ -23,10 +22,13 @@
             settings, channel, Clock.from_system(), tasks, random.SystemRandom()
         )
         agent.start()
-        bounds = ClientBounds.of_instance(
-            ONLY_SHARE, settings.max_files, settings.memory_mb
+        clients = Clients.of_only_address(
+            "peers",
+            settings.max_files,
+            settings.memory_mb,
+            agent.metrics.count_client_refusal,
         )
-        clients = Clients("peers", bounds, agent.metrics.count_client_refusal)
+        agent.metrics.observe_clients(clients)
         server = HttpServer(
             agent.app,
             [listener],
--- a/packages/common/src/briarthread_common/core/metrics.py
+++ b/packages/common/src/briarthread_common/core/metrics.py
@@ -1,5 +1,7 @@
 """Metrics of a process."""
 
+from typing import Protocol
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -11,6 +13,13 @@
 REQUEST_BUCKETS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.42, 1.0, 2.5, 10.0)
 
 
+class CountedClients(Protocol):
+    """The clients of an address; ``held`` is in bytes."""
+
+    name: str
+    held: int
+
+
 class Metrics:
     """
     Hold the metrics of a process in a separate registry.
@@ -82,6 +91,12 @@
             ["address", "reason"],
             registry=self.registry,
         )
+        self.client_held_bytes = Gauge(
+            "briarthread_client_held_bytes",
+            "Bytes that the clients of an address hold beside what each has free.",
+            ["address"],
+            registry=self.registry,
+        )
         self.crash_decisions = Counter(
             "briarthread_crash_decisions",
             "Decisions on requests under which targets crashed.",
@@ -189,6 +204,11 @@
         """Count a client that was refused or disconnected."""
         self.client_refusals.labels(address, reason).inc()
 
+    def observe_clients(self, clients: CountedClients) -> None:
+        """Show what the clients of an address hold."""
+        gauge = self.client_held_bytes.labels(clients.name)
+        gauge.set_function(lambda: clients.held)
+
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
         return generate_latest(self.registry)
--- a/packages/common/src/briarthread_common/http/clients/clients.py
+++ b/packages/common/src/briarthread_common/http/clients/clients.py
@@ -10,7 +10,11 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from briarthread_common.http.clients.client_bounds import FREE_BYTES, ClientBounds
+from briarthread_common.http.clients.client_bounds import (
+    FREE_BYTES,
+    ONLY_SHARE,
+    ClientBounds,
+)
 from briarthread_common.http.clients.client_refusal import ClientRefusal
 from briarthread_common.http.clients.refusal_log import RefusalLog
 
@@ -53,10 +57,22 @@
         self.log = RefusalLog(name)
         self.on_rejected: Callable[[], None] = _ignore
 
+    @classmethod
+    def of_only_address(
+        cls,
+        name: str,
+        max_files: float,
+        memory_mb: float,
+        on_refused: Callable[[str, str], None],
+    ) -> "Clients":
+        """Return the clients of a process that listens on one address."""
+        bounds = ClientBounds.of_instance(ONLY_SHARE, max_files, memory_mb)
+        return cls(name, bounds, on_refused)
+
     def open(self) -> bool:
         """Count a new connection; return false if it has to be rejected."""
         if self.rejects():
-            self.refuse(ClientRefusal.TOO_MANY_CONNECTIONS)
+            self.note_refused(ClientRefusal.TOO_MANY_CONNECTIONS)
             self.on_rejected()
             return False
         if self._is_full():
@@ -111,7 +127,7 @@
         """Return whether connections are to be closed after their responses."""
         return self.count > self.bounds.kept_connections
 
-    def refuse(self, refusal: ClientRefusal) -> None:
+    def note_refused(self, refusal: ClientRefusal) -> None:
         """Log and count that a client is refused."""
         self.log.add(refusal)
         self.on_refused(self.name, refusal)
--- a/packages/common/src/briarthread_common/http/server_protocol.py
+++ b/packages/common/src/briarthread_common/http/server_protocol.py
@@ -193,7 +193,7 @@
         """Refuse what the client sends, and close the connection."""
         if self.transport.is_closing():
             return
-        self.clients.refuse(refusal)
+        self.clients.note_refused(refusal)
         error = REFUSAL_ERRORS.get(refusal)
         if error is not None and self._may_answer():
             self.transport.write(build_refusal(error))
--- a/packages/entry/src/briarthread_entry/commands/direct.py
+++ b/packages/entry/src/briarthread_entry/commands/direct.py
@@ -125,6 +125,8 @@
     clients = EntryClients.of_instance(
         settings.max_files, settings.memory_mb, entry.metrics.count_client_refusal
     )
+    for found in (clients.callers, clients.probes, clients.peers):
+        entry.metrics.observe_clients(found)
     callers = clients.callers
     entry.handler.is_crowded = callers.is_crowded
     entry.is_full = callers.rejects
--- a/packages/entry/src/briarthread_entry/commands/serve.py
+++ b/packages/entry/src/briarthread_entry/commands/serve.py
@@ -8,7 +8,6 @@
 
 from briarthread_common.core.exit_code import ExitCode
 from briarthread_common.core.logs import set_up_logs
-from briarthread_common.http.clients.client_bounds import ONLY_SHARE, ClientBounds
 from briarthread_common.http.clients.clients import Clients
 from briarthread_common.http.server import HttpServer, open_listener
 from briarthread_common.utils.clock import Clock
@@ -39,10 +38,13 @@
             settings, self.channel, Clock.from_system(), random.SystemRandom()
         )
         listener = open_listener(settings.listen)
-        bounds = ClientBounds.of_instance(
-            ONLY_SHARE, settings.max_files, settings.memory_mb
+        clients = Clients.of_only_address(
+            "callers",
+            settings.max_files,
+            settings.memory_mb,
+            entry.metrics.count_client_refusal,
         )
-        clients = Clients("callers", bounds, entry.metrics.count_client_refusal)
+        entry.metrics.observe_clients(clients)
         server = HttpServer(
             entry.app,
             [listener],
--- a/tests/common/test_unruly_clients.py
+++ b/tests/common/test_unruly_clients.py
@@ -208,13 +208,17 @@
 }
 
 
+@pytest.mark.parametrize("is_reused", [False, True])
 @pytest.mark.parametrize("place", ENDLESS_FRAMING)
-def test_framing_without_end_is_refused(place: str) -> None:
+def test_framing_without_end_is_refused(place: str, is_reused: bool) -> None:
     """Guards against bytes of a body for which the parser calls nobody."""
     bounds = ClientBounds(header_bytes=1000)
 
     async def client(address: str, _: HttpServer) -> None:
         async with await connect(address) as stream:
+            if is_reused:
+                await stream.send(build_echo(b"first", chunked=True))
+                assert (await stream.receive()).endswith(b"first")
             last = ENDLESS_FRAMING[place][-1:]
             await stream.send(ENDLESS_FRAMING[place] + last * 2000)
             assert (await stream.receive()).startswith(b"HTTP/1.1 400")
@@ -339,13 +343,14 @@
     run_with_server(client)
 
 
-def test_empty_lines_without_end_close_their_connection() -> None:
+@pytest.mark.parametrize("line", [b"\r\n", b"\n", b"\r", b"\n\r\n\r"])
+def test_empty_lines_without_end_close_their_connection(line: bytes) -> None:
     """Guards against bytes before a request that nothing counts."""
 
     async def client(address: str, _: HttpServer) -> None:
         async with await connect(address) as stream:
             began = anyio.current_time()
-            await stream.send(b"\r\n" * 1000)
+            await stream.send(line * 2000)
             assert await read_to_end(stream) == b""
             assert anyio.current_time() - began < IDLE_SECONDS / 2
 
--- a/tests/crowds/crowd_deployment.py
+++ b/tests/crowds/crowd_deployment.py
@@ -28,6 +28,7 @@
     "briarthread_client_refusals_total",
     "briarthread_rejected_connections_total",
 )
+HELD_GAUGE = "briarthread_client_held_bytes{"
 AGENT = "agent-0"
 AGENT_SETTINGS = """
 [instance]
@@ -67,6 +68,7 @@
     processes: dict[str, ProcessFigures] = field(default_factory=dict)
     statuses: dict[str, int] = field(default_factory=dict)
     refusals: str = ""
+    held: set[float] = field(default_factory=set)
 
     def describe(self) -> str:
         """Return the figures in a few words."""
@@ -106,7 +108,7 @@
             await anyio.sleep(SETTLE_SECONDS)
             for address, path in addresses.items():
                 figures.statuses[path] = await _request(address, path)
-            figures.refusals = await _refusals(addresses)
+            await _read_metrics(addresses, figures)
         finally:
             deployment.stop()
             if agent is not None:
@@ -211,8 +213,8 @@
     return status
 
 
-async def _refusals(addresses: dict[str, str]) -> str:
-    """Return the counters of clients that were refused, of each process."""
+async def _read_metrics(addresses: dict[str, str], figures: CrowdFigures) -> None:
+    """Note which clients were refused, and what those that are left hold."""
     found: list[str] = []
     for address, path in addresses.items():
         if path not in ("/status", "/healthz"):
@@ -222,6 +224,8 @@
                 response = await pool.request("GET", f"http://{address}/metrics")
                 lines = response.content.decode().splitlines()
                 found += [line for line in lines if line.startswith(REFUSAL_COUNTERS)]
+                gauges = [line for line in lines if line.startswith(HELD_GAUGE)]
+                figures.held |= {float(line.rpartition(" ")[2]) for line in gauges}
         except (httpcore.NetworkError, httpcore.RemoteProtocolError):
             found.append(f"no metrics of {address}")
-    return " ".join(found)
+    figures.refusals = " ".join(found)
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -61,3 +61,4 @@
         assert process.peak_bytes < MEMORY_MB * 1e6, figures.describe()
         assert process.open_files < MAX_FILES, figures.describe()
     assert set(figures.statuses.values()) == {200}, figures.describe()
+    assert figures.held == {0.0}, figures.describe()
