Split running an attempt and deciding on a retry from the request's runner

AttemptRunner runs one attempt and tells the components that learn from it; RetryDecider decides whether a request goes on and spends the budget. Behaviour as before: the tests of tests/direct and the entry pass, those that compare every decision of two loads among them.

--- a/packages/entry/src/briarthread_entry/direct/request_runner.py
+++ b/packages/entry/src/briarthread_entry/direct/request_runner.py
@@ -1,9 +1,6 @@
 """Execution of a request by attempts at direct targets."""
 
 import random
-from collections.abc import Callable
-from contextlib import AbstractContextManager
-from functools import partial
 
 import anyio
 
@@ -20,49 +17,35 @@
     DirectOutcome,
     NotRun,
     OutcomeUnknown,
-    RankTooSlow,
     StreamRelayed,
     TargetResponse,
-    TargetSilent,
 )
 from briarthread_entry.direct.attempts.attempt_recorder import (
     SERVER_ERROR,
     AttemptRecorder,
 )
+from briarthread_entry.direct.attempts.attempt_runner import AttemptRunner
 from briarthread_entry.direct.attempts.attempt_sender import AttemptSender
 from briarthread_entry.direct.attempts.silent_attempts import SilentAttempts
-from briarthread_entry.direct.crashes.crash_rule import (
-    MAX_CRASHES,
-    MAX_RETRIED_CRASHES,
-    PROVEN_EVENTS,
-)
-from briarthread_entry.direct.crashes.crash_tracker import CrashTracker, RunningRequest
-from briarthread_entry.direct.crashes.rank_run import RankRun
+from briarthread_entry.direct.crashes.crash_rule import MAX_CRASHES
+from briarthread_entry.direct.crashes.crash_tracker import CrashTracker
 from briarthread_entry.direct.groups.group_capacity import GroupCapacityTracker
 from briarthread_entry.direct.groups.slow_ranks import SlowRanks
 from briarthread_entry.direct.requests.direct_request import DirectRequest
 from briarthread_entry.direct.responses.response_relay import ResponseRelay
-from briarthread_entry.direct.retries.final_error import final_error, retry_reason
+from briarthread_entry.direct.retries.final_error import final_error
+from briarthread_entry.direct.retries.retry_decider import RetryDecider
 from briarthread_entry.direct.retries.shared_retry_budget import SharedRetryBudget
 from briarthread_entry.direct.routing.target_chooser import TargetChooser
 from briarthread_entry.direct.routing.targets_closed import TargetsClosed
 from briarthread_entry.direct.targets.target_state import DirectTargetState
 
-MAX_FAILED_ATTEMPTS = 3
-"""Failures after which a request is not retried.
-
-It bounds the attempts that did not even connect, which do not count towards the route's
-attempts.
-"""
-
 
 class RequestRunner:
     """
     Send a request to one target after the other while a retry is safe and allowed.
 
-    A request that may run only once is sent to another target only if the last one
-    provably did not run it. Any other request is retried within the route's number of
-    attempts and the retry budget.
+    Whether it is, RetryDecider decides.
     """
 
     def __init__(
@@ -84,14 +67,20 @@
         self.budget = budget
         self.admission = admission
         self.capacity = capacity
-        self.slow_ranks = slow_ranks
         self.silent_attempts = SilentAttempts(chooser.plain_targets)
-        self.metrics = metrics
-        self.events = events
         self.attempt_recorder = AttemptRecorder(
             capacity, crashes, sender.backoffs, chooser.plain_targets, metrics, events
         )
-        self.silent_ranks = self.attempt_recorder.silent_ranks
+        self.attempts = AttemptRunner(
+            chooser,
+            sender,
+            crashes,
+            capacity,
+            slow_ranks,
+            self.silent_attempts,
+            self.attempt_recorder,
+        )
+        self.retries = RetryDecider(budget, crashes, metrics, events)
         self.rng = rng
 
     async def run(self, request: DirectRequest, call: Call) -> None:
@@ -153,8 +142,8 @@
                 raise self._final_error(request, failures)
             self._check_still_allowed(request, failures, is_trial)
             tried.add(state.target.name)
-            may_move = self._may_move(request, sent)
-            outcome = await self._attempt(request, state, relay, tried, may_move)
+            may_leave = self.retries.may_leave(request, sent)
+            outcome = await self.attempts.run(request, state, relay, tried, may_leave)
             match outcome:
                 case StreamRelayed():
                     self.admission.note_served(request)
@@ -171,7 +160,7 @@
                     sent += 1
             failures.append(outcome)
             groups = self._groups_for_retry(request, state)
-            if not self._may_retry(request, failures, sent, bool(groups)):
+            if not self.retries.may_retry(request, failures, sent, bool(groups)):
                 await self._finish_failed(request, call, failures)
                 return
 
@@ -214,166 +203,6 @@
         open_groups = self.capacity.open_groups(request, anyio.current_time())
         return open_groups - {self.capacity.membership.group_of(failed.target)} or None
 
-    async def _attempt(
-        self,
-        request: DirectRequest,
-        state: DirectTargetState,
-        relay: ResponseRelay,
-        tried: set[str],
-        may_move: bool,
-    ) -> DirectOutcome:
-        started = anyio.current_time()
-        running = self.chooser.total_running(state, started)
-        group = self.capacity.membership.group_of(state.target)
-        relay.begin_attempt(partial(self._note_event, request, relay, group))
-        run = RunningRequest(
-            request.digest,
-            state.target.name,
-            state.target.started_ms,
-            request.segments,
-        )
-        self.crashes.note_start(run)
-        rank_run = self._start_rank_run(request, state, started, relay)
-        state.running += 1
-        state.prompt_tokens += request.prompt_tokens
-        try:
-            if may_move:
-                outcome = await self._send_until_moved(request, state, relay, tried)
-            else:
-                outcome = await self.sender.send(request, state, relay)
-        except anyio.get_cancelled_exc_class():
-            self.attempt_recorder.record_abandoned(
-                request, state, started, relay, rank_run
-            )
-            raise
-        finally:
-            state.running -= 1
-            state.prompt_tokens -= request.prompt_tokens
-            self.crashes.note_end(run)
-            if rank_run is not None:
-                self.silent_ranks.end(rank_run, anyio.current_time())
-        self.attempt_recorder.record(
-            request,
-            state,
-            outcome,
-            started,
-            relay.progress,
-            running,
-            rank_run,
-        )
-        return outcome
-
-    def _start_rank_run(
-        self,
-        request: DirectRequest,
-        state: DirectTargetState,
-        began: float,
-        relay: ResponseRelay,
-    ) -> RankRun | None:
-        """Record an attempt at a rank of a group, ``None`` for any other target."""
-        if request.service.engine is None:
-            return None
-        group = self.capacity.membership.group_of(state.target)
-        return self.silent_ranks.start(request, state.target, group, began, relay)
-
-    def _note_event(
-        self,
-        request: DirectRequest,
-        relay: ResponseRelay,
-        group: GroupId,
-        previous: float | None,
-    ) -> None:
-        self.capacity.note_event(request.service, group, previous)
-        self.attempt_recorder.note_pass(group)
-        if relay.progress.events == PROVEN_EVENTS:
-            now = anyio.current_time()
-            self.crashes.segments.note_answered(request.segments, now)
-
-    def _may_move(self, request: DirectRequest, sent: int) -> bool:
-        """Return whether a running attempt may be moved to another target."""
-        return sent + 1 < request.route.max_attempts and request.route.retryable
-
-    async def _send_until_moved(
-        self,
-        request: DirectRequest,
-        state: DirectTargetState,
-        relay: ResponseRelay,
-        tried: set[str],
-    ) -> DirectOutcome:
-        """Send an attempt; cancel it if it should move and a retry is allowed."""
-        outcomes: list[DirectOutcome] = []
-
-        def leave(outcome: DirectOutcome) -> None:
-            if self._spend_retry(request, retry_reason(outcome)):
-                outcomes.append(outcome)
-                scope.cancel()
-
-        with anyio.CancelScope() as scope, self._watch(request, state, tried, leave):
-            return await self.sender.send(request, state, relay)
-        return outcomes[0]
-
-    def _watch(
-        self,
-        request: DirectRequest,
-        state: DirectTargetState,
-        tried: set[str],
-        leave: Callable[[DirectOutcome], None],
-    ) -> AbstractContextManager[None]:
-        """Call ``leave`` when the attempt should continue at another target."""
-        if request.service.engine is not None:
-            return self.slow_ranks.watch(
-                request.service.name,
-                state,
-                lambda factor: leave(RankTooSlow(factor)),
-            )
-
-        def leave_silent(seconds: float) -> None:
-            if self.chooser.has_answering_target(request, tried):
-                leave(TargetSilent(seconds))
-
-        return self.silent_attempts.watch(state, leave_silent)
-
-    def _may_retry(
-        self,
-        request: DirectRequest,
-        failures: list[DirectOutcome],
-        sent: int,
-        has_alternative: bool,
-    ) -> bool:
-        """
-        Return whether to retry.
-
-        ``has_alternative`` is true if another group has free capacity.
-        """
-        outcome = failures[-1]
-        if isinstance(outcome, RankTooSlow | TargetSilent):
-            return True
-        if sent >= request.route.max_attempts or len(failures) >= MAX_FAILED_ATTEMPTS:
-            return False
-        crashes = self.crashes.crash_count(request.digest, request.segments)
-        if crashes > MAX_RETRIED_CRASHES:
-            return False
-        if isinstance(outcome, NotRun) and outcome.faulty_rank and not has_alternative:
-            return False
-        if isinstance(outcome, NotRun) and not outcome.written:
-            return True
-        if not isinstance(outcome, NotRun) and not request.route.retryable:
-            return False
-        return self._spend_retry(request, retry_reason(outcome))
-
-    def _spend_retry(self, request: DirectRequest, reason: str) -> bool:
-        """Spend and count a retry; return whether the budget allowed it."""
-        service, now = request.service.name, anyio.current_time()
-        allowed = self.budget.spend(service, now)
-        decision = "retry-allowed" if allowed else "retry-denied"
-        figures = self.budget.describe(service, now)
-        self.events.add(decision, service, f"{reason}; {figures}", request.id)
-        if allowed:
-            self.metrics.retries.labels(reason).inc()
-        else:
-            self.metrics.refusals.labels(str(ErrorKind.RETRY_BUDGET)).inc()
-        return allowed
-
     async def _finish_failed(
         self, request: DirectRequest, call: Call, failures: list[DirectOutcome]
     ) -> None:
