--- a/tests/crowds/crowd_deployment.py
+++ b/tests/crowds/crowd_deployment.py
@@ -144,7 +144,7 @@
     )
     settings.write_text(text, encoding="utf-8")
     command = [*installed_command("briarthread-agent"), "--direct", str(settings)]
-    process = deployment._start_process(AGENT, command)
+    process = deployment.start_process(AGENT, command)
     await _wait_until_served(address, "/healthz")
     return process, address
 
--- a/tests/soak/soak_deployment.py
+++ b/tests/soak/soak_deployment.py
@@ -190,7 +190,7 @@
         command = [sys.executable, "-m", module, name, address]
         if self.culprit:
             command.append(f"--culprit={self.culprit}")
-        process = self._start_process(name, command)
+        process = self.start_process(name, command)
         self.targets[name] = Target(process, proxy, data_centre)
         self._list_target(name, service, f"{HOST}:{proxy_port}", data_centre)
 
@@ -200,7 +200,7 @@
         """Start a target whose bytes are no answer, and list it."""
         address = free_address()
         command = [sys.executable, endless_target.__file__, kind, pace, address]
-        process = self._start_process(name, command)
+        process = self.start_process(name, command)
         self.endless_targets.append(process)
         self._list_target(name, service, address, FIRST_DATA_CENTRE)
         return process
@@ -234,9 +234,10 @@
         )
         settings.write_text(text, encoding="utf-8")
         command = [*installed_command("briarthread"), "direct", str(settings)]
-        self.entries[name] = self._start_process(name, command)
+        self.entries[name] = self.start_process(name, command)
 
-    def _start_process(self, name: str, command: list[str]) -> SoakProcess:
+    def start_process(self, name: str, command: list[str]) -> SoakProcess:
+        """Start a process that logs into the folder."""
         log = self.folder / f"{name}.log"
         return SoakProcess(name, command, log, _spawn(command, log))
 
